--- a/packages/adapters/httpserver.c
+++ b/packages/adapters/httpserver.c
@@ -6,6 +6,8 @@
 #include "httpserver.h"
 #include "net.h"
 
+#define IDLE_TIMEOUT_MS 30000
+
 typedef struct Handler {
     h2o_handler_t super;
     BwHttpServer *server;
@@ -91,6 +93,7 @@
         path.len = req->query_at;
     }
     exchange->path = to_span(path);
+    exchange->host = to_span(req->authority);
     exchange->body = to_span(req->entity);
     exchange->anchor = h2o_mem_alloc_shared(&req->pool, sizeof(BwExchange *),
                                             on_request_cleared);
@@ -129,6 +132,7 @@
     server->ctx = ctx;
     server->port = port;
     h2o_config_init(&server->config);
+    server->config.http1.req_timeout = IDLE_TIMEOUT_MS;
     server->config.server_name = h2o_iovec_init(H2O_STRLIT("brasswing"));
     server->body_bytes_max = body_bytes_max;
     server->config.max_request_entity_size = 2 * body_bytes_max;
@@ -177,9 +181,13 @@
     h2o_iovec_t content = h2o_strdup(&req->pool, body.base, body.size_bytes);
     h2o_iovec_t type = h2o_strdup(&req->pool, content_type, SIZE_MAX);
 
+    bool exchange_is_last = exchange->server->is_closing;
+
     *exchange->anchor = NULL;
     exchange->server->open_exchanges--;
     free(exchange);
+    if (exchange_is_last)
+        req->http1_is_persistent = 0;
     req->res.status = status;
     req->res.reason = find_reason(status);
     req->res.content_length = content.len;
--- a/packages/adapters/httpserver.h
+++ b/packages/adapters/httpserver.h
@@ -23,6 +23,7 @@
     BwSpan method;
     BwSpan path;  /* without the query */
     BwSpan query; /* without the question mark */
+    BwSpan host; /* that the caller names, with its port if it gave one */
     BwSpan body;
     void *data; /* the owner's */
     struct BwExchange **anchor;
@@ -44,6 +45,7 @@
     const BwHttpEvents *events;
     void *ctx;
     uint32_t open_exchanges;
+    bool is_closing; /* connections end with their next answer */
     size_t body_bytes_max;
 };
 
--- a/packages/adapters/settings.c
+++ b/packages/adapters/settings.c
@@ -31,8 +31,9 @@
     }
 
 static const BwYamlField endpoint_fields[] = {
-    TEXT(BwEndpoint, "host", host, true, "give an IP number"),
+    TEXT(BwEndpoint, "host", host, false, "give an IP number"),
     NUMBER(BwEndpoint, "port", BW_YAML_U32, port, 0, 65535, "give a TCP port"),
+    TEXT(BwEndpoint, "address", address, false, "give HOST:PORT"),
 };
 static const BwYamlSchema endpoint_schema =
     SCHEMA(BwEndpoint, "an address", endpoint_fields);
@@ -56,6 +57,12 @@
            "give the greatest difference of two hosts' wall clocks"),
     NUMBER(BwLimits, "silence_ms", BW_YAML_U64, silence_ms, 1000, 600000,
            "give how long a silent executor is waited for"),
+    NUMBER(BwLimits, "session_ms", BW_YAML_U64, session_ms, 100, 60000,
+           "give how long a supervisor runs tasks of a silent dispatcher"),
+    NUMBER(BwLimits, "worker_lease_ms", BW_YAML_U64, worker_lease_ms, 100,
+           60000, "give how long a worker runs tasks of a silent supervisor"),
+    NUMBER(BwLimits, "stop_ms", BW_YAML_U64, stop_ms, 100, 600000,
+           "give how long a planned stop may take"),
 };
 static const BwYamlSchema limits_schema =
     SCHEMA(BwLimits, "limits", limits_fields);
@@ -74,7 +81,8 @@
 static const BwYamlSchema peer_tls_schema =
     SCHEMA(BwTlsFiles, "peer_tls", peer_tls_fields);
 
-static const char *const role_names[] = {"entry", "agent", NULL};
+static const char *const role_names[] = {"entry", "agent", "dispatcher",
+                                         "supervisor", NULL};
 static const char *const level_names[] = {"error", "warning", "info", "debug",
                                           NULL};
 
@@ -84,12 +92,15 @@
      .is_required = true,
      .offset = offsetof(BwSettings, role),
      .choices = role_names,
-     .remedy = "an entry takes callers' requests, an agent runs tasks"},
+     .remedy = "an entry takes callers' requests, an agent runs tasks; a "
+               "dispatcher takes bound jobs, a supervisor runs them"},
     TEXT(BwSettings, "name", name, true, "give this process a unique name"),
     TEXT(BwSettings, "region", region, true, "name the region"),
     TEXT(BwSettings, "domain", domain, true, "name the failure domain"),
     NESTED(BwSettings, "http", http, true, endpoint_schema),
     NESTED(BwSettings, "peer", peer, false, endpoint_schema),
+    NESTED(BwSettings, "ready", ready, false, endpoint_schema),
+    NESTED(BwSettings, "worker", worker, false, endpoint_schema),
     NESTED(BwSettings, "log", log, true, endpoint_schema),
     TEXT(BwSettings, "log_stream", log_stream, false,
          "name the stream of the platform's log"),
@@ -129,14 +140,48 @@
     settings->limits.lease_ms = 2000;
     settings->limits.clock_skew_ms = 500;
     settings->limits.silence_ms = 10000;
+    settings->limits.session_ms = 500;
+    settings->limits.worker_lease_ms = 400;
+    settings->limits.stop_ms = 5000;
+}
+
+/* Splits `address` into host and port.  Returns false when it is none. */
+static bool
+split_address(BwEndpoint *endpoint)
+{
+    char *colon = strrchr(endpoint->address, ':');
+    size_t length;
+    char *end;
+    unsigned long port;
+
+    if (colon == NULL)
+        return false;
+    length = (size_t)(colon - endpoint->address);
+    if (length == 0 || length >= sizeof(endpoint->host))
+        return false;
+    port = strtoul(colon + 1, &end, 10);
+    if (end == colon + 1 || *end != '\0' || port > 65535)
+        return false;
+    memcpy(endpoint->host, endpoint->address, length);
+    endpoint->host[length] = '\0';
+    endpoint->port = (uint32_t)port;
+    return true;
 }
 
 static void
-check_address(const char *path, const char *key, const BwEndpoint *endpoint,
-              BwYamlFaults *faults)
+check_address(const char *path, const char *key, bool is_required,
+              BwEndpoint *endpoint, BwYamlFaults *faults)
 {
     struct sockaddr_storage address;
 
+    if (endpoint->address[0] != '\0' && !split_address(endpoint))
+        BwYaml_AddFault(faults, path, 1,
+                        "%s.address: '%s' is not HOST:PORT; write an IP "
+                        "number, a colon and a TCP port",
+                        key, endpoint->address);
+    if (is_required && faults->count == 0 && endpoint->host[0] == '\0')
+        BwYaml_AddFault(faults, path, 1,
+                        "%s: 'host' is missing; give an IP number", key);
     if (endpoint->host[0] != '\0' &&
         BwNet_Parse(endpoint->host, 1, &address) == 0)
         BwYaml_AddFault(faults, path, 1,
@@ -163,6 +208,25 @@
     return text;
 }
 
+static void
+check_addresses(BwSettings *settings, const char *path, BwYamlFaults *faults)
+{
+    bool is_dispatcher = settings->role == BW_SETTINGS_DISPATCHER;
+    bool is_supervisor = settings->role == BW_SETTINGS_SUPERVISOR;
+
+    check_address(path, "http", true, &settings->http, faults);
+    check_address(path, "peer", is_dispatcher, &settings->peer, faults);
+    check_address(path, "ready", is_dispatcher, &settings->ready, faults);
+    check_address(path, "worker", is_supervisor, &settings->worker, faults);
+    check_address(path, "log", true, &settings->log, faults);
+    for (uint32_t i = 0; i < settings->peer_count; i++)
+        check_address(path, "peers", true, &settings->peers[i], faults);
+    if (settings->role == BW_SETTINGS_AGENT && settings->peer.host[0] == '\0')
+        BwYaml_AddFault(faults, path, 1,
+                        "an agent lacks 'peer'; give the address where other "
+                        "processes connect");
+}
+
 bool
 BwSettings_Load(BwSettings *settings, const char *path, BwYamlFaults *faults)
 {
@@ -182,15 +246,7 @@
                         BW_SETTINGS_BYTES_MAX);
     else
         BwYaml_Read(path, text, &settings_schema, settings, faults);
-    check_address(path, "http", &settings->http, faults);
-    check_address(path, "peer", &settings->peer, faults);
-    check_address(path, "log", &settings->log, faults);
-    for (uint32_t i = 0; i < settings->peer_count; i++)
-        check_address(path, "peers", &settings->peers[i], faults);
-    if (settings->role == BW_SETTINGS_AGENT && settings->peer.host[0] == '\0')
-        BwYaml_AddFault(faults, path, 1,
-                        "an agent lacks 'peer'; give the address where other "
-                        "processes connect");
+    check_addresses(settings, path, faults);
     free(content);
     return faults->count == 0;
 }
--- a/packages/adapters/settings.h
+++ b/packages/adapters/settings.h
@@ -10,9 +10,13 @@
 #define BW_PATH_BYTES_MAX 256
 #define BW_SETTINGS_BYTES_MAX 65536
 
+#define BW_ADDRESS_BYTES_MAX 80
+
+/* Given as host and port, or as address, "HOST:PORT". */
 typedef struct BwEndpoint {
     char host[BW_HOST_BYTES_MAX];
     uint32_t port;
+    char address[BW_ADDRESS_BYTES_MAX];
 } BwEndpoint;
 
 typedef struct BwLimits {
@@ -25,6 +29,9 @@
     uint64_t lease_ms;      /* of a custodian */
     uint64_t clock_skew_ms; /* greatest difference of two wall clocks */
     uint64_t silence_ms;    /* how long a silent executor is waited for */
+    uint64_t session_ms;      /* of a dispatcher at a supervisor */
+    uint64_t worker_lease_ms; /* of what runs on a worker */
+    uint64_t stop_ms;         /* a planned stop ends within */
 } BwLimits;
 
 /* PEM files; an empty certificate turns TLS off. */
@@ -35,17 +42,20 @@
 } BwTlsFiles;
 
 typedef struct BwSettings {
-    uint32_t role; /* 0 entry, 1 agent */
+    uint32_t role; /* BW_SETTINGS_ENTRY and so on */
     char name[BW_NAME_BYTES_MAX];
     char region[BW_NAME_BYTES_MAX];
     char domain[BW_NAME_BYTES_MAX];
     BwEndpoint http;
-    BwEndpoint peer; /* agents only: where other processes connect */
+    BwEndpoint peer; /* agents, dispatchers: where other processes connect */
+    BwEndpoint ready;  /* dispatchers: where readiness is asked for */
+    BwEndpoint worker; /* supervisors: where the worker takes orders */
     BwEndpoint log;
     char log_stream[BW_NAME_BYTES_MAX];
     uint32_t log_level;       /* BwLogLevel */
     uint64_t log_retention_s; /* the log keeps a record at least this long */
-    BwEndpoint *peers;        /* whom to ask while the log is down */
+    BwEndpoint *peers;        /* whom to ask while the log is down; the seeds
+                                 of dispatchers and supervisors */
     uint32_t peer_count;
     BwLimits limits;
     BwTlsFiles tls;      /* towards callers and operators */
@@ -54,6 +64,8 @@
 
 #define BW_SETTINGS_ENTRY 0
 #define BW_SETTINGS_AGENT 1
+#define BW_SETTINGS_DISPATCHER 2
+#define BW_SETTINGS_SUPERVISOR 3
 
 /* Fills in the defaults, then reads and checks the file.  Returns true when
    there was no fault.  Finish the settings in either case. */
--- a/packages/adapters/wire.c
+++ b/packages/adapters/wire.c
@@ -300,6 +300,72 @@
     SPAN(BwConfigState, text),
 };
 
+static const Field load_account_fields[] = {
+    U64(BwWorkerLoad, place_seen),      U64(BwWorkerLoad, free.cpu_milli),
+    U64(BwWorkerLoad, free.mem_mb),     U64(BwWorkerLoad, free.gpu),
+    U64(BwWorkerLoad, queued_core_us),  U32(BwWorkerLoad, pace_permille),
+    U32(BwWorkerLoad, failed_permille),
+};
+static const Layout load_account_layout =
+    LAYOUT(BwWorkerLoad, load_account_fields);
+static const Field worker_fields[] = {
+    SPAN(BwWorkerState, instance),
+    SPAN(BwWorkerState, service),
+    SPAN(BwWorkerState, domain),
+    U64(BwWorkerState, capacity.cpu_milli),
+    U64(BwWorkerState, capacity.mem_mb),
+    U64(BwWorkerState, capacity.gpu),
+    U32(BwWorkerState, is_leaving),
+    U32(BwWorkerState, is_clear),
+    LIST(BwWorkerState, labels, label_count, name_layout),
+    LIST(BwWorkerState, load, load_count, load_account_layout),
+};
+static const Field place_fields[] = {
+    U64(BwPlace, number),
+    U64(BwPlace, ref),
+    SPAN(BwPlace, job),
+    SPAN(BwPlace, spec),
+    SPAN(BwPlace, service),
+    SPAN(BwPlace, requirement),
+    U64(BwPlace, room.cpu_milli),
+    U64(BwPlace, room.mem_mb),
+    U64(BwPlace, room.gpu),
+    U32(BwPlace, step),
+    U32(BwPlace, priority),
+    U32(BwPlace, spread_max),
+    U64(BwPlace, expected_us),
+    U64(BwPlace, due_in_us),
+    U64(BwPlace, deadline_in_us),
+    LIST(BwPlace, tasks, task_count, index_layout),
+};
+static const Field stop_fields[] = {U64(BwStop, ref)};
+static const Field task_outcome_fields[] = {
+    U32(BwTaskOutcome, index),
+    U32(BwTaskOutcome, kind),
+    U32(BwTaskOutcome, reason),
+    U64(BwTaskOutcome, ran_us),
+};
+static const Layout task_outcome_layout =
+    LAYOUT(BwTaskOutcome, task_outcome_fields);
+static const Field outcome_fields[] = {
+    U64(BwOutcome, ref),
+    LIST(BwOutcome, tasks, task_count, task_outcome_layout),
+    LIST(BwOutcome, load, load_count, load_account_layout),
+};
+static const Field session_fields[] = {
+    U64(BwSession, asked_us),
+    LIST(BwSession, load, load_count, load_account_layout),
+};
+static const Field member_fields[] = {
+    SPAN(BwMember, name),
+    SPAN(BwMember, host),
+    U32(BwMember, port),
+};
+static const Layout member_layout = LAYOUT(BwMember, member_fields);
+static const Field members_fields[] = {
+    LIST(BwMembers, members, member_count, member_layout),
+};
+
 static const Layout layouts[BW_MSG_COUNT] = {
     [BW_MSG_HELLO] = LAYOUT(BwHello, hello_fields),
     [BW_MSG_SUBMIT] = LAYOUT(BwSubmit, submit_fields),
@@ -324,6 +390,12 @@
     [BW_MSG_CONFIG_ASK] = LAYOUT(BwConfigAsk, config_ask_fields),
     [BW_MSG_CONFIG_STATE] = LAYOUT(BwConfigState, config_state_fields),
     [BW_MSG_RING_STATE] = LAYOUT(BwRingState, ring_state_fields),
+    [BW_MSG_WORKER] = LAYOUT(BwWorkerState, worker_fields),
+    [BW_MSG_PLACE] = LAYOUT(BwPlace, place_fields),
+    [BW_MSG_STOP] = LAYOUT(BwStop, stop_fields),
+    [BW_MSG_OUTCOME] = LAYOUT(BwOutcome, outcome_fields),
+    [BW_MSG_SESSION] = LAYOUT(BwSession, session_fields),
+    [BW_MSG_MEMBERS] = LAYOUT(BwMembers, members_fields),
 };
 
 static void
--- /dev/null
+++ b/packages/core/dispatcher.c
@@ -0,0 +1,965 @@
+/* dispatcher.c -- the home of jobs that are bound to their caller
+
+   Placement looks at every worker that fits and takes the one expected to end
+   the task first: its foreseen wait, from the account of room and queue that
+   came with its supervisor's last answer less what is under way there, and
+   the run time at its pace.  A job is placed whole or refused whole; later
+   only single tasks move.  Looking at all workers costs a step for each; a
+   dispatcher is connected to a few hundred at most.
+*/
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "brasswing.h"
+#include "dispatcher.h"
+
+#define LEASE_DRIFT_PERMILLE 1030
+#define GONE_MARGIN_US 120000 /* stops take effect, and clocks drift */
+#define FIRST_SLOT_US 25000   /* until a full worker frees room */
+#define MOVES_MAX 8
+#define FAILURES_TO_EJECT 3
+#define EJECTED_US 3000000
+#define EJECTED_SHARE_MAX 2 /* half of the workers */
+#define RATIO_SHIFT 5
+#define RATIO_START_PERMILLE 1000
+#define FAR_PERMILLE 1500
+#define CROWDED_PERMILLE 100
+#define RETRY_AFTER_MS 1000
+#define LATE_SHARE 2 /* of the objective, that an answer may be late */
+#define NEVER UINT64_MAX
+
+static BwRoutePace *
+find_pace(BwDispatcher *d, const char *route)
+{
+    BwRoutePace *pace;
+
+    HASH_FIND_STR(d->paces, route, pace);
+    if (pace != NULL)
+        return pace;
+    pace = calloc(1, sizeof(*pace));
+    if (pace == NULL)
+        return NULL;
+    strncpy(pace->route, route, sizeof(pace->route) - 1);
+    pace->ratio_permille = RATIO_START_PERMILLE;
+    HASH_ADD_STR(d->paces, route, pace);
+    return pace;
+}
+
+static uint64_t
+expected_us(BwDispatcher *d, const char *route, uint64_t declared_us)
+{
+    const BwRoutePace *pace = find_pace(d, route);
+
+    if (pace == NULL)
+        return declared_us;
+    return declared_us * pace->ratio_permille / 1000;
+}
+
+static void
+learn_pace(BwDispatcher *d, const BwBoundJob *job, const BwPiece *piece,
+           uint64_t ran_us)
+{
+    BwRoutePace *pace = find_pace(d, job->route);
+    uint64_t declared_us = job->steps[piece->step].declared_us;
+    uint64_t ratio;
+
+    if (pace == NULL || declared_us == 0)
+        return;
+    ratio = ran_us * 1000 / declared_us;
+    if (ratio > 4000)
+        ratio = 4000;
+    pace->ratio_permille += (uint32_t)(ratio >> RATIO_SHIFT) -
+                            (pace->ratio_permille >> RATIO_SHIFT);
+}
+
+/* -------------------------------------------------------------- views */
+
+static BwView *
+find_view(BwDispatcher *d, uint32_t peer)
+{
+    BwView *view;
+
+    for (view = d->views; view != NULL; view = view->hh.next) {
+        if (view->peer == peer)
+            return view;
+    }
+    return NULL;
+}
+
+static bool
+view_takes(const BwView *view, uint64_t now_us)
+{
+    return view->peer != 0 && view->is_usable &&
+           now_us >= view->ejected_until_us && view->answered_us != 0;
+}
+
+static BwRoom
+view_room(const BwView *view, uint64_t *core_us)
+{
+    BwRoom room = view->free;
+
+    *core_us = view->queued_core_us;
+    for (uint32_t i = 0; i < view->in_flight_count; i++) {
+        const BwInFlight *sent = &view->in_flight[i];
+
+        room.cpu_milli -= sent->room.cpu_milli < room.cpu_milli
+                              ? sent->room.cpu_milli
+                              : room.cpu_milli;
+        room.mem_mb -=
+            sent->room.mem_mb < room.mem_mb ? sent->room.mem_mb : room.mem_mb;
+        room.gpu -= sent->room.gpu < room.gpu ? sent->room.gpu : room.gpu;
+        *core_us += sent->core_us;
+    }
+    return room;
+}
+
+static bool
+room_fits(const BwRoom *need, const BwRoom *room)
+{
+    return need->cpu_milli <= room->cpu_milli &&
+           need->mem_mb <= room->mem_mb && need->gpu <= room->gpu;
+}
+
+static bool
+view_has_label(const BwView *view, BwSpan label)
+{
+    if (label.size_bytes == 0)
+        return true;
+    for (uint32_t i = 0; i < view->label_count; i++) {
+        if (BwSpan_Equal(label, BwSpan_FromString(view->labels[i])))
+            return true;
+    }
+    return false;
+}
+
+/* The account of the next PLACE to the view. */
+static BwInFlight *
+next_in_flight(BwView *view)
+{
+    BwInFlight *last;
+
+    if (view->in_flight_count > 0) {
+        last = &view->in_flight[view->in_flight_count - 1];
+        if (last->number == view->place_number + 1)
+            return last;
+        if (view->in_flight_count == BW_IN_FLIGHT_MAX) {
+            last->number = view->place_number + 1;
+            return last;
+        }
+    }
+    last = &view->in_flight[view->in_flight_count++];
+    memset(last, 0, sizeof(*last));
+    last->number = view->place_number + 1;
+    return last;
+}
+
+static void
+reserve(BwView *view, const BwRoom *room, uint64_t core_us)
+{
+    BwInFlight *sent = next_in_flight(view);
+
+    sent->room.cpu_milli += room->cpu_milli;
+    sent->room.mem_mb += room->mem_mb;
+    sent->room.gpu += room->gpu;
+    sent->core_us += core_us;
+}
+
+static void
+unreserve(BwView *view, const BwRoom *room, uint64_t core_us)
+{
+    BwInFlight *sent = next_in_flight(view);
+
+    sent->room.cpu_milli -= room->cpu_milli;
+    sent->room.mem_mb -= room->mem_mb;
+    sent->room.gpu -= room->gpu;
+    sent->core_us -= core_us;
+}
+
+static void
+take_load(BwView *view, const BwWorkerLoad *load)
+{
+    uint32_t kept = 0;
+
+    view->free = load->free;
+    view->queued_core_us = load->queued_core_us;
+    view->pace_permille = load->pace_permille;
+    view->failed_permille = load->failed_permille;
+    for (uint32_t i = 0; i < view->in_flight_count; i++) {
+        if (view->in_flight[i].number > load->place_seen)
+            view->in_flight[kept++] = view->in_flight[i];
+    }
+    view->in_flight_count = kept;
+}
+
+static void
+note_failure(BwDispatcher *d, uint64_t now_us, BwView *view)
+{
+    uint32_t ejected = 0, known = 0;
+
+    if (++view->failed_in_row < FAILURES_TO_EJECT)
+        return;
+    for (const BwView *v = d->views; v != NULL; v = v->hh.next) {
+        known += v->peer != 0;
+        ejected += v->ejected_until_us > now_us;
+    }
+    if ((ejected + 1) * EJECTED_SHARE_MAX > known)
+        return;
+    view->ejected_until_us = now_us + EJECTED_US;
+    view->failed_in_row = FAILURES_TO_EJECT - 1;
+    d->port->log(d->ctx, "eject", NULL, view, 1, "failures in a row");
+}
+
+/* ---------------------------------------------------------- placement */
+
+static uint32_t
+count_there(const BwBoundJob *job, const BwView *view, uint32_t step)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < job->piece_count; i++)
+        count += job->pieces[i].view == view && job->pieces[i].step == step &&
+                 job->pieces[i].state == BW_PIECE_PLACED;
+    return count;
+}
+
+/* When the view would end a task, and a cost that spreads load; NEVER when it
+   cannot take it. */
+static uint64_t
+foresee(const BwBoundJob *job, const BwPiece *piece, const BwView *view,
+        uint64_t run_us, uint64_t now_us, uint64_t *cost_us)
+{
+    const BwBoundStep *step = &job->steps[piece->step];
+    uint64_t wait_us = 0, core_us;
+    BwRoom room;
+
+    if (!view_takes(view, now_us) ||
+        strcmp(view->service, job->service) != 0 ||
+        !room_fits(&step->room, &view->capacity) ||
+        !view_has_label(view, step->requirement) || piece->avoid == view)
+        return NEVER;
+    if (step->spread_max > 0 &&
+        count_there(job, view, piece->step) >= step->spread_max)
+        return NEVER;
+    room = view_room(view, &core_us);
+    if (!room_fits(&step->room, &room) || view->queued_core_us > 0)
+        wait_us = FIRST_SLOT_US + core_us * 1000 /
+                                      (view->capacity.cpu_milli + 1) *
+                                      view->pace_permille / 1000;
+    run_us = run_us * view->pace_permille / 1000;
+    if (!view_has_label(view, step->affinity))
+        run_us = run_us * FAR_PERMILLE / 1000;
+    *cost_us = wait_us + run_us +
+               run_us * CROWDED_PERMILLE / 1000 *
+                   (view->capacity.cpu_milli - room.cpu_milli) /
+                   (view->capacity.cpu_milli + 1);
+    return now_us + wait_us + run_us;
+}
+
+/* Picks the view that ends the task first, or NULL when none ends it by
+   `limit_us`. */
+static BwView *
+pick_view(BwDispatcher *d, const BwBoundJob *job, const BwPiece *piece,
+          uint64_t run_us, uint64_t now_us, uint64_t limit_us)
+{
+    BwView *best = NULL;
+    uint64_t best_cost_us = NEVER;
+
+    for (BwView *view = d->views; view != NULL; view = view->hh.next) {
+        uint64_t cost_us = 0;
+        uint64_t end_us = foresee(job, piece, view, run_us, now_us, &cost_us);
+
+        if (end_us > limit_us || cost_us >= best_cost_us)
+            continue;
+        best = view;
+        best_cost_us = cost_us;
+    }
+    return best;
+}
+
+static bool
+is_step_open(const BwBoundJob *job, uint32_t step)
+{
+    for (uint32_t i = 0; i < step; i++) {
+        if ((job->steps[step].after >> i & 1) != 0 && job->left[i] > 0)
+            return false;
+    }
+    return true;
+}
+
+static uint64_t
+limit_of(const BwBoundJob *job)
+{
+    uint64_t limit_us =
+        job->due_us + (job->due_us - job->arrived_us) / LATE_SHARE;
+
+    return limit_us < job->deadline_us ? limit_us : job->deadline_us;
+}
+
+static uint64_t
+clip(uint64_t from_us, uint64_t now_us)
+{
+    return from_us > now_us ? from_us - now_us : 0;
+}
+
+/* Sends the pieces of a step that were assigned to the view and not sent. */
+static void
+send_place(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, BwView *view,
+           uint32_t step_index, uint64_t run_us)
+{
+    const BwBoundStep *step = &job->steps[step_index];
+    BwMessage message = {.kind = BW_MSG_PLACE};
+    BwPlace *place = &message.u.place;
+    BwTaskIndex *tasks = malloc(job->piece_count * sizeof(*tasks));
+    uint32_t count = 0;
+
+    if (tasks == NULL)
+        return;
+    for (uint32_t i = 0; i < job->piece_count; i++) {
+        BwPiece *piece = &job->pieces[i];
+
+        if (piece->view != view || piece->step != step_index ||
+            piece->state != BW_PIECE_WAITING)
+            continue;
+        piece->state = BW_PIECE_PLACED;
+        piece->link = view->link;
+        piece->placed_us = now_us;
+        tasks[count++].index = piece->index;
+    }
+    place->number = ++view->place_number;
+    place->ref = job->ref;
+    place->job = BwSpan_FromString(job->name);
+    place->spec.base = job->spec;
+    place->spec.size_bytes = job->spec_bytes;
+    place->service = BwSpan_FromString(job->service);
+    place->requirement = step->requirement;
+    place->room = step->room;
+    place->step = step_index;
+    place->priority = job->priority;
+    place->spread_max = step->spread_max;
+    place->expected_us = run_us;
+    place->due_in_us = clip(limit_of(job), now_us + run_us);
+    place->deadline_in_us = clip(job->deadline_us, now_us);
+    place->tasks = tasks;
+    place->task_count = count;
+    job->was_placed = true;
+    d->counters.placed += count;
+    d->port->log(d->ctx, "place", job, view, count, "ends first");
+    d->port->send(d->ctx, view->peer, &message);
+    free(tasks);
+}
+
+/* Assigns every waiting piece of the step.  Returns false, with nothing
+   changed, when one cannot end by the limit. */
+static bool
+assign_step(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, uint32_t step,
+            uint64_t run_us, uint64_t limit_us)
+{
+    const BwRoom *room = &job->steps[step].room;
+    uint64_t core_us = room->cpu_milli * run_us / 1000;
+    uint32_t i;
+
+    for (i = 0; i < job->piece_count; i++) {
+        BwPiece *piece = &job->pieces[i];
+
+        if (piece->step != step || piece->state != BW_PIECE_WAITING)
+            continue;
+        piece->view = pick_view(d, job, piece, run_us, now_us, limit_us);
+        if (piece->view == NULL)
+            break;
+        reserve(piece->view, room, core_us);
+    }
+    if (i == job->piece_count)
+        return true;
+    while (i-- > 0) {
+        BwPiece *piece = &job->pieces[i];
+
+        if (piece->step != step || piece->state != BW_PIECE_WAITING)
+            continue;
+        unreserve(piece->view, room, core_us);
+        piece->view = NULL;
+    }
+    return false;
+}
+
+static bool
+place_step(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, uint32_t step,
+           uint64_t limit_us)
+{
+    uint64_t run_us = expected_us(d, job->route, job->steps[step].declared_us);
+
+    if (!assign_step(d, now_us, job, step, run_us, limit_us))
+        return false;
+    for (BwView *view = d->views; view != NULL; view = view->hh.next) {
+        bool is_used = false;
+
+        for (uint32_t i = 0; i < job->piece_count && !is_used; i++)
+            is_used = job->pieces[i].view == view &&
+                      job->pieces[i].step == step &&
+                      job->pieces[i].state == BW_PIECE_WAITING;
+        if (is_used)
+            send_place(d, now_us, job, view, step, run_us);
+    }
+    return true;
+}
+
+/* Places what waits and may start.  Returns false when a task cannot end by
+   the limit. */
+static bool
+place_open(BwDispatcher *d, uint64_t now_us, BwBoundJob *job,
+           uint64_t limit_us)
+{
+    for (uint32_t step = 0; step < job->step_count; step++) {
+        bool is_waiting = false;
+
+        for (uint32_t i = 0; i < job->piece_count && !is_waiting; i++)
+            is_waiting = job->pieces[i].step == step &&
+                         job->pieces[i].state == BW_PIECE_WAITING;
+        if (is_waiting && is_step_open(job, step) &&
+            !place_step(d, now_us, job, step, limit_us))
+            return false;
+    }
+    return true;
+}
+
+/* --------------------------------------------------------------- jobs */
+
+static void
+free_job(BwBoundJob *job)
+{
+    free(job->spec);
+    free(job->steps);
+    free(job->labels);
+    free(job->left);
+    free(job->pieces);
+    free(job);
+}
+
+/* Tells the supervisors that still have tasks of the job to end them. */
+static void
+stop_pieces(BwDispatcher *d, const BwBoundJob *job)
+{
+    BwMessage message = {.kind = BW_MSG_STOP};
+
+    message.u.stop.ref = job->ref;
+    for (BwView *view = d->views; view != NULL; view = view->hh.next) {
+        for (uint32_t i = 0; i < job->piece_count; i++) {
+            const BwPiece *piece = &job->pieces[i];
+
+            if (piece->view == view && piece->state == BW_PIECE_PLACED &&
+                piece->link == view->link && view->peer != 0) {
+                d->port->send(d->ctx, view->peer, &message);
+                break;
+            }
+        }
+    }
+}
+
+static void
+remove_job(BwDispatcher *d, BwBoundJob *job)
+{
+    stop_pieces(d, job);
+    HASH_DELETE(hh, d->jobs, job);
+    HASH_DELETE(by_name, d->names, job);
+    free_job(job);
+}
+
+static void
+end_job(BwDispatcher *d, BwBoundJob *job, BwBoundEnd end, const char *reason)
+{
+    void *data = job->data;
+
+    if (end == BW_BOUND_EXPIRED && !job->was_placed)
+        end = BW_BOUND_REFUSED;
+    d->counters.completed += end == BW_BOUND_COMPLETED;
+    d->counters.failed += end == BW_BOUND_FAILED;
+    d->counters.refused += end == BW_BOUND_REFUSED;
+    d->counters.expired += end == BW_BOUND_EXPIRED;
+    d->port->log(d->ctx, "end", job, NULL, (uint32_t)end, reason);
+    remove_job(d, job);
+    if (data != NULL)
+        d->port->answer(d->ctx, data, end,
+                        end == BW_BOUND_REFUSED ? RETRY_AFTER_MS : 0);
+}
+
+/* Places tasks that became free again, or gives the job up. */
+static void
+replace_pieces(BwDispatcher *d, uint64_t now_us, BwBoundJob *job,
+               const char *reason)
+{
+    if (!place_open(d, now_us, job, job->deadline_us))
+        end_job(d, job, BW_BOUND_EXPIRED, reason);
+}
+
+static BwPiece *
+find_piece(BwBoundJob *job, const BwView *view, uint32_t index)
+{
+    for (uint32_t i = 0; i < job->piece_count; i++) {
+        BwPiece *piece = &job->pieces[i];
+
+        if (piece->index == index && piece->view == view &&
+            piece->state == BW_PIECE_PLACED && piece->link == view->link)
+            return piece;
+    }
+    return NULL;
+}
+
+static void
+on_done(BwDispatcher *d, BwBoundJob *job, BwPiece *piece, uint64_t ran_us)
+{
+    piece->view->failed_in_row = 0;
+    learn_pace(d, job, piece, ran_us);
+    piece->state = BW_PIECE_DONE;
+    job->left[piece->step]--;
+    job->done_count++;
+}
+
+/* Returns false when the job has failed for good. */
+static bool
+on_failed(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, BwPiece *piece)
+{
+    bool is_suspect = piece->view->failed_in_row > 0;
+
+    note_failure(d, now_us, piece->view);
+    piece->state = BW_PIECE_WAITING;
+    piece->avoid = piece->view;
+    if (!is_suspect)
+        piece->failures++;
+    else
+        piece->moves++;
+    return piece->failures < job->attempts_max && piece->moves < MOVES_MAX;
+}
+
+static bool
+on_moved(BwDispatcher *d, BwPiece *piece, uint32_t kind)
+{
+    piece->state = BW_PIECE_WAITING;
+    piece->avoid = piece->view;
+    d->counters.bounced += kind == BW_OUTCOME_NOT_RUN;
+    d->counters.lost += kind == BW_OUTCOME_LOST;
+    return ++piece->moves < MOVES_MAX;
+}
+
+static void
+on_outcome(BwDispatcher *d, uint64_t now_us, BwView *view,
+           const BwOutcome *outcome)
+{
+    BwBoundJob *job;
+    bool is_alive = true;
+
+    HASH_FIND(hh, d->jobs, &outcome->ref, sizeof(outcome->ref), job);
+    if (job == NULL)
+        return;
+    for (uint32_t i = 0; i < outcome->task_count && is_alive; i++) {
+        const BwTaskOutcome *task = &outcome->tasks[i];
+        BwPiece *piece = find_piece(job, view, task->index);
+
+        if (piece == NULL)
+            continue;
+        if (task->kind == BW_OUTCOME_DONE)
+            on_done(d, job, piece, task->ran_us);
+        else if (task->kind == BW_OUTCOME_FAILED)
+            is_alive = on_failed(d, now_us, job, piece);
+        else
+            is_alive = on_moved(d, piece, task->kind);
+    }
+    if (!is_alive)
+        end_job(d, job, BW_BOUND_FAILED, "a task failed for good");
+    else if (job->done_count == job->piece_count)
+        end_job(d, job, BW_BOUND_COMPLETED, "all tasks are done");
+    else
+        replace_pieces(d, now_us, job, "no worker can end it in time");
+}
+
+static char *
+copy_label(char *at, BwSpan *span)
+{
+    memcpy(at, span->base, span->size_bytes);
+    span->base = at;
+    return at + span->size_bytes;
+}
+
+static bool
+copy_steps(BwBoundJob *job, const BwBoundRequest *request)
+{
+    size_t label_bytes = 1;
+    uint32_t next = 0;
+    char *at;
+
+    for (uint32_t i = 0; i < request->step_count; i++) {
+        label_bytes += request->steps[i].requirement.size_bytes +
+                       request->steps[i].affinity.size_bytes;
+        job->piece_count += request->steps[i].task_count;
+    }
+    job->step_count = request->step_count;
+    job->steps = calloc(job->step_count, sizeof(*job->steps));
+    job->left = calloc(job->step_count, sizeof(*job->left));
+    job->pieces = calloc(job->piece_count + 1, sizeof(*job->pieces));
+    job->labels = malloc(label_bytes);
+    if (job->steps == NULL || job->left == NULL || job->pieces == NULL ||
+        job->labels == NULL)
+        return false;
+    memcpy(job->steps, request->steps, job->step_count * sizeof(*job->steps));
+    at = job->labels;
+    for (uint32_t i = 0; i < job->step_count; i++) {
+        BwBoundStep *step = &job->steps[i];
+
+        if (step->requirement.size_bytes > 0)
+            at = copy_label(at, &step->requirement);
+        if (step->affinity.size_bytes > 0)
+            at = copy_label(at, &step->affinity);
+        job->left[i] = step->task_count;
+        for (uint32_t j = 0; j < step->task_count; j++) {
+            job->pieces[next].step = i;
+            job->pieces[next++].index = j;
+        }
+    }
+    return true;
+}
+
+/* The declared run time of the longest chain of steps. */
+static uint64_t
+longest_chain_us(const BwBoundJob *job)
+{
+    uint64_t ends_us[BW_STEPS_MAX] = {0};
+    uint64_t longest_us = 0;
+
+    for (uint32_t i = 0; i < job->step_count; i++) {
+        uint64_t start_us = 0;
+
+        for (uint32_t j = 0; j < i; j++) {
+            if ((job->steps[i].after >> j & 1) != 0 && ends_us[j] > start_us)
+                start_us = ends_us[j];
+        }
+        ends_us[i] = start_us + job->steps[i].declared_us;
+        if (ends_us[i] > longest_us)
+            longest_us = ends_us[i];
+    }
+    return longest_us;
+}
+
+static BwBoundJob *
+make_job(BwDispatcher *d, uint64_t now_us, BwSpan name,
+         const BwBoundRequest *request, const BwRoute *route,
+         uint64_t deadline_us, void *data)
+{
+    BwBoundJob *job = calloc(1, sizeof(*job));
+
+    if (job == NULL)
+        return NULL;
+    memcpy(job->name, name.base,
+           name.size_bytes < sizeof(job->name) ? name.size_bytes
+                                               : sizeof(job->name) - 1);
+    strcpy(job->service, route->service);
+    strcpy(job->route, route->name);
+    job->priority = route->priority;
+    job->attempts_max = route->attempts_max > 0 ? route->attempts_max : 1;
+    job->arrived_us = now_us;
+    job->deadline_us = deadline_us;
+    job->data = data;
+    job->spec_bytes = request->spec.size_bytes;
+    job->spec = malloc(request->spec.size_bytes + 1);
+    if (job->spec == NULL || !copy_steps(job, request)) {
+        free_job(job);
+        return NULL;
+    }
+    memcpy(job->spec, request->spec.base, request->spec.size_bytes);
+    job->due_us = now_us + route->target_us +
+                  expected_us(d, job->route, longest_chain_us(job)) *
+                      route->stretch_permille / 1000;
+    job->ref = ++d->next_ref;
+    return job;
+}
+
+uint64_t
+BwDispatcher_Submit(BwDispatcher *d, uint64_t now_us, BwSpan name,
+                    const BwBoundRequest *request, const BwRoute *route,
+                    uint64_t deadline_us, void *data)
+{
+    BwBoundJob *job = NULL;
+    BwBoundJob *twin = BwDispatcher_FindName(d, name);
+    uint64_t ref;
+
+    d->counters.submitted++;
+    if (twin == NULL && HASH_COUNT(d->jobs) < d->limits.jobs)
+        job = make_job(d, now_us, name, request, route, deadline_us, data);
+    if (job == NULL) {
+        d->counters.refused++;
+        d->port->answer(d->ctx, data, BW_BOUND_REFUSED, RETRY_AFTER_MS);
+        return 0;
+    }
+    ref = job->ref;
+    HASH_ADD(hh, d->jobs, ref, sizeof(job->ref), job);
+    HASH_ADD_KEYPTR(by_name, d->names, job->name, strlen(job->name), job);
+    if (!place_open(d, now_us, job, limit_of(job))) {
+        end_job(d, job, BW_BOUND_EXPIRED, "no worker can end it in time");
+        return 0;
+    }
+    return ref;
+}
+
+void
+BwDispatcher_Withdraw(BwDispatcher *d, uint64_t now_us, uint64_t ref)
+{
+    BwBoundJob *job;
+
+    (void)now_us;
+    HASH_FIND(hh, d->jobs, &ref, sizeof(ref), job);
+    if (job == NULL)
+        return;
+    d->counters.withdrawn++;
+    d->port->log(d->ctx, "withdraw", job, NULL, 0, "the caller is gone");
+    remove_job(d, job);
+}
+
+BwBoundJob *
+BwDispatcher_FindName(BwDispatcher *d, BwSpan name)
+{
+    BwBoundJob *job;
+
+    HASH_FIND(by_name, d->names, name.base, name.size_bytes, job);
+    return job;
+}
+
+bool
+BwBoundJob_IsRunning(const BwBoundJob *job)
+{
+    return job->was_placed;
+}
+
+uint32_t
+BwDispatcher_CountWaiting(const BwDispatcher *d, const char *route)
+{
+    uint32_t count = 0;
+
+    for (const BwBoundJob *job = d->jobs; job != NULL; job = job->hh.next)
+        count += !job->was_placed && strcmp(job->route, route) == 0;
+    return count;
+}
+
+/* -------------------------------------------------------- supervisors */
+
+/* Lets tasks of earlier connections start elsewhere. */
+static void
+release_unknown(BwDispatcher *d, uint64_t now_us, BwView *view)
+{
+    BwBoundJob *job, *next;
+
+    view->gone_us = 0;
+    HASH_ITER(hh, d->jobs, job, next)
+    {
+        bool is_freed = false;
+        bool is_alive = true;
+
+        for (uint32_t i = 0; i < job->piece_count; i++) {
+            BwPiece *piece = &job->pieces[i];
+
+            if (piece->view != view || piece->state != BW_PIECE_UNKNOWN)
+                continue;
+            is_alive = on_moved(d, piece, BW_OUTCOME_LOST) && is_alive;
+            piece->avoid = NULL;
+            is_freed = true;
+        }
+        if (!is_alive)
+            end_job(d, job, BW_BOUND_FAILED, "a task moved too often");
+        else if (is_freed)
+            replace_pieces(d, now_us, job, "its worker was lost");
+    }
+}
+
+static void
+lose_link(BwDispatcher *d, uint64_t now_us, BwView *view)
+{
+    uint64_t session_us = view->answered_us + d->limits.session_us;
+    uint64_t from_us = session_us > now_us ? session_us : now_us;
+    BwBoundJob *job, *next;
+
+    view->peer = 0;
+    view->is_usable = false;
+    view->in_flight_count = 0;
+    view->gone_us = from_us + GONE_MARGIN_US +
+                    d->limits.lease_us * LEASE_DRIFT_PERMILLE / 1000;
+    HASH_ITER(hh, d->jobs, job, next)
+    {
+        bool is_late = false;
+
+        for (uint32_t i = 0; i < job->piece_count; i++) {
+            BwPiece *piece = &job->pieces[i];
+            uint64_t run_us;
+
+            if (piece->view != view || piece->state != BW_PIECE_PLACED)
+                continue;
+            piece->state = BW_PIECE_UNKNOWN;
+            run_us = expected_us(d, job->route,
+                                 job->steps[piece->step].declared_us);
+            is_late = is_late || view->gone_us + run_us > job->deadline_us;
+        }
+        if (is_late)
+            end_job(d, job, BW_BOUND_EXPIRED, "its worker is silent");
+    }
+}
+
+void
+BwDispatcher_PeerUp(BwDispatcher *d, uint64_t now_us, uint32_t peer,
+                    BwSpan name)
+{
+    char text[BW_NAME_BYTES_MAX] = {0};
+    BwView *view;
+
+    memcpy(text, name.base,
+           name.size_bytes < sizeof(text) ? name.size_bytes
+                                          : sizeof(text) - 1);
+    HASH_FIND_STR(d->views, text, view);
+    if (view == NULL) {
+        view = calloc(1, sizeof(*view));
+        if (view == NULL)
+            return;
+        strcpy(view->name, text);
+        view->pace_permille = 1000;
+        HASH_ADD_STR(d->views, name, view);
+    }
+    else if (view->peer != 0) {
+        lose_link(d, now_us, view);
+    }
+    view->peer = peer;
+    view->link = ++d->next_link;
+    view->place_number = 0;
+    view->in_flight_count = 0;
+    view->is_usable = false;
+    view->answered_us = 0;
+}
+
+void
+BwDispatcher_PeerDown(BwDispatcher *d, uint64_t now_us, uint32_t peer)
+{
+    BwView *view = find_view(d, peer);
+
+    if (view != NULL)
+        lose_link(d, now_us, view);
+}
+
+static void
+copy_span(char *out, size_t room, BwSpan span)
+{
+    size_t size = span.size_bytes < room - 1 ? span.size_bytes : room - 1;
+
+    memcpy(out, span.base, size);
+    out[size] = '\0';
+}
+
+static void
+on_worker(BwDispatcher *d, uint64_t now_us, BwView *view,
+          const BwWorkerState *state)
+{
+    char instance[BW_NAME_BYTES_MAX];
+
+    copy_span(instance, sizeof(instance), state->instance);
+    if (strcmp(instance, view->instance) != 0) {
+        view->failed_in_row = 0;
+        view->ejected_until_us = 0;
+    }
+    strcpy(view->instance, instance);
+    copy_span(view->service, sizeof(view->service), state->service);
+    copy_span(view->domain, sizeof(view->domain), state->domain);
+    view->capacity = state->capacity;
+    view->is_usable = state->is_leaving == 0;
+    view->label_count = state->label_count < BW_LABELS_MAX ? state->label_count
+                                                           : BW_LABELS_MAX;
+    for (uint32_t i = 0; i < view->label_count; i++)
+        copy_span(view->labels[i], BW_NAME_BYTES_MAX, state->labels[i].name);
+    if (state->is_clear != 0)
+        release_unknown(d, now_us, view);
+}
+
+void
+BwDispatcher_OnMessage(BwDispatcher *d, uint64_t now_us, uint32_t peer,
+                       const BwMessage *message)
+{
+    BwView *view = find_view(d, peer);
+    BwMessage answer = {.kind = BW_MSG_SESSION};
+
+    if (view == NULL)
+        return;
+    switch (message->kind) {
+    case BW_MSG_WORKER:
+        if (message->u.worker.load_count > 0)
+            take_load(view, message->u.worker.load);
+        on_worker(d, now_us, view, &message->u.worker);
+        break;
+    case BW_MSG_OUTCOME:
+        if (message->u.outcome.load_count > 0)
+            take_load(view, message->u.outcome.load);
+        on_outcome(d, now_us, view, &message->u.outcome);
+        break;
+    case BW_MSG_SESSION:
+        if (message->u.session.load_count > 0)
+            take_load(view, message->u.session.load);
+        view->answered_us = now_us;
+        answer.u.session.asked_us = message->u.session.asked_us;
+        d->port->send(d->ctx, peer, &answer);
+        break;
+    default:
+        break;
+    }
+}
+
+void
+BwDispatcher_Tick(BwDispatcher *d, uint64_t now_us)
+{
+    BwBoundJob *job, *next;
+
+    for (BwView *view = d->views; view != NULL; view = view->hh.next) {
+        if (view->gone_us != 0 && now_us >= view->gone_us)
+            release_unknown(d, now_us, view);
+    }
+    HASH_ITER(hh, d->jobs, job, next)
+    {
+        if (now_us >= job->deadline_us)
+            end_job(d, job, BW_BOUND_EXPIRED, "the deadline passed");
+    }
+}
+
+uint32_t
+BwDispatcher_CountUsable(const BwDispatcher *d)
+{
+    uint32_t count = 0;
+
+    for (const BwView *view = d->views; view != NULL; view = view->hh.next)
+        count += view->peer != 0 && view->is_usable && view->answered_us != 0;
+    return count;
+}
+
+void
+BwDispatcher_Init(BwDispatcher *d, const BwDispatcherLimits *limits,
+                  const BwDispatcherPort *port, void *ctx)
+{
+    memset(d, 0, sizeof(*d));
+    d->limits = *limits;
+    d->port = port;
+    d->ctx = ctx;
+}
+
+void
+BwDispatcher_Finish(BwDispatcher *d)
+{
+    BwBoundJob *job, *next_job;
+    BwView *view, *next_view;
+    BwRoutePace *pace, *next_pace;
+
+    HASH_ITER(hh, d->jobs, job, next_job)
+    {
+        HASH_DELETE(hh, d->jobs, job);
+        HASH_DELETE(by_name, d->names, job);
+        free_job(job);
+    }
+    HASH_ITER(hh, d->views, view, next_view)
+    {
+        HASH_DEL(d->views, view);
+        free(view);
+    }
+    HASH_ITER(hh, d->paces, pace, next_pace)
+    {
+        HASH_DEL(d->paces, pace);
+        free(pace);
+    }
+}
--- /dev/null
+++ b/packages/daemon/dispatchrole.c
@@ -0,0 +1,495 @@
+/* dispatchrole.c -- the role of a dispatcher: callers, routes, readiness
+
+   Owns the callers' connections and joins them to the decisions of
+   dispatcher.h.  The configuration comes from the store and from other
+   dispatchers, whichever is newer.
+*/
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "brasswing.h"
+#include "daemon.h"
+#include "dispatcher.h"
+#include "node.h"
+#include "storereader.h"
+
+/* Until the balancer has noticed that this process is not ready. */
+#define UNREADY_US 2500000
+#define DEFAULT_DEADLINE_US 30000000
+#define STATE_BYTES 64
+#define RETRY_AFTER_S 1
+
+typedef struct Role {
+    BwNode *node;
+    BwHttpServer front;
+    BwHttpServer ready;
+    BwStoreReader store;
+    BwDispatcher dispatcher;
+    BwRoutes routes;
+    char *config_text;
+    uint32_t config_bytes;
+    bool is_front_closed;
+} Role;
+
+/* Of a request that waits: the exchange, and the job once it is known. */
+typedef struct Waiter {
+    BwExchange *exchange;
+    uint64_t ref;
+} Waiter;
+
+/* ------------------------------------------------------ configuration */
+
+static void
+tell_config(Role *role, BwMeshLink *link)
+{
+    BwMessage message = {.kind = BW_MSG_CONFIG_STATE};
+
+    if (role->config_text == NULL)
+        return;
+    message.u.config_state.revision = role->routes.revision;
+    message.u.config_state.publish_id = BwSpan_FromString("");
+    message.u.config_state.text.base = role->config_text;
+    message.u.config_state.text.size_bytes = role->config_bytes;
+    if (link != NULL)
+        BwLink_Send(&link->link, &message);
+    else
+        BwMesh_TellDispatchers(&role->node->mesh, &message);
+}
+
+/* Puts a configuration into force if it is newer. */
+static void
+take_config(void *ctx, BwSpan text)
+{
+    Role *role = ctx;
+    const BwDriver *driver = role->node->driver;
+    const char *fault = "";
+    BwRouteRows rows;
+    BwRoutes routes;
+    char *copy;
+
+    if (!driver->read_routes(text, &rows, &fault)) {
+        BW_LOG(&role->node->logger, BW_LOG_ERROR, "config_refused",
+               BW_LOG_TEXT("fault", fault));
+        driver->release(rows.memory);
+        return;
+    }
+    copy = malloc(text.size_bytes + 1);
+    if (rows.revision <= role->routes.revision || copy == NULL ||
+        !BwRoutes_Init(&routes, &rows)) {
+        driver->release(rows.memory);
+        free(copy);
+        return;
+    }
+    driver->release(rows.memory);
+    memcpy(copy, text.base, text.size_bytes);
+    free(role->config_text);
+    role->config_text = copy;
+    role->config_bytes = text.size_bytes;
+    BwRoutes_Finish(&role->routes);
+    role->routes = routes;
+    BW_LOG(&role->node->logger, BW_LOG_INFO, "config_in_force",
+           BW_LOG_NUMBER("revision", routes.revision));
+    tell_config(role, NULL);
+}
+
+static void
+take_member(void *ctx, BwSpan name, BwSpan address)
+{
+    Role *role = ctx;
+    char text[BW_ADDRESS_BYTES_MAX] = {0};
+    char *colon;
+
+    if (address.size_bytes == 0 || address.size_bytes >= sizeof(text))
+        return;
+    memcpy(text, address.base, address.size_bytes);
+    colon = strrchr(text, ':');
+    if (colon == NULL)
+        return;
+    *colon = '\0';
+    BwMesh_AddMember(&role->node->mesh, BwClock_Now(), name,
+                     BwSpan_FromString(text),
+                     (uint32_t)strtoul(colon + 1, NULL, 10), false);
+}
+
+static const BwStoreReaderEvents store_events = {take_config, take_member};
+
+/* ------------------------------------------------------------ callers */
+
+static void
+reply_text(BwExchange *exchange, int status, const char *text, uint32_t length,
+           uint32_t retry_after_s)
+{
+    BwSpan body = {text, length};
+
+    BwExchange_Reply(exchange, status, "application/json", body,
+                     retry_after_s);
+}
+
+static void
+reply_state(Role *role, BwExchange *exchange, BwBoundState state)
+{
+    char text[STATE_BYTES];
+
+    reply_text(exchange, 200, text,
+               role->node->driver->write_state(state, text, sizeof(text)), 0);
+}
+
+static void
+on_answer(void *ctx, void *data, BwBoundEnd end, uint32_t retry_after_ms)
+{
+    Role *role = ctx;
+    Waiter *waiter = data;
+    BwExchange *exchange = waiter->exchange;
+
+    exchange->data = NULL;
+    free(waiter);
+    switch (end) {
+    case BW_BOUND_COMPLETED:
+        reply_state(role, exchange, BW_STATE_COMPLETED);
+        break;
+    case BW_BOUND_REFUSED:
+        BwDaemon_ReplyError(exchange, BW_ERR_OVERLOADED,
+                            retry_after_ms > 0
+                                ? "no worker can end it in time; come back"
+                                : "");
+        break;
+    default:
+        reply_state(role, exchange, BW_STATE_FAILED);
+        break;
+    }
+}
+
+static uint64_t
+read_deadline(const Role *role, const BwExchange *exchange, uint64_t now_us)
+{
+    BwSpan text =
+        BwExchange_Header(exchange, role->node->driver->deadline_header);
+    char number[24] = {0};
+    uint64_t deadline_ms;
+
+    if (text.size_bytes == 0 || text.size_bytes >= sizeof(number))
+        return now_us + DEFAULT_DEADLINE_US;
+    memcpy(number, text.base, text.size_bytes);
+    deadline_ms = strtoull(number, NULL, 10);
+    return now_us +
+           (deadline_ms > 0 ? deadline_ms * 1000 : DEFAULT_DEADLINE_US);
+}
+
+static void
+submit(Role *role, BwExchange *exchange, const BwRoute *route, BwSpan name)
+{
+    uint64_t now_us = BwClock_Now();
+    const BwDriver *driver = role->node->driver;
+    const char *fault = "";
+    BwBoundRequest request;
+    Waiter *waiter;
+    uint64_t ref;
+
+    if (name.size_bytes >= BW_NAME_BYTES_MAX ||
+        !driver->read_request(exchange->body, &request, &fault)) {
+        BwDaemon_ReplyError(exchange, BW_ERR_BAD_REQUEST, fault);
+        if (name.size_bytes < BW_NAME_BYTES_MAX)
+            driver->release(request.memory);
+        return;
+    }
+    waiter = calloc(1, sizeof(*waiter));
+    if (!request.is_bound || request.is_unsupported || waiter == NULL) {
+        BwDaemon_ReplyError(exchange, BW_ERR_OVERLOADED,
+                            "only bound jobs of plain steps are taken here");
+        free(waiter);
+    }
+    else {
+        waiter->exchange = exchange;
+        exchange->data = waiter;
+        ref = BwDispatcher_Submit(&role->dispatcher, now_us, name, &request,
+                                  route, read_deadline(role, exchange, now_us),
+                                  waiter);
+        if (ref != 0)
+            waiter->ref = ref;
+    }
+    driver->release(request.memory);
+}
+
+static void
+serve_get(Role *role, BwExchange *exchange, const BwRoute *route, BwSpan name)
+{
+    const BwDriver *driver = role->node->driver;
+    const BwBoundJob *job;
+    char text[STATE_BYTES];
+
+    if (name.size_bytes == 0) {
+        uint32_t count =
+            BwDispatcher_CountWaiting(&role->dispatcher, route->name);
+
+        reply_text(exchange, 200, text,
+                   driver->write_waiting(count, text, sizeof(text)), 0);
+        return;
+    }
+    job = BwDispatcher_FindName(&role->dispatcher, name);
+    if (job == NULL)
+        BwDaemon_ReplyError(exchange, BW_ERR_UNKNOWN_JOB,
+                            "no job of that name is bound to this process");
+    else
+        reply_state(role, exchange,
+                    BwBoundJob_IsRunning(job) ? BW_STATE_RUNNING
+                                              : BW_STATE_QUEUED);
+}
+
+static void
+serve_delete(Role *role, BwExchange *exchange, BwSpan name)
+{
+    BwBoundJob *job = BwDispatcher_FindName(&role->dispatcher, name);
+    Waiter *waiter;
+
+    if (job == NULL) {
+        BwDaemon_ReplyError(exchange, BW_ERR_UNKNOWN_JOB,
+                            "no job of that name is bound to this process");
+        return;
+    }
+    waiter = job->data;
+    BwDispatcher_Withdraw(&role->dispatcher, BwClock_Now(), job->ref);
+    waiter->exchange->data = NULL;
+    reply_state(role, waiter->exchange, BW_STATE_CANCELLED);
+    free(waiter);
+    reply_state(role, exchange, BW_STATE_CANCELLED);
+}
+
+static bool
+is_method(const BwExchange *exchange, const char *method)
+{
+    return BwSpan_Equal(exchange->method, BwSpan_FromString(method));
+}
+
+static void
+on_request(void *ctx, BwExchange *exchange)
+{
+    Role *role = ctx;
+    const BwRoute *route;
+    BwSpan name;
+
+    if (role->routes.revision == 0) {
+        BwDaemon_ReplyError(exchange, BW_ERR_OVERLOADED,
+                            "no configuration is known yet; come back");
+        return;
+    }
+    route = BwRoutes_Find(&role->routes, exchange->host, exchange->path);
+    if (route == NULL) {
+        BwDaemon_ReplyError(exchange, BW_ERR_NO_SUCH_PATH,
+                            "no route has that host and path");
+        return;
+    }
+    name.base = exchange->path.base + route->prefix_bytes;
+    name.size_bytes = exchange->path.size_bytes - route->prefix_bytes;
+    if (is_method(exchange, "POST") && name.size_bytes > 0)
+        submit(role, exchange, route, name);
+    else if (is_method(exchange, "GET"))
+        serve_get(role, exchange, route, name);
+    else if (is_method(exchange, "DELETE") && name.size_bytes > 0)
+        serve_delete(role, exchange, name);
+    else
+        BwDaemon_ReplyError(exchange, BW_ERR_NO_SUCH_PATH,
+                            "post a job to the route's prefix and its name");
+}
+
+static void
+on_abort(void *ctx, BwExchange *exchange)
+{
+    Role *role = ctx;
+    Waiter *waiter = exchange->data;
+
+    if (waiter == NULL)
+        return;
+    BwDispatcher_Withdraw(&role->dispatcher, BwClock_Now(), waiter->ref);
+    free(waiter);
+}
+
+static const BwHttpEvents front_events = {on_request, on_abort,
+                                          BwDaemon_RefuseTooLarge};
+
+static void
+on_ready_request(void *ctx, BwExchange *exchange)
+{
+    Role *role = ctx;
+    bool is_ready = role->routes.revision > 0 && !role->node->is_stopping &&
+                    BwDispatcher_CountUsable(&role->dispatcher) > 0;
+
+    if (BwNode_ServeMetrics(role->node, exchange))
+        return;
+    BwExchange_Reply(exchange, is_ready ? 200 : 503, "text/plain",
+                     BwSpan_FromString(is_ready ? "ready" : "not ready"), 0);
+}
+
+static void
+on_ready_abort(void *ctx, BwExchange *exchange)
+{
+    (void)ctx;
+    (void)exchange;
+}
+
+static const BwHttpEvents ready_events = {on_ready_request, on_ready_abort,
+                                          BwDaemon_RefuseTooLarge};
+
+/* -------------------------------------------------------- supervisors */
+
+static void
+on_up(void *ctx, BwMeshLink *link)
+{
+    Role *role = ctx;
+
+    if (link->role == BW_ROLE_SUPERVISOR)
+        BwDispatcher_PeerUp(&role->dispatcher, BwClock_Now(), link->id,
+                            BwSpan_FromString(link->name));
+    else if (link->member != NULL)
+        tell_config(role, link);
+}
+
+static void
+on_down(void *ctx, BwMeshLink *link)
+{
+    Role *role = ctx;
+
+    if (link->role == BW_ROLE_SUPERVISOR)
+        BwDispatcher_PeerDown(&role->dispatcher, BwClock_Now(), link->id);
+}
+
+static void
+on_received(void *ctx, BwMeshLink *link, const BwMessage *message)
+{
+    Role *role = ctx;
+
+    if (message->kind == BW_MSG_CONFIG_STATE) {
+        if (message->u.config_state.revision > role->routes.revision)
+            take_config(role, message->u.config_state.text);
+        return;
+    }
+    BwDispatcher_OnMessage(&role->dispatcher, BwClock_Now(), link->id,
+                           message);
+}
+
+static const BwMeshEvents mesh_events = {on_up, on_down, on_received};
+
+static void
+send_message(void *ctx, uint32_t peer, const BwMessage *message)
+{
+    Role *role = ctx;
+
+    BwMesh_Send(&role->node->mesh, peer, message);
+}
+
+static void
+log_decision(void *ctx, const char *event, const BwBoundJob *job,
+             const BwView *view, uint32_t count, const char *reason)
+{
+    Role *role = ctx;
+
+    BW_LOG(&role->node->logger, BW_LOG_INFO, event,
+           BW_LOG_TEXT("job", job != NULL ? job->name : ""),
+           BW_LOG_TEXT("choice", view != NULL ? view->name : ""),
+           BW_LOG_NUMBER("count", count), BW_LOG_TEXT("reason", reason));
+}
+
+static const BwDispatcherPort dispatcher_port = {send_message, on_answer,
+                                                 log_decision};
+
+/* --------------------------------------------------------------- role */
+
+static bool
+init(BwNode *node)
+{
+    const BwSettings *settings = &node->settings;
+    BwDispatcherLimits limits = {
+        .session_us = settings->limits.session_ms * 1000,
+        .lease_us = settings->limits.worker_lease_ms * 1000,
+        .jobs = settings->limits.waiting_requests,
+    };
+    Role *role = calloc(1, sizeof(*role));
+
+    if (role == NULL)
+        return false;
+    role->node = node;
+    node->role = role;
+    BwDispatcher_Init(&role->dispatcher, &limits, &dispatcher_port, role);
+    return BwMesh_Init(&node->mesh, node->task.loop, settings, &node->logger,
+                       node->incarnation, &mesh_events, role) &&
+           BwStoreReader_Init(&role->store, node->task.loop, settings,
+                              node->driver, &store_events, role) &&
+           BwHttpServer_Init(
+               &role->ready, node->task.loop, settings->ready.host,
+               (uint16_t)settings->ready.port, settings->limits.body_bytes,
+               &ready_events, role) &&
+           BwHttpServer_Init(&role->front, node->task.loop,
+                             settings->http.host,
+                             (uint16_t)settings->http.port,
+                             settings->limits.body_bytes, &front_events, role);
+}
+
+static void
+tick(BwNode *node, uint64_t now_us)
+{
+    Role *role = node->role;
+
+    BwStoreReader_Tick(&role->store, now_us);
+    BwDispatcher_Tick(&role->dispatcher, now_us);
+    if (node->is_stopping && !role->is_front_closed &&
+        now_us - node->stopping_us >= UNREADY_US) {
+        role->is_front_closed = true;
+        BwHttpServer_Shutdown(&role->front);
+    }
+}
+
+static void
+stop(BwNode *node, uint64_t now_us)
+{
+    Role *role = node->role;
+
+    (void)now_us;
+    role->front.is_closing = true;
+}
+
+static bool
+is_stopped(BwNode *node, uint64_t now_us)
+{
+    Role *role = node->role;
+
+    return (role->is_front_closed && role->front.open_exchanges == 0) ||
+           now_us - node->stopping_us >= node->settings.limits.stop_ms * 1000;
+}
+
+static void
+finish(BwNode *node)
+{
+    Role *role = node->role;
+
+    BwStoreReader_Finish(&role->store);
+    BwDispatcher_Finish(&role->dispatcher);
+    BwRoutes_Finish(&role->routes);
+    free(role->config_text);
+}
+
+static uint32_t
+counters(BwNode *node, BwCounter *list, uint32_t room)
+{
+    Role *role = node->role;
+    const BwDispatcherCounters *c = &role->dispatcher.counters;
+    uint32_t n = 0;
+
+#define ADD(name, help, value)                                                \
+    n = BwDaemon_AddCounter(list, n, room, name, help, BW_COUNTER, value)
+    ADD("brasswing_submitted_total", "Bound jobs taken", c->submitted);
+    ADD("brasswing_completed_total", "Bound jobs completed", c->completed);
+    ADD("brasswing_failed_total", "Bound jobs failed", c->failed);
+    ADD("brasswing_refused_total", "Bound jobs refused", c->refused);
+    ADD("brasswing_expired_total", "Bound jobs given up", c->expired);
+    ADD("brasswing_withdrawn_total", "Callers that went away", c->withdrawn);
+    ADD("brasswing_placed_total", "Tasks sent to supervisors", c->placed);
+    ADD("brasswing_bounced_total", "Tasks declined there", c->bounced);
+    ADD("brasswing_lost_total", "Tasks lost with their worker", c->lost);
+#undef ADD
+    return n;
+}
+
+const BwNodeOps BwDispatcherRole_Ops = {
+    "dispatcher", init, tick, stop, is_stopped, finish, counters,
+};
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "daemon.h"
+#include "node.h"
 #include "nodes.h"
 #include "tokens.h"
 
@@ -17,7 +18,7 @@
 #define COUNTERS_MAX 64
 #define INCARNATION_MASK ((UINT64_C(1) << 62) - 1)
 
-static volatile sig_atomic_t stop_asked;
+static volatile int stop_asked;
 
 static void
 on_signal(int number)
@@ -419,6 +420,10 @@
         goto cleanup;
     }
     set_signals();
+    if (daemon->settings.role >= BW_SETTINGS_DISPATCHER) {
+        code = BwNode_Serve(&daemon->settings, &stop_asked);
+        goto cleanup;
+    }
     if (start(daemon)) {
         BwTaskLoop_Run(&daemon->task);
         BwTaskLoop_Stop(&daemon->directory.task);
--- /dev/null
+++ b/packages/daemon/mesh.h
@@ -0,0 +1,107 @@
+/* mesh.h -- connections between dispatchers and supervisors
+
+   Dispatchers listen.  Every process dials the dispatchers that it knows: the
+   seeds of its settings, and those that other dispatchers tell of, so nobody
+   keeps a list.  A supervisor has one connection to each dispatcher;
+   dispatchers have one to each other in each direction and send on their own.
+
+   A connection is named by a number that is never used again.  One that stays
+   silent is closed: connections may go silent while new ones work.
+*/
+
+#ifndef BW_MESH_H
+#define BW_MESH_H
+
+#include "link.h"
+#include "log.h"
+#include "settings.h"
+
+#define BW_MESH_MEMBERS_MAX 1024
+
+typedef struct BwMesh BwMesh;
+
+/* One connection. */
+typedef struct BwMeshLink {
+    BwLink link;
+    BwMesh *mesh;
+    uint32_t id;
+    BwRole role;
+    char name[BW_NAME_BYTES_MAX];
+    struct BwMeshMember *member; /* that was dialled, or NULL */
+    bool is_up;                  /* the other side has said hello */
+    bool is_over;
+    uint64_t heard_us;
+    struct BwMeshLink *prev, *next;
+} BwMeshLink;
+
+/* A dispatcher that is known by its address. */
+typedef struct BwMeshMember {
+    char host[BW_HOST_BYTES_MAX];
+    uint32_t port;
+    char name[BW_NAME_BYTES_MAX];
+    bool is_seed;
+    bool is_self;
+    BwMeshLink *link;
+    uint32_t failures;
+    uint64_t redial_us;
+    uint64_t heard_us; /* or when it was first told of */
+    struct BwMeshMember *prev, *next;
+} BwMeshMember;
+
+typedef struct BwMeshEvents {
+    void (*up)(void *ctx, BwMeshLink *link);
+    void (*down)(void *ctx, BwMeshLink *link);
+    void (*received)(void *ctx, BwMeshLink *link, const BwMessage *message);
+} BwMeshEvents;
+
+struct BwMesh {
+    h2o_loop_t *loop;
+    const BwLogger *logger;
+    const BwSettings *settings;
+    const BwMeshEvents *events;
+    void *ctx;
+    BwHello hello;
+    BwLinkCounters counters;
+    BwLinkTls tls;
+    h2o_socket_t *listener;
+    BwMeshLink *links;
+    BwMeshMember *members;
+    uint32_t member_count;
+    uint32_t next_id;
+    uint64_t told_us; /* when the members were last sent */
+    uint64_t silence_us;
+};
+
+/* Listens if this process is a dispatcher.  Returns false with errno set. */
+bool
+BwMesh_Init(BwMesh *mesh, h2o_loop_t *loop, const BwSettings *settings,
+            const BwLogger *logger, uint64_t incarnation,
+            const BwMeshEvents *events, void *ctx);
+
+void
+BwMesh_Finish(BwMesh *mesh);
+
+/* Notes a dispatcher's address. */
+void
+BwMesh_AddMember(BwMesh *mesh, uint64_t now_us, BwSpan name, BwSpan host,
+                 uint32_t port, bool is_seed);
+
+/* Queues a message.  Returns false when the connection is gone. */
+bool
+BwMesh_Send(BwMesh *mesh, uint32_t id, const BwMessage *message);
+
+/* Sends to every dispatcher that was dialled. */
+void
+BwMesh_TellDispatchers(BwMesh *mesh, const BwMessage *message);
+
+/* Closes a connection; `down` is called. */
+void
+BwMesh_Close(BwMesh *mesh, BwMeshLink *link);
+
+uint32_t
+BwMesh_CountUp(const BwMesh *mesh, BwRole role);
+
+void
+BwMesh_Tick(BwMesh *mesh, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/packages/daemon/node.c
@@ -0,0 +1,131 @@
+/* node.c -- what dispatchers and supervisors share */
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <unistd.h>
+
+#include "brasswing.h"
+#include "daemon.h"
+#include "node.h"
+
+#define INCARNATION_MASK ((UINT64_C(1) << 62) - 1)
+#define COUNTERS_MAX 48
+
+typedef struct Service {
+    BwNode node;
+    const volatile int *stop_asked;
+} Service;
+
+void
+BwNode_Call(BwHttpClient *client, BwCallText *call, uint64_t deadline_us,
+            BwHttpCallback callback, void *data)
+{
+    BwSpan body = {call->body != NULL ? call->body : "", call->body_bytes};
+
+    BwHttpClient_Send(client, call->method, BwSpan_FromString(call->path),
+                      call->headers, body, deadline_us, callback, data);
+    free(call->body);
+    call->body = NULL;
+}
+
+bool
+BwNode_ServeMetrics(BwNode *node, BwExchange *exchange)
+{
+    const BwLinkCounters *links = &node->mesh.counters;
+    BwCounter counters[COUNTERS_MAX];
+    uint32_t n;
+    char *text;
+
+    if (!BwSpan_Equal(exchange->path, BwSpan_FromString("/metrics")))
+        return false;
+    n = node->ops->counters(node, counters, COUNTERS_MAX);
+#define ADD(name, help, kind, value)                                          \
+    n = BwDaemon_AddCounter(counters, n, COUNTERS_MAX, name, help, kind, value)
+    ADD("brasswing_messages_sent_total", "Messages to other processes",
+        BW_COUNTER, links->messages_sent);
+    ADD("brasswing_bytes_sent_total", "Bytes to other processes", BW_COUNTER,
+        links->bytes_sent);
+    ADD("brasswing_cpu_microseconds_total", "Processor time", BW_COUNTER,
+        BwCounters_CpuUs());
+    ADD("brasswing_resident_bytes", "Resident memory", BW_GAUGE,
+        BwCounters_ResidentBytes());
+#undef ADD
+    text = BwCounters_Write(counters, n);
+    BwExchange_Reply(exchange, 200, "text/plain; version=0.0.4",
+                     BwSpan_FromString(text != NULL ? text : ""), 0);
+    free(text);
+    return true;
+}
+
+static void
+on_mail(void *ctx, BwMail *mail)
+{
+    (void)ctx;
+    free(mail);
+}
+
+static void
+on_tick(void *ctx)
+{
+    Service *service = ctx;
+    BwNode *node = &service->node;
+    uint64_t now_us = BwClock_Now();
+
+    BwMesh_Tick(&node->mesh, now_us);
+    node->ops->tick(node, now_us);
+    if (*service->stop_asked && !node->is_stopping) {
+        node->is_stopping = true;
+        node->stopping_us = now_us;
+        BW_LOG(&node->logger, BW_LOG_INFO, "stopping",
+               BW_LOG_TEXT("reason", "signal"));
+        node->ops->stop(node, now_us);
+    }
+    if (node->is_stopping && node->ops->is_stopped(node, now_us))
+        BwTaskLoop_Stop(&node->task);
+}
+
+static const BwTaskEvents task_events = {on_mail, on_tick};
+
+int
+BwNode_Serve(BwSettings *settings, const volatile int *stop_asked)
+{
+    Service *service = calloc(1, sizeof(*service));
+    BwNode *node = &service->node;
+    uint64_t number = 0;
+    int code = EXIT_FAILURE;
+
+    if (service == NULL ||
+        getrandom(&number, sizeof(number), 0) != sizeof(number))
+        goto cleanup;
+    node->settings = *settings;
+    service->stop_asked = stop_asked;
+    node->incarnation = (number & INCARNATION_MASK) | 1;
+    node->logger.fd = STDERR_FILENO;
+    node->logger.level = (BwLogLevel)settings->log_level;
+    node->logger.name = node->settings.name;
+    node->driver = &BwPlatform_Driver;
+    node->ops = settings->role == BW_SETTINGS_DISPATCHER
+                    ? &BwDispatcherRole_Ops
+                    : &BwSupervisorRole_Ops;
+    BwTaskLoop_Init(&node->task, &task_events, service);
+    if (!node->ops->init(node)) {
+        BW_LOG(&node->logger, BW_LOG_ERROR, "start_failed",
+               BW_LOG_TEXT("cause", strerror(errno)),
+               BW_LOG_TEXT("remedy", "check the addresses in the settings"));
+        goto cleanup;
+    }
+    BW_LOG(&node->logger, BW_LOG_INFO, "started",
+           BW_LOG_TEXT("role", node->ops->name),
+           BW_LOG_NUMBER("incarnation", node->incarnation));
+    BwTaskLoop_Run(&node->task);
+    node->ops->finish(node);
+    BwMesh_Finish(&node->mesh);
+    BW_LOG(&node->logger, BW_LOG_INFO, "stopped");
+    code = EXIT_SUCCESS;
+cleanup:
+    BwSettings_Finish(settings);
+    free(service);
+    return code;
+}
--- /dev/null
+++ b/packages/daemon/superviserole.c
@@ -0,0 +1,288 @@
+/* superviserole.c -- the role of a supervisor: its worker and dispatchers
+
+   Owns the connections to the worker and joins them to the decisions of
+   supervisor.h.
+*/
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "brasswing.h"
+#include "daemon.h"
+#include "node.h"
+#include "supervisor.h"
+
+#define ANSWER_US 120000
+#define HOLD_US 120000
+#define WORKER_CONNECTIONS 48
+#define WORKER_REPLY_BYTES (4u * 1024 * 1024)
+
+typedef struct Role {
+    BwNode *node;
+    BwHttpServer control;
+    BwHttpClient worker;
+    BwSupervisor supervisor;
+} Role;
+
+typedef void (*AnswerTaker)(BwSupervisor *supervisor, uint64_t now_us,
+                            uint64_t number, const BwWorkerAnswer *answer);
+
+/* A call to the worker. */
+typedef struct WorkerCall {
+    Role *role;
+    uint64_t number;
+    uint64_t sent_us;
+    AnswerTaker take; /* NULL for a hold */
+} WorkerCall;
+
+static void
+on_worker_reply(void *data, const BwHttpReply *reply)
+{
+    WorkerCall *call = data;
+    Role *role = call->role;
+    const BwDriver *driver = role->node->driver;
+    uint64_t now_us = BwClock_Now();
+    BwWorkerAnswer answer;
+
+    driver->read_answer(reply->outcome == BW_HTTP_ANSWERED ? reply->status : 0,
+                        reply->body, &answer);
+    if (call->take != NULL)
+        call->take(&role->supervisor, now_us, call->number, &answer);
+    else
+        BwSupervisor_OnHeld(&role->supervisor, now_us, call->number,
+                            call->sent_us, &answer);
+    driver->release(answer.memory);
+    free(call);
+}
+
+static void
+call_worker(Role *role, uint64_t number, BwCallText *text, uint64_t wait_us,
+            AnswerTaker take)
+{
+    uint64_t now_us = BwClock_Now();
+    WorkerCall *call = malloc(sizeof(*call));
+
+    if (call == NULL) {
+        free(text->body);
+        return;
+    }
+    call->role = role;
+    call->number = number;
+    call->sent_us = now_us;
+    call->take = take;
+    BwNode_Call(&role->worker, text, now_us + wait_us, on_worker_reply, call);
+}
+
+static void
+start_task(void *ctx, uint64_t number, const BwTaskOrder *order)
+{
+    Role *role = ctx;
+    BwCallText text;
+
+    if (role->node->driver->make_start(order, &text))
+        call_worker(role, number, &text, ANSWER_US, BwSupervisor_OnStarted);
+}
+
+static void
+stop_task(void *ctx, uint64_t number, const BwTaskOrder *order)
+{
+    Role *role = ctx;
+    BwCallText text;
+
+    if (role->node->driver->make_stop(order, &text))
+        call_worker(role, number, &text, ANSWER_US, BwSupervisor_OnStopped);
+}
+
+static void
+hold_worker(void *ctx, uint64_t number, const BwHoldOrder *order)
+{
+    Role *role = ctx;
+    BwCallText text;
+
+    if (role->node->driver->make_hold(order, &text))
+        call_worker(role, number, &text,
+                    (uint64_t)order->wait_ms * 1000 + ANSWER_US, NULL);
+}
+
+static void
+send_message(void *ctx, uint32_t peer, const BwMessage *message)
+{
+    Role *role = ctx;
+
+    BwMesh_Send(&role->node->mesh, peer, message);
+}
+
+static void
+log_decision(void *ctx, const char *event, const BwSeat *seat,
+             const char *reason)
+{
+    Role *role = ctx;
+
+    BW_LOG(&role->node->logger, BW_LOG_INFO, event,
+           BW_LOG_TEXT("job", seat->key.job),
+           BW_LOG_NUMBER("step", seat->key.step),
+           BW_LOG_NUMBER("index", seat->key.index),
+           BW_LOG_NUMBER("run", seat->run), BW_LOG_TEXT("reason", reason));
+}
+
+static const BwSupervisorPort supervisor_port = {
+    send_message, start_task, stop_task, hold_worker, log_decision,
+};
+
+/* ------------------------------------------------------ announcements */
+
+static void
+on_request(void *ctx, BwExchange *exchange)
+{
+    Role *role = ctx;
+    const BwDriver *driver = role->node->driver;
+    const char *fault = "";
+    BwWorkerBeat beat;
+
+    if (BwNode_ServeMetrics(role->node, exchange))
+        return;
+    if (!driver->is_beat(exchange->method, exchange->path)) {
+        BwDaemon_ReplyError(exchange, BW_ERR_NO_SUCH_PATH,
+                            "workers announce themselves here");
+        return;
+    }
+    if (!driver->read_beat(exchange->path, exchange->body, &beat, &fault)) {
+        BwDaemon_ReplyError(exchange, BW_ERR_BAD_REQUEST, fault);
+        return;
+    }
+    BwSupervisor_OnBeat(&role->supervisor, BwClock_Now(), &beat);
+    driver->release(beat.memory);
+    BwExchange_Reply(exchange, 200, "application/json",
+                     BwSpan_FromString("{}"), 0);
+}
+
+static void
+on_abort(void *ctx, BwExchange *exchange)
+{
+    (void)ctx;
+    (void)exchange;
+}
+
+static const BwHttpEvents control_events = {on_request, on_abort,
+                                            BwDaemon_RefuseTooLarge};
+
+/* -------------------------------------------------------- dispatchers */
+
+static void
+on_up(void *ctx, BwMeshLink *link)
+{
+    Role *role = ctx;
+
+    BwSupervisor_PeerUp(&role->supervisor, BwClock_Now(), link->id);
+}
+
+static void
+on_down(void *ctx, BwMeshLink *link)
+{
+    Role *role = ctx;
+
+    BwSupervisor_PeerDown(&role->supervisor, BwClock_Now(), link->id);
+}
+
+static void
+on_received(void *ctx, BwMeshLink *link, const BwMessage *message)
+{
+    Role *role = ctx;
+
+    BwSupervisor_OnMessage(&role->supervisor, BwClock_Now(), link->id,
+                           message);
+}
+
+static const BwMeshEvents mesh_events = {on_up, on_down, on_received};
+
+/* --------------------------------------------------------------- role */
+
+static bool
+init(BwNode *node)
+{
+    const BwSettings *settings = &node->settings;
+    BwSupervisorLimits limits = {
+        .session_us = settings->limits.session_ms * 1000,
+        .lease_us = settings->limits.worker_lease_ms * 1000,
+        .hold_us = HOLD_US,
+        .answer_us = ANSWER_US,
+    };
+    Role *role = calloc(1, sizeof(*role));
+
+    if (role == NULL)
+        return false;
+    role->node = node;
+    node->role = role;
+    BwSupervisor_Init(&role->supervisor, &limits, &supervisor_port, role);
+    return BwMesh_Init(&node->mesh, node->task.loop, settings, &node->logger,
+                       node->incarnation, &mesh_events, role) &&
+           BwHttpClient_Init(&role->worker, node->task.loop,
+                             settings->worker.host,
+                             (uint16_t)settings->worker.port,
+                             WORKER_CONNECTIONS, WORKER_REPLY_BYTES) &&
+           BwHttpServer_Init(
+               &role->control, node->task.loop, settings->http.host,
+               (uint16_t)settings->http.port, settings->limits.body_bytes,
+               &control_events, role);
+}
+
+static void
+tick(BwNode *node, uint64_t now_us)
+{
+    Role *role = node->role;
+
+    BwHttpClient_Tick(&role->worker, now_us);
+    BwSupervisor_Tick(&role->supervisor, now_us);
+}
+
+static void
+stop(BwNode *node, uint64_t now_us)
+{
+    Role *role = node->role;
+
+    BwSupervisor_Leave(&role->supervisor, now_us);
+}
+
+static bool
+is_stopped(BwNode *node, uint64_t now_us)
+{
+    Role *role = node->role;
+
+    return BwSupervisor_IsIdle(&role->supervisor) ||
+           now_us - node->stopping_us >= node->settings.limits.stop_ms * 1000;
+}
+
+static void
+finish(BwNode *node)
+{
+    Role *role = node->role;
+
+    BwHttpClient_Finish(&role->worker);
+    BwSupervisor_Finish(&role->supervisor);
+}
+
+static uint32_t
+counters(BwNode *node, BwCounter *list, uint32_t room)
+{
+    Role *role = node->role;
+    const BwSupervisorCounters *c = &role->supervisor.counters;
+    uint32_t n = 0;
+
+#define ADD(name, help, value)                                                \
+    n = BwDaemon_AddCounter(list, n, room, name, help, BW_COUNTER, value)
+    ADD("brasswing_started_total", "Starts ordered", c->started);
+    ADD("brasswing_done_total", "Tasks done", c->done);
+    ADD("brasswing_task_failed_total", "Tasks failed", c->failed);
+    ADD("brasswing_task_lost_total", "Tasks lost", c->lost);
+    ADD("brasswing_stopped_total", "Tasks stopped", c->stopped);
+    ADD("brasswing_declined_total", "Tasks declined", c->declined);
+    ADD("brasswing_unanswered_total", "Orders without an answer",
+        c->unanswered);
+    ADD("brasswing_holds_total", "Looks at the worker", c->holds);
+#undef ADD
+    return n;
+}
+
+const BwNodeOps BwSupervisorRole_Ops = {
+    "supervisor", init, tick, stop, is_stopped, finish, counters,
+};
--- a/packages/ports/messages.h
+++ b/packages/ports/messages.h
@@ -57,6 +57,12 @@
     BW_MSG_CONFIG_ASK,
     BW_MSG_CONFIG_STATE,
     BW_MSG_RING_STATE,
+    BW_MSG_WORKER,
+    BW_MSG_PLACE,
+    BW_MSG_STOP,
+    BW_MSG_OUTCOME,
+    BW_MSG_SESSION,
+    BW_MSG_MEMBERS,
     BW_MSG_COUNT
 } BwMessageKind;
 
@@ -64,6 +70,8 @@
     BW_ROLE_ENTRY = 1,
     BW_ROLE_AGENT = 2,
     BW_ROLE_NEWCOMER = 3, /* asks for the configuration, and leaves */
+    BW_ROLE_DISPATCHER = 4,
+    BW_ROLE_SUPERVISOR = 5,
 } BwRole;
 
 /* First message on each connection, from the side that opened it, and the
@@ -181,6 +189,10 @@
     BW_DECLINE_STALE_EPOCH,
     BW_DECLINE_LEAVING,
     BW_DECLINE_NO_SERVICE,
+    BW_DECLINE_NO_SESSION,
+    BW_DECLINE_DUPLICATE,
+    BW_DECLINE_UNSUITED, /* label, spread or capacity */
+    BW_DECLINE_REFUSED,  /* by the worker */
 } BwDeclineReason;
 
 typedef struct BwTaskIndex {
@@ -442,6 +454,106 @@
     BwSpan text;
 } BwConfigState;
 
+/* What a task takes, and what a worker has. */
+typedef struct BwRoom {
+    uint64_t cpu_milli; /* thousandths of a core */
+    uint64_t mem_mb;
+    uint64_t gpu;
+} BwRoom;
+
+/* A supervisor's account of its worker, after PLACE number `place_seen` of
+   the receiver. */
+typedef struct BwWorkerLoad {
+    uint64_t place_seen;
+    BwRoom free;
+    uint64_t queued_core_us; /* work that waits there: cores x microseconds */
+    uint32_t pace_permille;  /* run time against the declared one */
+    uint32_t failed_permille;
+} BwWorkerLoad;
+
+/* Supervisor to dispatcher, on each connection and on change. */
+typedef struct BwWorkerState {
+    BwSpan instance; /* empty: no worker has announced itself */
+    BwSpan service;
+    BwSpan domain;
+    BwRoom capacity;
+    uint32_t is_leaving;
+    uint32_t is_clear; /* no task of the receiver is left there */
+    BwName *labels;
+    uint32_t label_count;
+    BwWorkerLoad *load; /* one */
+    uint32_t load_count;
+} BwWorkerState;
+
+/* Dispatcher to supervisor: run these tasks of one step as room comes free.
+   Times are durations from the arrival; the supervisor stores deadlines. */
+typedef struct BwPlace {
+    uint64_t number; /* of this PLACE on its connection, from 1 */
+    uint64_t ref;    /* the dispatcher's name of the job */
+    BwSpan job;
+    BwSpan spec;
+    BwSpan service;
+    BwSpan requirement; /* a label, or empty */
+    BwRoom room;        /* of each task */
+    uint32_t step;
+    uint32_t priority;
+    uint32_t spread_max; /* tasks of the step there; 0: no bound */
+    uint64_t expected_us;
+    uint64_t due_in_us;
+    uint64_t deadline_in_us;
+    BwTaskIndex *tasks;
+    uint32_t task_count;
+} BwPlace;
+
+/* Dispatcher to supervisor: end all tasks of the job. */
+typedef struct BwStop {
+    uint64_t ref;
+} BwStop;
+
+typedef enum BwOutcomeKind {
+    BW_OUTCOME_DONE = 1,
+    BW_OUTCOME_FAILED,
+    BW_OUTCOME_LOST,    /* it may have run, and is gone */
+    BW_OUTCOME_NOT_RUN, /* see BwDeclineReason */
+} BwOutcomeKind;
+
+typedef struct BwTaskOutcome {
+    uint32_t index;
+    uint32_t kind;   /* BwOutcomeKind */
+    uint32_t reason; /* BwDeclineReason */
+    uint64_t ran_us;
+} BwTaskOutcome;
+
+/* Supervisor to dispatcher. */
+typedef struct BwOutcome {
+    uint64_t ref;
+    BwTaskOutcome *tasks;
+    uint32_t task_count;
+    BwWorkerLoad *load; /* one */
+    uint32_t load_count;
+} BwOutcome;
+
+/* Supervisor to dispatcher, and back with the same asked_us: the supervisor
+   runs the dispatcher's tasks for BwLimits.session_ms from asked_us, which is
+   on the supervisor's clock. */
+typedef struct BwSession {
+    uint64_t asked_us;
+    BwWorkerLoad *load; /* one, towards the dispatcher */
+    uint32_t load_count;
+} BwSession;
+
+/* Dispatchers that the sender is connected to. */
+typedef struct BwMember {
+    BwSpan name;
+    BwSpan host;
+    uint32_t port;
+} BwMember;
+
+typedef struct BwMembers {
+    BwMember *members;
+    uint32_t member_count;
+} BwMembers;
+
 typedef struct BwMessage {
     BwMessageKind kind;
     union {
@@ -468,6 +580,12 @@
         BwConfigAsk config_ask;
         BwConfigState config_state;
         BwRingState ring_state;
+        BwWorkerState worker;
+        BwPlace place;
+        BwStop stop;
+        BwOutcome outcome;
+        BwSession session;
+        BwMembers members;
     } u;
 } BwMessage;
 
