Reload on SIGHUP and answer everything before a planned stop ends

Change: SIGHUP reads seeds and limits.stop_ms again. A stopping dispatcher refuses what comes after its front is closed, and answers what still waits before it ends. A refusal says when to come back; a job that is not here is 410.

--- a/packages/adapters/httpserver.h
+++ b/packages/adapters/httpserver.h
@@ -23,7 +23,7 @@
     BwSpan method;
     BwSpan path;  /* without the query */
     BwSpan query; /* without the question mark */
-    BwSpan host; /* that the caller names, with its port if it gave one */
+    BwSpan host;  /* that the caller names, with its port if it gave one */
     BwSpan body;
     void *data; /* the owner's */
     struct BwExchange **anchor;
--- a/packages/adapters/settings.h
+++ b/packages/adapters/settings.h
@@ -26,9 +26,9 @@
     uint32_t waiting_requests;
     uint64_t job_lifetime_ms;
     uint64_t answer_kept_ms;
-    uint64_t lease_ms;      /* of a custodian */
-    uint64_t clock_skew_ms; /* greatest difference of two wall clocks */
-    uint64_t silence_ms;    /* how long a silent executor is waited for */
+    uint64_t lease_ms;        /* of a custodian */
+    uint64_t clock_skew_ms;   /* greatest difference of two wall clocks */
+    uint64_t silence_ms;      /* how long a silent executor is waited for */
     uint64_t session_ms;      /* of a dispatcher at a supervisor */
     uint64_t worker_lease_ms; /* of what runs on a worker */
     uint64_t stop_ms;         /* a planned stop ends within */
@@ -47,7 +47,7 @@
     char region[BW_NAME_BYTES_MAX];
     char domain[BW_NAME_BYTES_MAX];
     BwEndpoint http;
-    BwEndpoint peer; /* agents, dispatchers: where other processes connect */
+    BwEndpoint peer;   /* agents, dispatchers: where other processes connect */
     BwEndpoint ready;  /* dispatchers: where readiness is asked for */
     BwEndpoint worker; /* supervisors: where the worker takes orders */
     BwEndpoint log;
--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -592,8 +592,8 @@
         job->piece_count += request->steps[i].task_count;
     }
     job->step_count = request->step_count;
-    job->steps = calloc(job->step_count, sizeof(*job->steps));
-    job->left = calloc(job->step_count, sizeof(*job->left));
+    job->steps = calloc(job->step_count + 1, sizeof(*job->steps));
+    job->left = calloc(job->step_count + 1, sizeof(*job->left));
     job->pieces = calloc(job->piece_count + 1, sizeof(*job->pieces));
     job->labels = malloc(label_bytes);
     if (job->steps == NULL || job->left == NULL || job->pieces == NULL ||
@@ -681,7 +681,8 @@
     uint64_t ref;
 
     d->counters.submitted++;
-    if (twin == NULL && HASH_COUNT(d->jobs) < d->limits.jobs)
+    if (twin == NULL && request->step_count > 0 &&
+        HASH_COUNT(d->jobs) < d->limits.jobs)
         job = make_job(d, now_us, name, request, route, deadline_us, data);
     if (job == NULL) {
         d->counters.refused++;
@@ -919,6 +920,17 @@
     }
 }
 
+void
+BwDispatcher_EndAll(BwDispatcher *d)
+{
+    BwBoundJob *job, *next;
+
+    HASH_ITER(hh, d->jobs, job, next)
+    {
+        end_job(d, job, BW_BOUND_EXPIRED, "the process stops");
+    }
+}
+
 uint32_t
 BwDispatcher_CountUsable(const BwDispatcher *d)
 {
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -202,6 +202,10 @@
 void
 BwDispatcher_Tick(BwDispatcher *dispatcher, uint64_t now_us);
 
+/* Answers every job: the process ends. */
+void
+BwDispatcher_EndAll(BwDispatcher *dispatcher);
+
 /* Workers that take tasks now. */
 uint32_t
 BwDispatcher_CountUsable(const BwDispatcher *dispatcher);
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -15,8 +15,10 @@
 #include "node.h"
 #include "storereader.h"
 
-/* Until the balancer has noticed that this process is not ready. */
+/* Until the balancer has noticed that this process is not ready; what comes
+   later, on old connections, is refused. */
 #define UNREADY_US 2500000
+#define LAST_ANSWER_US 150000 /* before the end of a planned stop */
 #define DEFAULT_DEADLINE_US 30000000
 #define STATE_BYTES 64
 #define RETRY_AFTER_S 1
@@ -127,6 +129,13 @@
                      retry_after_s);
 }
 
+/* A job that is not here, whether it ended or never was. */
+static void
+reply_gone(BwExchange *exchange)
+{
+    reply_text(exchange, 410, "{}", 2, 0);
+}
+
 static void
 reply_state(Role *role, BwExchange *exchange, BwBoundState state)
 {
@@ -161,6 +170,16 @@
     }
 }
 
+/* When a planned stop answers what still waits; never, without one. */
+static uint64_t
+last_answer_us(const BwNode *node)
+{
+    if (!node->is_stopping)
+        return UINT64_MAX;
+    return node->stopping_us + node->settings.limits.stop_ms * 1000 -
+           LAST_ANSWER_US;
+}
+
 static uint64_t
 read_deadline(const Role *role, const BwExchange *exchange, uint64_t now_us)
 {
@@ -229,8 +248,7 @@
     }
     job = BwDispatcher_FindName(&role->dispatcher, name);
     if (job == NULL)
-        BwDaemon_ReplyError(exchange, BW_ERR_UNKNOWN_JOB,
-                            "no job of that name is bound to this process");
+        reply_gone(exchange);
     else
         reply_state(role, exchange,
                     BwBoundJob_IsRunning(job) ? BW_STATE_RUNNING
@@ -244,8 +262,7 @@
     Waiter *waiter;
 
     if (job == NULL) {
-        BwDaemon_ReplyError(exchange, BW_ERR_UNKNOWN_JOB,
-                            "no job of that name is bound to this process");
+        reply_gone(exchange);
         return;
     }
     waiter = job->data;
@@ -270,10 +287,15 @@
     BwSpan name;
 
     if (role->routes.revision == 0) {
-        BwDaemon_ReplyError(exchange, BW_ERR_OVERLOADED,
+        BwDaemon_ReplyError(exchange, BW_ERR_NO_BACKEND,
                             "no configuration is known yet; come back");
         return;
     }
+    if (role->is_front_closed) {
+        BwDaemon_ReplyError(exchange, BW_ERR_LEAVING,
+                            "this process is stopping; ask another");
+        return;
+    }
     route = BwRoutes_Find(&role->routes, exchange->host, exchange->path);
     if (route == NULL) {
         BwDaemon_ReplyError(exchange, BW_ERR_NO_SUCH_PATH,
@@ -437,6 +459,8 @@
         role->is_front_closed = true;
         BwHttpServer_Shutdown(&role->front);
     }
+    if (now_us >= last_answer_us(node))
+        BwDispatcher_EndAll(&role->dispatcher);
 }
 
 static void
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -18,13 +18,15 @@
 #define COUNTERS_MAX 64
 #define INCARNATION_MASK ((UINT64_C(1) << 62) - 1)
 
-static volatile int stop_asked;
+static BwSignals signals;
 
 static void
 on_signal(int number)
 {
-    (void)number;
-    stop_asked = 1;
+    if (number == SIGHUP)
+        signals.reload_asked = 1;
+    else
+        signals.stop_asked = 1;
 }
 
 /* ----------------------------------------------------------- shared */
@@ -49,12 +51,12 @@
 BwDaemon_ReplyError(BwExchange *exchange, BwErrorKind error,
                     const char *detail)
 {
+    int status = BwError_Describe(error)->http_status;
     char *text = BwJobJson_Error(error, detail);
 
-    BwExchange_Reply(exchange, BwError_Describe(error)->http_status,
-                     "application/json",
+    BwExchange_Reply(exchange, status, "application/json",
                      BwSpan_FromString(text != NULL ? text : "{}"),
-                     error == BW_ERR_OVERLOADED ? 1 : 0);
+                     status == 429 || status == 503 ? 1 : 0);
     free(text);
 }
 
@@ -340,7 +342,7 @@
     tick_keys(daemon);
     daemon->ops->on_tick(daemon, BwClock_Now());
     BwHandOn_Tick(&daemon->handon, daemon, BwClock_Now());
-    if (stop_asked && !daemon->is_stopping)
+    if (signals.stop_asked && !daemon->is_stopping)
         begin_stop(daemon);
     if (daemon->is_stopping && daemon->ops->is_stopped(daemon))
         BwTaskLoop_Stop(&daemon->task);
@@ -357,6 +359,7 @@
     action.sa_handler = on_signal;
     sigaction(SIGTERM, &action, NULL);
     sigaction(SIGINT, &action, NULL);
+    sigaction(SIGHUP, &action, NULL);
     action.sa_handler = SIG_IGN;
     sigaction(SIGPIPE, &action, NULL);
 }
@@ -421,7 +424,7 @@
     }
     set_signals();
     if (daemon->settings.role >= BW_SETTINGS_DISPATCHER) {
-        code = BwNode_Serve(&daemon->settings, &stop_asked);
+        code = BwNode_Serve(&daemon->settings, path, &signals);
         goto cleanup;
     }
     if (start(daemon)) {
--- a/packages/daemon/mesh.c
+++ b/packages/daemon/mesh.c
@@ -245,6 +245,15 @@
     mesh->member_count++;
 }
 
+void
+BwMesh_AddSeeds(BwMesh *mesh, uint64_t now_us, const BwSettings *settings)
+{
+    for (uint32_t i = 0; i < settings->peer_count; i++)
+        BwMesh_AddMember(mesh, now_us, BwSpan_FromString(""),
+                         BwSpan_FromString(settings->peers[i].host),
+                         settings->peers[i].port, true);
+}
+
 bool
 BwMesh_Send(BwMesh *mesh, uint32_t id, const BwMessage *message)
 {
@@ -391,10 +400,7 @@
                          mesh->hello.http_host, port, true);
         mesh->members->is_self = true;
     }
-    for (uint32_t i = 0; i < settings->peer_count; i++)
-        BwMesh_AddMember(mesh, BwClock_Now(), BwSpan_FromString(""),
-                         BwSpan_FromString(settings->peers[i].host),
-                         settings->peers[i].port, true);
+    BwMesh_AddSeeds(mesh, BwClock_Now(), settings);
     return true;
 }
 
--- a/packages/daemon/mesh.h
+++ b/packages/daemon/mesh.h
@@ -86,6 +86,10 @@
 BwMesh_AddMember(BwMesh *mesh, uint64_t now_us, BwSpan name, BwSpan host,
                  uint32_t port, bool is_seed);
 
+/* Notes the seeds of the settings. */
+void
+BwMesh_AddSeeds(BwMesh *mesh, uint64_t now_us, const BwSettings *settings);
+
 /* Queues a message.  Returns false when the connection is gone. */
 bool
 BwMesh_Send(BwMesh *mesh, uint32_t id, const BwMessage *message);
--- a/packages/daemon/node.c
+++ b/packages/daemon/node.c
@@ -15,7 +15,8 @@
 
 typedef struct Service {
     BwNode node;
-    const volatile int *stop_asked;
+    const char *path;
+    BwSignals *signals;
 } Service;
 
 void
@@ -66,6 +67,30 @@
     free(mail);
 }
 
+/* A file with a fault changes nothing. */
+static void
+reload(Service *service, uint64_t now_us)
+{
+    BwNode *node = &service->node;
+    BwYamlFaults *faults = calloc(1, sizeof(*faults));
+    BwSettings fresh;
+
+    if (faults == NULL)
+        return;
+    if (BwSettings_Load(&fresh, service->path, faults)) {
+        BwMesh_AddSeeds(&node->mesh, now_us, &fresh);
+        node->settings.limits.stop_ms = fresh.limits.stop_ms;
+        BW_LOG(&node->logger, BW_LOG_INFO, "reloaded",
+               BW_LOG_NUMBER("seeds", fresh.peer_count));
+    }
+    else {
+        BW_LOG(&node->logger, BW_LOG_ERROR, "reload_refused",
+               BW_LOG_TEXT("fault", faults->lines[0]));
+    }
+    BwSettings_Finish(&fresh);
+    free(faults);
+}
+
 static void
 on_tick(void *ctx)
 {
@@ -73,9 +98,14 @@
     BwNode *node = &service->node;
     uint64_t now_us = BwClock_Now();
 
+    if (service->signals->reload_asked) {
+        service->signals->reload_asked = 0;
+        reload(service, now_us);
+    }
+
     BwMesh_Tick(&node->mesh, now_us);
     node->ops->tick(node, now_us);
-    if (*service->stop_asked && !node->is_stopping) {
+    if (service->signals->stop_asked && !node->is_stopping) {
         node->is_stopping = true;
         node->stopping_us = now_us;
         BW_LOG(&node->logger, BW_LOG_INFO, "stopping",
@@ -89,7 +119,7 @@
 static const BwTaskEvents task_events = {on_mail, on_tick};
 
 int
-BwNode_Serve(BwSettings *settings, const volatile int *stop_asked)
+BwNode_Serve(BwSettings *settings, const char *path, BwSignals *signals)
 {
     Service *service = calloc(1, sizeof(*service));
     BwNode *node = &service->node;
@@ -100,7 +130,8 @@
         getrandom(&number, sizeof(number), 0) != sizeof(number))
         goto cleanup;
     node->settings = *settings;
-    service->stop_asked = stop_asked;
+    service->path = path;
+    service->signals = signals;
     node->incarnation = (number & INCARNATION_MASK) | 1;
     node->logger.fd = STDERR_FILENO;
     node->logger.level = (BwLogLevel)settings->log_level;
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -47,10 +47,17 @@
     void *role;
 };
 
+/* Set by signal handlers. */
+typedef struct BwSignals {
+    volatile int stop_asked;
+    volatile int reload_asked;
+} BwSignals;
+
 /* Runs a dispatcher or supervisor until it is asked to stop.  Takes over the
-   settings.  Returns the exit code. */
+   settings, which were read from `path`: seeds and limits.stop_ms are read
+   again when asked.  Returns the exit code. */
 int
-BwNode_Serve(BwSettings *settings, const volatile int *stop_asked);
+BwNode_Serve(BwSettings *settings, const char *path, BwSignals *signals);
 
 /* Makes a call; frees its body. */
 void
