--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -30,8 +30,9 @@
     prctl(PR_SET_PDEATHSIG, SIGKILL);
 }
 
-static void
-spawn(Fleet *fleet, FleetProcess *process, const char *name, char **argv)
+void
+FleetProcess_Start(FleetProcess *process, const char *dir, const char *name,
+                   char **argv)
 {
     GError *error = NULL;
     char *script;
@@ -41,7 +42,7 @@
     g_free(process->name);
     g_free(process->output);
     process->name = g_strdup(name);
-    process->output = g_strdup_printf("%s/%s.out", fleet->dir, name);
+    process->output = g_strdup_printf("%s/%s.out", dir, name);
     g_unlink(process->output);
     script = g_strdup_printf("exec \"$@\" >'%s' 2>&1", process->output);
     shell_argv[count++] = "/bin/sh";
@@ -70,8 +71,8 @@
     return value;
 }
 
-static void
-wait_started(FleetProcess *process)
+void
+FleetProcess_WaitStarted(FleetProcess *process)
 {
     uint64_t give_up_us = BwClock_Now() + START_TIMEOUT_US;
 
@@ -111,7 +112,7 @@
     char *path = write_settings(fleet, name, role, domains[i % 3]);
     char *argv[] = {BW_DAEMON_PATH, "--settings", path, NULL};
 
-    spawn(fleet, process, name, argv);
+    FleetProcess_Start(process, fleet->dir, name, argv);
     g_free(path);
     g_free(name);
 }
@@ -128,7 +129,7 @@
         BW_BACKEND_PATH, port,   services[i % g_strv_length(services)],
         slots,           run_us, NULL};
 
-    spawn(fleet, &fleet->backends[i], name, argv);
+    FleetProcess_Start(&fleet->backends[i], fleet->dir, name, argv);
     g_strfreev(services);
     g_free(name);
     g_free(port);
@@ -293,20 +294,20 @@
     memset(fleet, 0, sizeof(*fleet));
     fleet->plan = *plan;
     fleet->dir = g_dir_make_tmp("brasswing-XXXXXX", NULL);
-    spawn(fleet, &fleet->log, "log", log_argv);
-    wait_started(&fleet->log);
+    FleetProcess_Start(&fleet->log, fleet->dir, "log", log_argv);
+    FleetProcess_WaitStarted(&fleet->log);
     for (uint32_t i = 0; i < plan->agents; i++)
         start_daemon(fleet, &fleet->agents[i], "agent", i);
     for (uint32_t i = 0; i < plan->entries; i++)
         start_daemon(fleet, &fleet->entries[i], "entry", i);
     for (uint32_t i = 0; i < plan->agents; i++) {
-        wait_started(&fleet->agents[i]);
+        FleetProcess_WaitStarted(&fleet->agents[i]);
         start_backend(fleet, i);
     }
     for (uint32_t i = 0; i < plan->agents; i++)
-        wait_started(&fleet->backends[i]);
+        FleetProcess_WaitStarted(&fleet->backends[i]);
     for (uint32_t i = 0; i < plan->entries; i++)
-        wait_started(&fleet->entries[i]);
+        FleetProcess_WaitStarted(&fleet->entries[i]);
     if (plan->text == NULL)
         g_file_get_contents(BW_EXAMPLE_PATH, &text, NULL, NULL);
     if (Fleet_Publish(fleet, plan->text != NULL ? plan->text : text, NULL) !=
@@ -326,16 +327,16 @@
         memset(&fleet->backends[i], 0, sizeof(fleet->backends[i]));
     }
     start_daemon(fleet, &fleet->agents[i], "agent", i);
-    wait_started(&fleet->agents[i]);
+    FleetProcess_WaitStarted(&fleet->agents[i]);
     start_backend(fleet, i);
-    wait_started(&fleet->backends[i]);
+    FleetProcess_WaitStarted(&fleet->backends[i]);
 }
 
 void
 Fleet_RestartEntry(Fleet *fleet, uint32_t i)
 {
     start_daemon(fleet, &fleet->entries[i], "entry", i);
-    wait_started(&fleet->entries[i]);
+    FleetProcess_WaitStarted(&fleet->entries[i]);
 }
 
 void
@@ -366,8 +367,8 @@
     return true;
 }
 
-static void
-end_process(FleetProcess *process)
+void
+FleetProcess_Finish(FleetProcess *process)
 {
     Fleet_Signal(process, SIGKILL);
     g_free(process->name);
@@ -375,24 +376,30 @@
 }
 
 void
-Fleet_Finish(Fleet *fleet)
+Fleet_RemoveFiles(char *dir)
 {
-    for (uint32_t i = 0; i < fleet->plan.entries; i++)
-        end_process(&fleet->entries[i]);
-    for (uint32_t i = 0; i < fleet->plan.agents; i++) {
-        end_process(&fleet->agents[i]);
-        end_process(&fleet->backends[i]);
-    }
-    for (uint32_t i = 0; i < fleet->retired_count; i++)
-        end_process(&fleet->retired[i]);
-    end_process(&fleet->log);
     if (g_getenv("BW_KEEP") == NULL) {
-        char *argv[] = {"/bin/rm", "-rf", fleet->dir, NULL};
+        char *argv[] = {"/bin/rm", "-rf", dir, NULL};
 
         g_spawn_sync(NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL, NULL, NULL,
                      NULL, NULL);
     }
-    g_free(fleet->dir);
+    g_free(dir);
+}
+
+void
+Fleet_Finish(Fleet *fleet)
+{
+    for (uint32_t i = 0; i < fleet->plan.entries; i++)
+        FleetProcess_Finish(&fleet->entries[i]);
+    for (uint32_t i = 0; i < fleet->plan.agents; i++) {
+        FleetProcess_Finish(&fleet->agents[i]);
+        FleetProcess_Finish(&fleet->backends[i]);
+    }
+    for (uint32_t i = 0; i < fleet->retired_count; i++)
+        FleetProcess_Finish(&fleet->retired[i]);
+    FleetProcess_Finish(&fleet->log);
+    Fleet_RemoveFiles(fleet->dir);
 }
 
 /* --------------------------------------------------------------- jobs */
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -22,6 +22,23 @@
     char *output; /* path */
 } FleetProcess;
 
+/* Starts a program, with its output in a file of `dir`. */
+void
+FleetProcess_Start(FleetProcess *process, const char *dir, const char *name,
+                   char **argv);
+
+/* Waits until it has printed its port; aborts the test when it does not. */
+void
+FleetProcess_WaitStarted(FleetProcess *process);
+
+/* Ends it if it runs, and forgets it. */
+void
+FleetProcess_Finish(FleetProcess *process);
+
+/* Removes the files of a test, unless BW_KEEP is set, and frees `dir`. */
+void
+Fleet_RemoveFiles(char *dir);
+
 typedef struct FleetPlan {
     uint32_t agents;
     uint32_t entries;
--- /dev/null
+++ b/tests/standins/worker_standin.c
@@ -0,0 +1,752 @@
+/* worker_standin.c -- stands in for a worker of the users' platform
+
+   usage: worker_standin PORT SUPERVISOR_PORT NAME SERVICE CPU MEM RACK
+                         [CLOCK_PERMILLE]
+
+   Announces itself to its supervisor and runs tasks under a lease on its own
+   clock, which runs at CLOCK_PERMILLE of the real one.  It starts whatever it
+   is told to.  A task's spec may hold run_ms=N, cpu=N, mem=N and fail=1.
+
+     POST /control {"still": BOOL}       tasks stand still, and go on again
+                   {"fail": BOOL}        every task ends as failed
+                   {"slow_permille": N}  of the run time of tasks that start
+                   {"late_starts": BOOL} starts are kept without an answer
+                   {"late_stops": BOOL}  stops too
+                   {"carry_out": true}   does what was kept
+                   {"silent": BOOL}      no call is answered or done
+                   {"draining": BOOL}    says that it leaves
+                   {"crash": true}       everything there ends; it is silent
+                   {"revive": true}      and comes back as another instance
+     GET /ledger   every run in the order of the starts, over all its lives,
+                   and the greatest room that was ever in use
+
+   Times of the ledger are of the host's monotonic clock, so those of several
+   workers can be put in one order.
+*/
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+#include <uthash.h>
+#include <utlist.h>
+
+#include "clock.h"
+#include "httpclient.h"
+#include "httpserver.h"
+#include "standin.h"
+
+#define BEAT_US 200000
+#define BEAT_TIMEOUT_US 1000000
+#define STOP_US 30000
+#define LEASE_MAX_MS 1000
+#define CLOCK_START_MS 100000
+#define TASK_BYTES 128
+#define NEVER UINT64_MAX
+
+typedef struct Run {
+    char task[TASK_BYTES];
+    uint32_t run;
+    uint32_t life;
+    uint64_t cpu, mem;
+    bool fails;
+    uint64_t left_us;    /* of its work, while it stands still */
+    uint64_t due_us;     /* of its end */
+    uint64_t stopped_us; /* a stop takes effect then; NEVER */
+    uint64_t started_us;
+    uint64_t ended_us; /* 0: it runs */
+    const char *how;
+    uint64_t number; /* of the end */
+    struct Run *prev, *next;
+} Run;
+
+/* The highest run of a task that was stopped or has ended in this life. */
+typedef struct Mark {
+    char task[TASK_BYTES];
+    uint32_t run;
+    UT_hash_handle hh;
+} Mark;
+
+/* A call whose answer waits for an end. */
+typedef struct Hold {
+    BwExchange *exchange;
+    uint64_t give_up_us;
+    struct Hold *prev, *next;
+} Hold;
+
+/* A call that is carried out later. */
+typedef struct Late {
+    char path[64];
+    char expected[64];
+    char *body;
+    uint32_t body_bytes;
+    struct Late *prev, *next;
+} Late;
+
+static struct {
+    BwTaskLoop task;
+    BwHttpServer http;
+    BwHttpClient supervisor;
+    const char *name;
+    const char *service;
+    const char *rack;
+    uint64_t cpu, mem;
+    uint64_t clock_permille;
+    uint64_t born_us;
+    uint32_t life;
+    uint64_t fence;
+    uint64_t lease_ms; /* end, on this clock; 0: none */
+    uint64_t next_end;
+    uint64_t seen;
+    Run *runs;
+    Mark *marks;
+    Hold *holds;
+    Late *late;
+    uint64_t beat_sequence;
+    uint64_t beat_at_us;
+    uint64_t slow_permille;
+    uint64_t peak_cpu, peak_mem;
+    uint64_t late_count;
+    bool is_still, is_failing, is_silent, is_draining, is_crashed;
+    bool keeps_starts, keeps_stops;
+} me;
+
+static uint64_t
+clock_ms(void)
+{
+    return CLOCK_START_MS +
+           (BwClock_Now() - me.born_us) / 1000 * me.clock_permille / 1000;
+}
+
+static void
+write_instance(char *out, size_t room)
+{
+    snprintf(out, room, "i-%s-%u", me.name, me.life);
+}
+
+/* ---------------------------------------------------------------- runs */
+
+static bool
+is_running(const Run *run)
+{
+    return run->ended_us == 0;
+}
+
+static uint64_t
+read_option(const char *text, const char *name, uint64_t fallback)
+{
+    const char *place = strstr(text, name);
+
+    return place != NULL ? strtoull(place + strlen(name), NULL, 10) : fallback;
+}
+
+static void
+set_mark(const char *task, uint32_t run)
+{
+    Mark *mark;
+
+    HASH_FIND_STR(me.marks, task, mark);
+    if (mark == NULL) {
+        mark = calloc(1, sizeof(*mark));
+        snprintf(mark->task, sizeof(mark->task), "%s", task);
+        HASH_ADD_STR(me.marks, task, mark);
+    }
+    if (run > mark->run)
+        mark->run = run;
+}
+
+static uint32_t
+find_mark(const char *task)
+{
+    Mark *mark;
+
+    HASH_FIND_STR(me.marks, task, mark);
+    return mark != NULL ? mark->run : 0;
+}
+
+static Run *
+find_run(const char *task, uint32_t number)
+{
+    Run *run;
+
+    DL_FOREACH(me.runs, run)
+    {
+        if (is_running(run) && run->run == number &&
+            strcmp(run->task, task) == 0)
+            return run;
+    }
+    return NULL;
+}
+
+static void
+end_run(Run *run, const char *how)
+{
+    run->ended_us = BwClock_Now();
+    run->how = how;
+    run->number = ++me.next_end;
+    set_mark(run->task, run->run);
+}
+
+static void
+note_peak(void)
+{
+    uint64_t cpu = 0, mem = 0;
+    const Run *run;
+
+    DL_FOREACH(me.runs, run)
+    {
+        cpu += is_running(run) ? run->cpu : 0;
+        mem += is_running(run) ? run->mem : 0;
+    }
+    me.peak_cpu = cpu > me.peak_cpu ? cpu : me.peak_cpu;
+    me.peak_mem = mem > me.peak_mem ? mem : me.peak_mem;
+}
+
+static void
+begin_run(const char *task, uint32_t number, const char *spec)
+{
+    Run *run = calloc(1, sizeof(*run));
+
+    snprintf(run->task, sizeof(run->task), "%s", task);
+    run->run = number;
+    run->life = me.life;
+    run->cpu = read_option(spec, "cpu=", 0);
+    run->mem = read_option(spec, "mem=", 0);
+    run->fails = read_option(spec, "fail=", 0) != 0;
+    run->left_us = read_option(spec, "run_ms=", 20) * me.slow_permille;
+    run->started_us = BwClock_Now();
+    run->due_us = me.is_still ? NEVER : run->started_us + run->left_us;
+    run->stopped_us = NEVER;
+    DL_APPEND(me.runs, run);
+    note_peak();
+}
+
+static void
+set_still(bool is_still)
+{
+    uint64_t now_us = BwClock_Now();
+    Run *run;
+
+    if (is_still == me.is_still)
+        return;
+    me.is_still = is_still;
+    DL_FOREACH(me.runs, run)
+    {
+        if (!is_running(run))
+            continue;
+        if (is_still)
+            run->left_us = run->due_us > now_us ? run->due_us - now_us : 0;
+        run->due_us = is_still ? NEVER : now_us + run->left_us;
+    }
+}
+
+static void
+tick_runs(uint64_t now_us)
+{
+    bool is_lapsed = me.lease_ms != 0 && clock_ms() >= me.lease_ms;
+    Run *run;
+
+    DL_FOREACH(me.runs, run)
+    {
+        if (!is_running(run))
+            continue;
+        if (is_lapsed)
+            end_run(run, "lapsed");
+        else if (now_us >= run->stopped_us)
+            end_run(run, "stopped");
+        else if (now_us >= run->due_us)
+            end_run(run, run->fails || me.is_failing ? "failed" : "done");
+    }
+}
+
+/* -------------------------------------------------------------- orders */
+
+static int
+refuse(json_t *reply, const char *reason)
+{
+    json_object_set_new(reply, "reason", json_string(reason));
+    return 409;
+}
+
+/* Takes fence and lease.  Returns false for a lower fence. */
+static bool
+take_fence(const json_t *order)
+{
+    uint64_t fence =
+        (uint64_t)json_integer_value(json_object_get(order, "fenceToken"));
+
+    if (fence < me.fence)
+        return false;
+    me.fence = fence;
+    return true;
+}
+
+static void
+take_lease(const json_t *order)
+{
+    uint64_t end_ms =
+        (uint64_t)json_integer_value(json_object_get(order, "deadlineMs"));
+    uint64_t last_ms = clock_ms() + LEASE_MAX_MS;
+
+    if (end_ms > last_ms)
+        end_ms = last_ms;
+    if (end_ms > me.lease_ms)
+        me.lease_ms = end_ms;
+}
+
+static const char *
+task_of(const json_t *order, uint32_t *run)
+{
+    *run = (uint32_t)json_integer_value(json_object_get(order, "run"));
+    return json_string_value(json_object_get(order, "task"));
+}
+
+static int
+carry_out_start(const json_t *order, json_t *reply)
+{
+    uint32_t number;
+    const char *task = task_of(order, &number);
+    const char *spec = json_string_value(json_object_get(order, "spec"));
+    uint64_t end_ms =
+        (uint64_t)json_integer_value(json_object_get(order, "deadlineMs"));
+
+    if (task == NULL || spec == NULL || number == 0)
+        return 400;
+    if (!take_fence(order))
+        return refuse(reply, "fence");
+    if (end_ms <= clock_ms())
+        return refuse(reply, "late");
+    take_lease(order);
+    if (find_run(task, number) != NULL)
+        return 200;
+    if (number <= find_mark(task))
+        return refuse(reply, "old");
+    begin_run(task, number, spec);
+    return 200;
+}
+
+static int
+carry_out_stop(const json_t *order, json_t *reply)
+{
+    uint32_t number;
+    const char *task = task_of(order, &number);
+    Run *run;
+
+    if (task == NULL)
+        return 400;
+    if (!take_fence(order))
+        return refuse(reply, "fence");
+    set_mark(task, number);
+    run = find_run(task, number);
+    if (run != NULL && run->stopped_us == NEVER)
+        run->stopped_us = BwClock_Now() + STOP_US;
+    return 200;
+}
+
+static void
+list_runs(json_t *reply)
+{
+    json_t *running = json_array();
+    json_t *ended = json_array();
+    const Run *run;
+
+    DL_FOREACH(me.runs, run)
+    {
+        if (run->life != me.life)
+            continue;
+        if (is_running(run))
+            json_array_append_new(
+                running, json_pack("[s,i,s,i]", run->task, run->run, "", 0));
+        else if (run->number > me.seen)
+            json_array_append_new(
+                ended, json_pack("[I,s,i,s,s]", (json_int_t)run->number,
+                                 run->task, run->run, run->how, ""));
+    }
+    json_object_set_new(reply, "running", running);
+    json_object_set_new(reply, "ended", ended);
+}
+
+static void
+reply_json(BwExchange *exchange, int status, json_t *document)
+{
+    char *text = json_dumps(document, JSON_COMPACT);
+
+    BwExchange_Reply(exchange, status, "application/json",
+                     BwSpan_FromString(text), 0);
+    free(text);
+    json_decref(document);
+}
+
+static json_t *
+make_reply(void)
+{
+    return json_pack("{s:I}", "clockMs", (json_int_t)clock_ms());
+}
+
+static bool
+has_end(void)
+{
+    return me.next_end > me.seen;
+}
+
+static void
+serve_hold(BwExchange *exchange, const json_t *order)
+{
+    uint64_t seen =
+        (uint64_t)json_integer_value(json_object_get(order, "lastSeen"));
+    uint64_t wait_ms =
+        (uint64_t)json_integer_value(json_object_get(order, "waitMs"));
+    json_t *reply = make_reply();
+    Hold *hold;
+
+    if (!take_fence(order)) {
+        reply_json(exchange, refuse(reply, "fence"), reply);
+        return;
+    }
+    take_lease(order);
+    if (seen > me.seen)
+        me.seen = seen;
+    if (wait_ms == 0 || has_end()) {
+        list_runs(reply);
+        reply_json(exchange, 200, reply);
+        return;
+    }
+    json_decref(reply);
+    hold = calloc(1, sizeof(*hold));
+    hold->exchange = exchange;
+    hold->give_up_us = BwClock_Now() + wait_ms * 1000;
+    exchange->data = hold;
+    DL_APPEND(me.holds, hold);
+}
+
+static void
+tick_holds(uint64_t now_us)
+{
+    Hold *hold, *next;
+
+    if (me.is_silent || me.is_crashed)
+        return;
+    DL_FOREACH_SAFE(me.holds, hold, next)
+    {
+        json_t *reply;
+
+        if (!has_end() && now_us < hold->give_up_us)
+            continue;
+        reply = make_reply();
+        list_runs(reply);
+        DL_DELETE(me.holds, hold);
+        hold->exchange->data = NULL;
+        reply_json(hold->exchange, 200, reply);
+        free(hold);
+    }
+}
+
+static bool
+is_meant(const char *expected)
+{
+    char instance[64];
+
+    write_instance(instance, sizeof(instance));
+    return expected[0] == '\0' || strcmp(expected, instance) == 0;
+}
+
+static int
+carry_out(const char *path, const char *expected, const json_t *order,
+          json_t *reply)
+{
+    if (!is_meant(expected))
+        return 421;
+    if (strcmp(path, "/api/run-start") == 0)
+        return carry_out_start(order, reply);
+    if (strcmp(path, "/api/run-stop") == 0)
+        return carry_out_stop(order, reply);
+    return 404;
+}
+
+static void
+keep(const char *path, const char *expected, BwSpan body)
+{
+    Late *late = calloc(1, sizeof(*late));
+
+    snprintf(late->path, sizeof(late->path), "%s", path);
+    snprintf(late->expected, sizeof(late->expected), "%s", expected);
+    late->body = malloc(body.size_bytes + 1);
+    memcpy(late->body, body.base, body.size_bytes);
+    late->body_bytes = body.size_bytes;
+    DL_APPEND(me.late, late);
+    me.late_count++;
+}
+
+static void
+carry_out_late(void)
+{
+    Late *late, *next;
+
+    DL_FOREACH_SAFE(me.late, late, next)
+    {
+        json_t *order = json_loadb(late->body, late->body_bytes, 0, NULL);
+        json_t *reply = make_reply();
+
+        carry_out(late->path, late->expected, order, reply);
+        json_decref(order);
+        json_decref(reply);
+        DL_DELETE(me.late, late);
+        free(late->body);
+        free(late);
+    }
+}
+
+static void
+serve_order(BwExchange *exchange)
+{
+    char path[64], expected[64];
+    json_t *order, *reply;
+    int status;
+
+    BwSpan_ToString(exchange->path, path, sizeof(path));
+    BwSpan_ToString(BwExchange_Header(exchange, "x-expect-instance"), expected,
+                    sizeof(expected));
+    if (me.is_silent || me.is_crashed)
+        return;
+    if ((me.keeps_starts && strcmp(path, "/api/run-start") == 0) ||
+        (me.keeps_stops && strcmp(path, "/api/run-stop") == 0)) {
+        keep(path, expected, exchange->body);
+        return;
+    }
+    tick_runs(BwClock_Now());
+    order =
+        json_loadb(exchange->body.base, exchange->body.size_bytes, 0, NULL);
+    if (strcmp(path, "/api/hold") == 0 && is_meant(expected)) {
+        serve_hold(exchange, order);
+    }
+    else {
+        reply = make_reply();
+        status = carry_out(path, expected, order, reply);
+        reply_json(exchange, status, reply);
+    }
+    json_decref(order);
+}
+
+/* ---------------------------------------------------------------- test */
+
+static void
+crash(void)
+{
+    Mark *mark, *next;
+    Run *run;
+
+    DL_FOREACH(me.runs, run)
+    {
+        if (is_running(run))
+            end_run(run, "crashed");
+    }
+    HASH_ITER(hh, me.marks, mark, next)
+    {
+        HASH_DEL(me.marks, mark);
+        free(mark);
+    }
+    me.is_crashed = true;
+}
+
+static void
+revive(void)
+{
+    Hold *hold;
+
+    if (!me.is_crashed)
+        return;
+    DL_FOREACH(me.holds, hold)
+    {
+        hold->exchange->data = NULL;
+    }
+    me.holds = NULL;
+    me.is_crashed = false;
+    me.is_draining = false;
+    me.life++;
+    me.fence = 0;
+    me.lease_ms = 0;
+    me.next_end = 0;
+    me.seen = 0;
+    me.beat_sequence = 0;
+    me.beat_at_us = 0;
+}
+
+static void
+take_flag(const json_t *root, const char *name, bool *flag)
+{
+    const json_t *value = json_object_get(root, name);
+
+    if (value != NULL)
+        *flag = json_is_true(value);
+}
+
+static void
+serve_control(BwExchange *exchange)
+{
+    json_t *root =
+        json_loadb(exchange->body.base, exchange->body.size_bytes, 0, NULL);
+    const json_t *slow = json_object_get(root, "slow_permille");
+    bool is_still = me.is_still;
+
+    take_flag(root, "still", &is_still);
+    set_still(is_still);
+    take_flag(root, "fail", &me.is_failing);
+    take_flag(root, "late_starts", &me.keeps_starts);
+    take_flag(root, "late_stops", &me.keeps_stops);
+    take_flag(root, "silent", &me.is_silent);
+    take_flag(root, "draining", &me.is_draining);
+    me.beat_at_us = 0;
+    if (slow != NULL)
+        me.slow_permille = (uint64_t)json_integer_value(slow);
+    if (json_is_true(json_object_get(root, "carry_out")))
+        carry_out_late();
+    if (json_is_true(json_object_get(root, "crash")))
+        crash();
+    if (json_is_true(json_object_get(root, "revive")))
+        revive();
+    BwExchange_Reply(exchange, root != NULL ? 200 : 400, "application/json",
+                     BwSpan_FromString("{}"), 0);
+    json_decref(root);
+}
+
+static void
+serve_ledger(BwExchange *exchange)
+{
+    json_t *rows = json_array();
+    const Run *run;
+    int running = 0;
+
+    DL_FOREACH(me.runs, run)
+    {
+        running += is_running(run);
+        json_array_append_new(
+            rows,
+            json_pack("{s:s, s:i, s:I, s:I, s:s}", "task", run->task, "run",
+                      run->run, "started_us", (json_int_t)run->started_us,
+                      "ended_us", (json_int_t)run->ended_us, "how",
+                      is_running(run) ? "" : run->how));
+    }
+    reply_json(exchange, 200,
+               json_pack("{s:i, s:I, s:I, s:I, s:I, s:I, s:o}", "running",
+                         running, "cpu", (json_int_t)me.cpu, "mem",
+                         (json_int_t)me.mem, "peak_cpu",
+                         (json_int_t)me.peak_cpu, "peak_mem",
+                         (json_int_t)me.peak_mem, "late",
+                         (json_int_t)me.late_count, "rows", rows));
+}
+
+static void
+on_request(void *ctx, BwExchange *exchange)
+{
+    (void)ctx;
+    if (BwSpan_Equal(exchange->path, BwSpan_FromString("/control")))
+        serve_control(exchange);
+    else if (BwSpan_Equal(exchange->path, BwSpan_FromString("/ledger")))
+        serve_ledger(exchange);
+    else
+        serve_order(exchange);
+}
+
+static void
+on_abort(void *ctx, BwExchange *exchange)
+{
+    Hold *hold = exchange->data;
+
+    (void)ctx;
+    if (hold == NULL)
+        return;
+    DL_DELETE(me.holds, hold);
+    free(hold);
+}
+
+static void
+on_beaten(void *data, const BwHttpReply *reply)
+{
+    (void)data;
+    (void)reply;
+}
+
+static void
+beat(uint64_t now_us)
+{
+    char instance[64], path[128], address[32];
+    json_t *root;
+    char *text;
+
+    write_instance(instance, sizeof(instance));
+    snprintf(path, sizeof(path), "/api/Instances.Heartbeat/%s", instance);
+    snprintf(address, sizeof(address), "127.0.0.1:%u", me.http.port);
+    root = json_pack(
+        "{s:s, s:s, s:s, s:s, s:s, s:{s:I, s:I, s:i}, s:[s,s], s:I, s:I}",
+        "service", me.service, "address", address, "zone", "charguia-a",
+        "version", "v1", "state", me.is_draining ? "draining" : "ready",
+        "capacity", "cpu", (json_int_t)me.cpu, "memMb", (json_int_t)me.mem,
+        "gpu", 0, "labels", "a", me.rack, "clockMs", (json_int_t)clock_ms(),
+        "sequence", (json_int_t)++me.beat_sequence);
+    if (me.is_draining)
+        json_object_set_new(root, "remainingMs", json_integer(2000));
+    text = json_dumps(root, JSON_COMPACT);
+    BwHttpClient_Send(&me.supervisor, "POST", BwSpan_FromString(path),
+                      "content-type: application/json\r\n",
+                      BwSpan_FromString(text), now_us + BEAT_TIMEOUT_US,
+                      on_beaten, NULL);
+    free(text);
+    json_decref(root);
+    me.beat_at_us = now_us + BEAT_US;
+}
+
+static void
+on_tick(void *ctx)
+{
+    uint64_t now_us = BwClock_Now();
+
+    (void)ctx;
+    BwHttpClient_Tick(&me.supervisor, now_us);
+    tick_runs(now_us);
+    tick_holds(now_us);
+    if (!me.is_crashed && now_us >= me.beat_at_us)
+        beat(now_us);
+    if (standin_stop)
+        BwTaskLoop_Stop(&me.task);
+}
+
+static void
+on_mail(void *ctx, BwMail *mail)
+{
+    (void)ctx;
+    free(mail);
+}
+
+int
+main(int argc, char **argv)
+{
+    static const BwHttpEvents http_events = {on_request, on_abort, on_request};
+    static const BwTaskEvents task_events = {on_mail, on_tick};
+
+    if (argc < 8) {
+        fprintf(stderr, "usage: worker_standin PORT SUPERVISOR_PORT NAME "
+                        "SERVICE CPU MEM RACK [CLOCK_PERMILLE]\n");
+        return 2;
+    }
+    me.name = argv[3];
+    me.service = argv[4];
+    me.cpu = strtoull(argv[5], NULL, 10);
+    me.mem = strtoull(argv[6], NULL, 10);
+    me.rack = argv[7];
+    me.clock_permille = argc > 8 ? strtoull(argv[8], NULL, 10) : 1000;
+    me.slow_permille = 1000;
+    me.born_us = BwClock_Now();
+    me.life = 1;
+    BwTaskLoop_Init(&me.task, &task_events, NULL);
+    if (!BwHttpServer_Init(&me.http, me.task.loop, "127.0.0.1",
+                           (uint16_t)atoi(argv[1]), 1u << 22, &http_events,
+                           NULL) ||
+        !BwHttpClient_Init(&me.supervisor, me.task.loop, "127.0.0.1",
+                           (uint16_t)atoi(argv[2]), 2, 65536)) {
+        perror("worker_standin");
+        return 1;
+    }
+    standin_ready("worker", me.http.port);
+    BwTaskLoop_Run(&me.task);
+    return 0;
+}
--- /dev/null
+++ b/tests/test_bound.c
@@ -0,0 +1,918 @@
+/* test_bound.c -- bound jobs, with a real process each
+
+   Tasks can be made to stand still, so that a test brings about each state
+   and waits for it instead of hitting a moment.  After each test no task may
+   run, none may have run twice at the same time, and no worker's room may ever
+   have been exceeded.
+*/
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "boundfleet.h"
+#include "clock.h"
+#include "standins/wording.h"
+
+#define WAIT_US 30000000
+#define PATIENT_MS 20000
+#define CALLS 24
+
+static BoundFleet fleet;
+static bool is_up;
+static uint32_t version;
+static uint32_t next_job;
+
+/* ------------------------------------------------------------- helpers */
+
+/* Names a job; the ledgers know it by that. */
+typedef struct Job {
+    char name[20];
+    char path[40];
+} Job;
+
+static void
+name_job(Job *job, const char *route)
+{
+    snprintf(job->name, sizeof(job->name), "%016x", ++next_job);
+    snprintf(job->path, sizeof(job->path), "/%.16s/%.16s", route, job->name);
+}
+
+static char *
+make_routes(bool has_added)
+{
+    char *checks =
+        Standin_RouteText("checks", "127.0.0.1", BOUND_SERVICE, PATIENT_MS);
+    char *tight = Standin_RouteText("tight", "127.0.0.1", BOUND_SERVICE, 1);
+    char *other =
+        Standin_RouteText("other", "other.example", BOUND_SERVICE, PATIENT_MS);
+    char *added =
+        Standin_RouteText("added", "127.0.0.1", BOUND_SERVICE, PATIENT_MS);
+    char *routes =
+        g_strjoin(",", checks, tight, other, has_added ? added : NULL, NULL);
+
+    g_free(checks);
+    g_free(tight);
+    g_free(other);
+    g_free(added);
+    return routes;
+}
+
+/* Writes a configuration; returns its version. */
+static uint32_t
+configure(uint32_t number, bool has_added)
+{
+    char *routes = make_routes(has_added);
+    char *text = Standin_ConfigText(number, routes);
+
+    BoundFleet_Configure(&fleet, text);
+    g_free(text);
+    g_free(routes);
+    return number;
+}
+
+static void
+wait_version(void)
+{
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++)
+        BoundFleet_WaitVersion(&fleet, i, version);
+}
+
+/* Brings the fleet up with a configuration in force, once. */
+static void
+set_up(void)
+{
+    if (!is_up) {
+        BoundFleet_Init(&fleet);
+        is_up = true;
+    }
+    if (version == 0) {
+        version = configure(5, false);
+        wait_version();
+    }
+    BoundFleet_TellWorkers(&fleet, -1, "{\"still\":false}");
+}
+
+static void
+check_rules(void)
+{
+    BoundCount count;
+
+    BoundFleet_WaitRunning(&fleet, "", 0);
+    BoundFleet_Count(&fleet, "", &count);
+    g_assert_cmpuint(count.overlaps, ==, 0);
+    g_assert_cmpuint(count.overfull, ==, 0);
+}
+
+static void
+start_spread(BoundCall *call, uint32_t dispatcher, const Job *job,
+             uint32_t tasks, uint32_t run_ms, uint32_t spread)
+{
+    char *text = Standin_JobText(tasks, run_ms, 1000, 1000, spread);
+
+    BoundCall_Start(call, fleet.front_ports[dispatcher], "POST", job->path, "",
+                    text);
+    g_free(text);
+}
+
+static void
+start_job(BoundCall *call, uint32_t dispatcher, const Job *job, uint32_t tasks,
+          uint32_t run_ms)
+{
+    start_spread(call, dispatcher, job, tasks, run_ms, 0);
+}
+
+static void
+expect_completed(BoundCall *call)
+{
+    BoundCall_Wait(call);
+    g_assert_cmpuint(call->status, ==, 200);
+    g_assert_true(call->is_complete);
+    g_assert_nonnull(strstr(call->body, "completed"));
+    BoundCall_Clear(call);
+}
+
+static void
+expect_status(uint32_t dispatcher, const char *method, const char *path,
+              uint32_t status)
+{
+    BoundCall call;
+
+    BoundCall_Run(&call, fleet.front_ports[dispatcher], method, path, "", "");
+    g_assert_cmpuint(call.status, ==, status);
+    BoundCall_Clear(&call);
+}
+
+static void
+complete_job(uint32_t dispatcher, uint32_t tasks)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+
+    name_job(&job, "checks");
+    start_job(&call, dispatcher, &job, tasks, 20);
+    expect_completed(&call);
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.done, ==, tasks);
+}
+
+/* Starts a job whose tasks stand still, and waits until all of them run. */
+static void
+start_still(BoundCall *call, uint32_t dispatcher, Job *job, uint32_t tasks)
+{
+    BoundFleet_TellWorkers(&fleet, -1, "{\"still\":true}");
+    name_job(job, "checks");
+    start_job(call, dispatcher, job, tasks, 50);
+    BoundFleet_WaitRunning(&fleet, job->name, tasks);
+}
+
+/* The same with every worker full. */
+static void
+start_full(BoundCall *call, uint32_t dispatcher, Job *job)
+{
+    BoundFleet_TellWorkers(&fleet, -1, "{\"still\":true}");
+    name_job(job, "checks");
+    start_spread(call, dispatcher, job, 16, 50, 4);
+    BoundFleet_WaitRunning(&fleet, job->name, 16);
+}
+
+static void
+go_on(void)
+{
+    BoundFleet_TellWorkers(&fleet, -1, "{\"still\":false}");
+}
+
+/* Starts every supervisor again, so that none has learned to prefer a
+   worker. */
+static void
+start_afresh(void)
+{
+    for (uint32_t i = 0; i < BOUND_WORKERS; i++)
+        Fleet_Signal(&fleet.supervisors[i], SIGKILL);
+    BoundFleet_WaitWorkers(&fleet, 0);
+    for (uint32_t i = 0; i < BOUND_WORKERS; i++)
+        BoundFleet_StartSupervisor(&fleet, i);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+}
+
+static void
+wait_door(uint32_t door, uint64_t calls)
+{
+    uint64_t give_up_us = BwClock_Now() + WAIT_US;
+
+    while (BoundFleet_DoorCalls(&fleet, door) < calls) {
+        g_assert_cmpuint(BwClock_Now(), <, give_up_us);
+        g_usleep(10000);
+    }
+}
+
+/* ------------------------------------------------------- configuration */
+
+static void
+test_no_configuration(void)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+
+    BoundFleet_Init(&fleet);
+    is_up = true;
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++) {
+        name_job(&job, "checks");
+        BoundFleet_WaitReady(&fleet, i, 503);
+        start_job(&call, i, &job, 1, 20);
+        BoundCall_Wait(&call);
+        g_assert_cmpuint(call.status, ==, 503);
+        g_assert_cmpuint(call.retry_after_s, >, 0);
+        BoundCall_Clear(&call);
+    }
+    version = configure(5, false);
+    wait_version();
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++)
+        BoundFleet_WaitReady(&fleet, i, 200);
+    BoundFleet_Count(&fleet, "", &count);
+    g_assert_cmpuint(count.starts, ==, 0);
+}
+
+static void
+test_either_dispatcher(void)
+{
+    set_up();
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++) {
+        complete_job(i, 1);
+        complete_job(i, 16);
+        complete_job(i, 40);
+    }
+    check_rules();
+}
+
+static void
+test_chain(void)
+{
+    char *text = Standin_ChainText(30, 1000);
+    BoundCall call;
+    BoundCount first, second;
+    Job job;
+    char prefix[40];
+
+    set_up();
+    name_job(&job, "checks");
+    BoundFleet_TellWorkers(&fleet, -1, "{\"still\":true}");
+    BoundCall_Start(&call, fleet.front_ports[0], "POST", job.path, "", text);
+    BoundFleet_WaitRunning(&fleet, job.name, 1);
+    snprintf(prefix, sizeof(prefix), "%s.0.0.", job.name);
+    BoundFleet_Count(&fleet, prefix, &first);
+    g_assert_cmpuint(first.running, ==, 1);
+    go_on();
+    expect_completed(&call);
+    snprintf(prefix, sizeof(prefix), "%s.0.1.", job.name);
+    BoundFleet_Count(&fleet, prefix, &second);
+    g_assert_cmpuint(second.done, ==, 1);
+    check_rules();
+    g_free(text);
+}
+
+static void
+test_wrong_host(void)
+{
+    set_up();
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++) {
+        expect_status(i, "POST", "/other/00000000000000ff", 404);
+        expect_status(i, "POST", "/nowhere/00000000000000ff", 404);
+        expect_status(i, "GET", "/checks/00000000000000ff", 410);
+        expect_status(i, "GET", "/checks/", 200);
+    }
+}
+
+static void
+test_change(void)
+{
+    set_up();
+    version = configure(version + 3, true);
+    wait_version();
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++)
+        expect_status(i, "GET", "/added/", 200);
+    version = configure(version + 1, false);
+    wait_version();
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++)
+        expect_status(i, "GET", "/added/", 404);
+}
+
+/* The store turns one dispatcher away, in every manner; the other one tells
+   it. */
+static void
+test_change_from_peer(void)
+{
+    static const char *const modes[] = {"refuse", "down", "silent", "lost"};
+
+    set_up();
+    for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
+        uint32_t shut = i % BOUND_DISPATCHERS;
+
+        BoundFleet_SetDoor(&fleet, 1 + (int)shut, modes[i]);
+        version = configure(version + 2, i % 2 == 0);
+        wait_version();
+        expect_status(shut, "GET", "/added/", i % 2 == 0 ? 200 : 404);
+        BoundFleet_SetDoor(&fleet, -1, "ok");
+    }
+    complete_job(0, 4);
+    complete_job(1, 4);
+}
+
+static void
+test_never_back(void)
+{
+    uint64_t calls[BOUND_DISPATCHERS];
+
+    set_up();
+    version = configure(version + 2, true);
+    wait_version();
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++)
+        calls[i] = BoundFleet_DoorCalls(&fleet, 1 + i);
+    configure(version - 1, false);
+    /* Each has read the older one when it asks for what comes after. */
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++) {
+        wait_door(1 + i, calls[i] + 1);
+        BoundFleet_WaitVersion(&fleet, i, version);
+        expect_status(i, "GET", "/added/", 200);
+    }
+    /* One that starts reads the older one and hears of the newer one. */
+    Fleet_Signal(&fleet.dispatchers[1], SIGKILL);
+    BoundFleet_StartDispatcher(&fleet, 1);
+    BoundFleet_WaitVersion(&fleet, 1, version);
+    BoundFleet_WaitVersion(&fleet, 0, version);
+    expect_status(1, "GET", "/added/", 200);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    version = configure(version + 1, false);
+    wait_version();
+}
+
+/* Records expire that a dispatcher, which was turned away, had not read. */
+static void
+test_forgotten_history(void)
+{
+    set_up();
+    BoundFleet_SetDoor(&fleet, -1, "down");
+    configure(version + 1, false);
+    version = configure(version + 2, true);
+    BoundFleet_Forget(&fleet);
+    BoundFleet_SetDoor(&fleet, -1, "ok");
+    wait_version();
+    version = configure(version + 1, false);
+    wait_version();
+    complete_job(0, 2);
+}
+
+/* ----------------------------------------------------------- failures */
+
+static void
+test_dispatcher_killed(void)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+
+    set_up();
+    start_still(&call, 0, &job, 8);
+    Fleet_Signal(&fleet.dispatchers[0], SIGKILL);
+    BoundCall_Wait(&call);
+    g_assert_false(call.is_complete);
+    BoundCall_Clear(&call);
+    BoundFleet_WaitRunning(&fleet, job.name, 0);
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.done, ==, 0);
+    g_assert_cmpuint(count.starts, ==, 8);
+    go_on();
+    start_job(&call, 1, &job, 8, 20);
+    expect_completed(&call);
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.done, ==, 8);
+    check_rules();
+    BoundFleet_StartDispatcher(&fleet, 0);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    BoundFleet_WaitVersion(&fleet, 0, version);
+    complete_job(0, 16);
+    check_rules();
+}
+
+static void
+test_supervisor_killed(void)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+    uint32_t victim;
+
+    set_up();
+    start_still(&call, 0, &job, 8);
+    victim = BoundFleet_FindBusy(&fleet, job.name);
+    Fleet_Signal(&fleet.supervisors[victim], SIGKILL);
+    /* The lease of its worker ends its tasks, and they start elsewhere. */
+    BoundFleet_WaitLost(&fleet, job.name);
+    go_on();
+    expect_completed(&call);
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.done, ==, 8);
+    g_assert_cmpuint(count.starts, >, 8);
+    check_rules();
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS - 1);
+    complete_job(1, 16);
+    BoundFleet_StartSupervisor(&fleet, victim);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    complete_job(0, 16);
+    complete_job(1, 16);
+    check_rules();
+}
+
+/* A supervisor that starts again at once takes no task before what its former
+   self left there has ended. */
+static void
+test_supervisor_restarted(void)
+{
+    BoundCall call;
+    Job job;
+    uint32_t victim;
+
+    set_up();
+    start_still(&call, 1, &job, 8);
+    victim = BoundFleet_FindBusy(&fleet, job.name);
+    Fleet_Signal(&fleet.supervisors[victim], SIGKILL);
+    BoundFleet_StartSupervisor(&fleet, victim);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    go_on();
+    expect_completed(&call);
+    check_rules();
+    complete_job(0, 16);
+    check_rules();
+}
+
+static void
+test_worker_crashed(void)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+    uint32_t victim;
+
+    set_up();
+    start_still(&call, 0, &job, 8);
+    victim = BoundFleet_FindBusy(&fleet, job.name);
+    BoundFleet_TellWorkers(&fleet, (int)victim, "{\"crash\":true}");
+    BoundFleet_TellWorkers(&fleet, (int)victim, "{\"revive\":true}");
+    go_on();
+    expect_completed(&call);
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.done, ==, 8);
+    g_assert_cmpuint(count.other, >=, 1);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    complete_job(1, 16);
+    check_rules();
+}
+
+static void
+test_worker_silent(void)
+{
+    BoundCall call;
+    Job job;
+    int victim;
+
+    set_up();
+    start_still(&call, 1, &job, 8);
+    victim = (int)BoundFleet_FindBusy(&fleet, job.name);
+    BoundFleet_TellWorkers(&fleet, victim, "{\"silent\":true}");
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS - 1);
+    go_on();
+    expect_completed(&call);
+    complete_job(0, 12);
+    BoundFleet_TellWorkers(&fleet, victim, "{\"silent\":false}");
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    complete_job(0, 16);
+    check_rules();
+}
+
+static void
+test_cancelled(void)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+
+    set_up();
+    start_still(&call, 1, &job, 8);
+    expect_status(1, "GET", job.path, 200);
+    expect_status(1, "DELETE", job.path, 200);
+    BoundCall_Wait(&call);
+    g_assert_cmpuint(call.status, ==, 200);
+    g_assert_nonnull(strstr(call.body, "canceled"));
+    BoundCall_Clear(&call);
+    BoundFleet_WaitRunning(&fleet, job.name, 0);
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.stopped, ==, 8);
+    expect_status(1, "DELETE", job.path, 410);
+    check_rules();
+}
+
+static void
+test_deadline(void)
+{
+    char *text = Standin_JobText(4, 50, 1000, 1000, 0);
+    BoundCall call;
+    Job job;
+
+    set_up();
+    BoundFleet_TellWorkers(&fleet, -1, "{\"still\":true}");
+    name_job(&job, "checks");
+    BoundCall_Run(&call, fleet.front_ports[0], "POST", job.path,
+                  STANDIN_DEADLINE_HEADER ": 1000\r\n", text);
+    g_assert_true(call.is_complete);
+    BoundCall_Clear(&call);
+    BoundFleet_WaitRunning(&fleet, job.name, 0);
+    check_rules();
+    g_free(text);
+}
+
+/* ------------------------------------------------------- planned stops */
+
+static void
+expect_end(FleetProcess *process)
+{
+    int code = -1;
+
+    g_assert_true(Fleet_WaitEnd(process, WAIT_US, &code));
+    g_assert_cmpint(code, ==, 0);
+}
+
+static void
+test_dispatcher_stopped(void)
+{
+    BoundCall calls[CALLS];
+    Job jobs[CALLS];
+    uint32_t completed = 0;
+
+    set_up();
+    for (uint32_t i = 0; i < CALLS; i++) {
+        name_job(&jobs[i], "checks");
+        start_job(&calls[i], 0, &jobs[i], 4, 100);
+        if (i == CALLS / 2) {
+            BoundFleet_WaitOutput(&fleet.dispatchers[0], jobs[0].name, 1);
+            Fleet_Signal(&fleet.dispatchers[0], SIGTERM);
+        }
+    }
+    for (uint32_t i = 0; i < CALLS; i++) {
+        BoundCall_Wait(&calls[i]);
+        if (!calls[i].is_sent)
+            continue;
+        g_assert_true(calls[i].is_complete);
+        completed += calls[i].status == 200;
+        if (calls[i].status != 200) {
+            BoundCount count;
+
+            g_assert_cmpuint(calls[i].status, ==, 503);
+            g_assert_cmpuint(calls[i].retry_after_s, >, 0);
+            BoundFleet_Count(&fleet, jobs[i].name, &count);
+            g_assert_cmpuint(count.starts, ==, 0);
+        }
+    }
+    g_assert_cmpuint(completed, >, CALLS / 2);
+    expect_end(&fleet.dispatchers[0]);
+    for (uint32_t i = 0; i < CALLS; i++)
+        BoundCall_Clear(&calls[i]);
+    check_rules();
+    BoundFleet_StartDispatcher(&fleet, 0);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    BoundFleet_WaitVersion(&fleet, 0, version);
+    complete_job(0, 8);
+}
+
+/* Tasks that never end don't hold the answer back. */
+static void
+test_dispatcher_stopped_late(void)
+{
+    BoundCall call;
+    Job job;
+
+    set_up();
+    start_still(&call, 0, &job, 4);
+    Fleet_Signal(&fleet.dispatchers[0], SIGTERM);
+    BoundFleet_WaitReady(&fleet, 0, 503);
+    BoundCall_Wait(&call);
+    g_assert_true(call.is_complete);
+    BoundCall_Clear(&call);
+    expect_end(&fleet.dispatchers[0]);
+    BoundFleet_WaitRunning(&fleet, job.name, 0);
+    check_rules();
+    BoundFleet_StartDispatcher(&fleet, 0);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    BoundFleet_WaitVersion(&fleet, 0, version);
+}
+
+static void
+test_supervisor_stopped(void)
+{
+    BoundCall calls[2];
+    BoundCount count;
+    Job jobs[2];
+
+    set_up();
+    start_full(&calls[0], 0, &jobs[0]);
+    /* These wait in the supervisors' queues. */
+    name_job(&jobs[1], "checks");
+    start_job(&calls[1], 1, &jobs[1], 8, 20);
+    BoundFleet_WaitOutput(&fleet.dispatchers[1], jobs[1].name, 1);
+    Fleet_Signal(&fleet.supervisors[1], SIGTERM);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS - 1);
+    go_on();
+    expect_completed(&calls[0]);
+    expect_completed(&calls[1]);
+    for (uint32_t i = 0; i < 2; i++) {
+        BoundFleet_Count(&fleet, jobs[i].name, &count);
+        g_assert_cmpuint(count.starts, ==, i == 0 ? 16 : 8);
+        g_assert_cmpuint(count.done, ==, count.starts);
+    }
+    expect_end(&fleet.supervisors[1]);
+    check_rules();
+    BoundFleet_StartSupervisor(&fleet, 1);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    complete_job(0, 16);
+}
+
+static void
+test_worker_drained(void)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+
+    set_up();
+    start_full(&call, 0, &job);
+    BoundFleet_TellWorkers(&fleet, 0, "{\"draining\":true}");
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS - 1);
+    go_on();
+    expect_completed(&call);
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.starts, ==, 16);
+    complete_job(0, 12);
+    BoundFleet_TellWorkers(&fleet, 0, "{\"draining\":false}");
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    check_rules();
+}
+
+static void
+test_reload(void)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+
+    set_up();
+    start_full(&call, 1, &job);
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++)
+        Fleet_Signal(&fleet.dispatchers[i], SIGHUP);
+    for (uint32_t i = 0; i < BOUND_WORKERS; i++)
+        Fleet_Signal(&fleet.supervisors[i], SIGHUP);
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++)
+        BoundFleet_WaitOutput(&fleet.dispatchers[i], " reloaded ", 1);
+    for (uint32_t i = 0; i < BOUND_WORKERS; i++)
+        BoundFleet_WaitOutput(&fleet.supervisors[i], " reloaded ", 1);
+    go_on();
+    expect_completed(&call);
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.starts, ==, 16);
+    g_assert_cmpuint(count.done, ==, 16);
+    check_rules();
+}
+
+/* ------------------------------------------------------------ refusals */
+
+static void
+expect_refused(uint32_t dispatcher, const char *route, const char *text)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+
+    name_job(&job, route);
+    BoundCall_Run(&call, fleet.front_ports[dispatcher], "POST", job.path, "",
+                  text);
+    g_assert_true(call.status == 429 || call.status == 503);
+    g_assert_cmpuint(call.retry_after_s, >, 0);
+    BoundCall_Clear(&call);
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.starts, ==, 0);
+}
+
+static void
+test_refused(void)
+{
+    char *small = Standin_JobText(2, 5, 1000, 1000, 0);
+    char *huge = Standin_JobText(1, 50, BOUND_CPU + 1, 1000, 0);
+    char *kept = g_strdup("{\"spec\":\"\",\"steps\":[{\"count\":1}]}");
+    BoundCall call;
+    Job job;
+
+    set_up();
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++) {
+        /* It knows at once of the room that it took itself. */
+        start_full(&call, i, &job);
+        expect_refused(i, "tight", small);
+        expect_refused(i, "checks", huge);
+        expect_refused(i, "checks", kept);
+        go_on();
+        expect_completed(&call);
+    }
+    check_rules();
+    g_free(small);
+    g_free(huge);
+    g_free(kept);
+}
+
+/* A worker leaves orders unanswered, as `kept` says, and carries them out
+   after the job. */
+static void
+play_late_orders(const char *kept)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+    uint32_t late;
+
+    set_up();
+    start_afresh();
+    BoundFleet_Count(&fleet, "", &count);
+    late = count.late;
+    BoundFleet_TellWorkers(&fleet, 0, kept);
+    name_job(&job, "checks");
+    start_job(&call, 0, &job, 16, 20);
+    BoundFleet_WaitLate(&fleet, late + 1);
+    expect_completed(&call);
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.done, ==, 16);
+    BoundFleet_TellWorkers(&fleet, 0,
+                           "{\"carry_out\":true,\"late_starts\":false,"
+                           "\"late_stops\":false}");
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.starts, ==, 16);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    complete_job(0, 16);
+    check_rules();
+}
+
+static void
+test_late_orders(void)
+{
+    play_late_orders("{\"late_starts\":true}");
+}
+
+/* Orders that come late while the job goes on elsewhere. */
+static void
+test_late_orders_meanwhile(void)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+    uint32_t late;
+
+    set_up();
+    start_afresh();
+    BoundFleet_Count(&fleet, "", &count);
+    late = count.late;
+    BoundFleet_TellWorkers(&fleet, 0, "{\"late_starts\":true}");
+    BoundFleet_TellWorkers(&fleet, -1, "{\"still\":true}");
+    name_job(&job, "checks");
+    start_job(&call, 0, &job, 12, 50);
+    BoundFleet_WaitLate(&fleet, late + 1);
+    BoundFleet_WaitRunning(&fleet, job.name, 12);
+    BoundFleet_TellWorkers(&fleet, 0,
+                           "{\"carry_out\":true,\"late_starts\":false}");
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.running, ==, 12);
+    go_on();
+    expect_completed(&call);
+    check_rules();
+}
+
+/* Tasks that fail by one worker's fault run elsewhere. */
+static void
+test_worker_fails_all(void)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+
+    set_up();
+    start_afresh();
+    BoundFleet_TellWorkers(&fleet, 2, "{\"fail\":true}");
+    name_job(&job, "checks");
+    start_job(&call, 1, &job, 12, 20);
+    expect_completed(&call);
+    BoundFleet_TellWorkers(&fleet, 2, "{\"fail\":false}");
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.done, ==, 12);
+    check_rules();
+}
+
+/* --------------------------------------------------------------- store */
+
+static void
+test_store_down_later(void)
+{
+    static const char *const modes[] = {"down", "refuse", "silent", "lost"};
+
+    set_up();
+    for (size_t i = 0; i < G_N_ELEMENTS(modes); i++) {
+        BoundFleet_SetDoor(&fleet, -1, modes[i]);
+        complete_job(0, 8);
+        complete_job(1, 8);
+        BoundFleet_WaitReady(&fleet, 0, 200);
+        BoundFleet_SetDoor(&fleet, -1, "ok");
+    }
+    version = configure(version + 1, false);
+    wait_version();
+    check_rules();
+}
+
+/* One that starts while the store is down has the configuration from the
+   other one. */
+static void
+test_store_down_one_starts(void)
+{
+    set_up();
+    BoundFleet_SetDoor(&fleet, -1, "down");
+    Fleet_Signal(&fleet.dispatchers[1], SIGKILL);
+    BoundFleet_StartDispatcher(&fleet, 1);
+    BoundFleet_WaitVersion(&fleet, 1, version);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    BoundFleet_WaitReady(&fleet, 1, 200);
+    complete_job(1, 8);
+    BoundFleet_SetDoor(&fleet, -1, "ok");
+    check_rules();
+}
+
+static void
+test_store_down_all_start(void)
+{
+    set_up();
+    BoundFleet_SetDoor(&fleet, -1, "down");
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++)
+        Fleet_Signal(&fleet.dispatchers[i], SIGKILL);
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++)
+        BoundFleet_StartDispatcher(&fleet, i);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++) {
+        BoundFleet_WaitReady(&fleet, i, 503);
+        expect_status(i, "GET", "/checks/", 503);
+    }
+    BoundFleet_SetDoor(&fleet, 1, "ok");
+    wait_version();
+    BoundFleet_SetDoor(&fleet, -1, "ok");
+    complete_job(0, 8);
+    complete_job(1, 8);
+    check_rules();
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct {
+        const char *path;
+        void (*run)(void);
+    } tests[] = {
+        {"/bound/no_configuration", test_no_configuration},
+        {"/bound/either_dispatcher", test_either_dispatcher},
+        {"/bound/chain", test_chain},
+        {"/bound/wrong_host", test_wrong_host},
+        {"/bound/change", test_change},
+        {"/bound/change_from_peer", test_change_from_peer},
+        {"/bound/never_back", test_never_back},
+        {"/bound/forgotten_history", test_forgotten_history},
+        {"/bound/dispatcher_killed", test_dispatcher_killed},
+        {"/bound/supervisor_killed", test_supervisor_killed},
+        {"/bound/supervisor_restarted", test_supervisor_restarted},
+        {"/bound/worker_crashed", test_worker_crashed},
+        {"/bound/worker_silent", test_worker_silent},
+        {"/bound/cancelled", test_cancelled},
+        {"/bound/deadline", test_deadline},
+        {"/bound/dispatcher_stopped", test_dispatcher_stopped},
+        {"/bound/dispatcher_stopped_late", test_dispatcher_stopped_late},
+        {"/bound/supervisor_stopped", test_supervisor_stopped},
+        {"/bound/worker_drained", test_worker_drained},
+        {"/bound/reload", test_reload},
+        {"/bound/refused", test_refused},
+        {"/bound/late_orders", test_late_orders},
+        {"/bound/late_orders_meanwhile", test_late_orders_meanwhile},
+        {"/bound/worker_fails_all", test_worker_fails_all},
+        {"/bound/store_down_later", test_store_down_later},
+        {"/bound/store_down_one_starts", test_store_down_one_starts},
+        {"/bound/store_down_all_start", test_store_down_all_start},
+    };
+    int code;
+
+    g_test_init(&argc, &argv, NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(tests); i++)
+        g_test_add_func(tests[i].path, tests[i].run);
+    code = g_test_run();
+    if (is_up)
+        BoundFleet_Finish(&fleet);
+    return code;
+}
