Notice a caller that closes its HTTP/1.1 connection

Cause: h2o does not read from an HTTP/1.1 connection while its request waits for the reply, so on_abort never came: the tasks of a caller that had gone ran on until the job's deadline, while the caller could send the job again.

Change: an epoll descriptor beside h2o's own watches the connections of requests that wait, for their end alone; no read, since h2o keeps the request in the read buffer. At the end the owner is told, and h2o closes the connection after a last reply that nobody reads.

Test: /bound/caller_gone.

--- a/packages/adapters/httpserver.c
+++ b/packages/adapters/httpserver.c
@@ -1,12 +1,20 @@
-/* httpserver.c -- HTTP towards callers and operators, by h2o */
+/* httpserver.c -- HTTP towards callers and operators, by h2o
+
+   H2o does not read from an HTTP/1.1 connection while its request waits for
+   the reply, so it would not see the caller go away.  An epoll descriptor
+   beside h2o's own watches these connections for their end alone.
+*/
 
 #include <stdlib.h>
 #include <string.h>
+#include <sys/epoll.h>
 
 #include "httpserver.h"
 #include "net.h"
 
 #define IDLE_TIMEOUT_MS 30000
+#define HTTP2_VERSION 0x200
+#define STATUS_CALLER_GONE 499 /* nobody reads it */
 
 typedef struct Handler {
     h2o_handler_t super;
@@ -60,6 +68,69 @@
     return span;
 }
 
+static void
+watch(BwExchange *exchange)
+{
+    h2o_conn_t *conn = exchange->req->conn;
+    struct epoll_event event = {.events = EPOLLRDHUP,
+                                .data = {.ptr = exchange}};
+    h2o_socket_t *sock;
+    int fd;
+
+    exchange->watched_fd = -1;
+    if (exchange->req->version >= HTTP2_VERSION)
+        return;
+    sock = conn->callbacks->get_socket(conn);
+    fd = sock != NULL ? h2o_socket_get_fd(sock) : -1;
+    if (fd >= 0 &&
+        epoll_ctl(exchange->server->watch_fd, EPOLL_CTL_ADD, fd, &event) == 0)
+        exchange->watched_fd = fd;
+}
+
+static void
+unwatch(BwExchange *exchange)
+{
+    if (exchange->watched_fd >= 0)
+        epoll_ctl(exchange->server->watch_fd, EPOLL_CTL_DEL,
+                  exchange->watched_fd, NULL);
+    exchange->watched_fd = -1;
+}
+
+/* Ends the exchange; h2o closes the connection after its last reply. */
+static void
+on_caller_gone(BwExchange *exchange)
+{
+    static h2o_generator_t generator = {NULL, NULL};
+    h2o_iovec_t nothing = {"", 0};
+    h2o_req_t *req = exchange->req;
+
+    unwatch(exchange);
+    *exchange->anchor = NULL;
+    exchange->server->open_exchanges--;
+    exchange->req = NULL;
+    exchange->server->events->on_abort(exchange->server->ctx, exchange);
+    free(exchange);
+    req->http1_is_persistent = 0;
+    req->res.status = STATUS_CALLER_GONE;
+    req->res.reason = "Caller Gone";
+    req->res.content_length = 0;
+    h2o_start_response(req, &generator);
+    h2o_send(req, &nothing, 1, H2O_SEND_STATE_FINAL);
+}
+
+/* One event at a time: the end of an exchange may end others. */
+static void
+on_watch(h2o_socket_t *sock, const char *err)
+{
+    BwHttpServer *server = sock->data;
+    struct epoll_event event;
+
+    if (err != NULL)
+        return;
+    while (epoll_wait(server->watch_fd, &event, 1, 0) == 1)
+        on_caller_gone(event.data.ptr);
+}
+
 /* Runs when h2o clears the request's memory: after the reply was sent, or
    because the connection ended first. */
 static void
@@ -69,6 +140,7 @@
 
     if (exchange == NULL)
         return;
+    unwatch(exchange);
     exchange->server->open_exchanges--;
     exchange->req = NULL;
     exchange->server->events->on_abort(exchange->server->ctx, exchange);
@@ -99,6 +171,7 @@
                                             on_request_cleared);
     *exchange->anchor = exchange;
     server->open_exchanges++;
+    watch(exchange);
     if (req->entity.len > server->body_bytes_max)
         server->events->on_too_large(server->ctx, exchange);
     else
@@ -145,6 +218,13 @@
     h2o_context_init(&server->context, loop, &server->config);
     server->accept.ctx = &server->context;
     server->accept.hosts = server->config.hosts;
+    server->watch_fd = epoll_create1(EPOLL_CLOEXEC);
+    if (server->watch_fd < 0)
+        return false;
+    server->watch = h2o_evloop_socket_create(loop, server->watch_fd,
+                                             H2O_SOCKET_FLAG_DONT_READ);
+    server->watch->data = server;
+    h2o_socket_read_start(server->watch, on_watch);
     server->listener =
         BwNet_Listen(loop, host, &server->port, on_accept, server);
     return server->listener != NULL;
@@ -183,6 +263,7 @@
 
     bool exchange_is_last = exchange->server->is_closing;
 
+    unwatch(exchange);
     *exchange->anchor = NULL;
     exchange->server->open_exchanges--;
     free(exchange);
--- a/packages/adapters/httpserver.h
+++ b/packages/adapters/httpserver.h
@@ -2,7 +2,8 @@
 
    The owner gets one call for each whole request and replies at once or
    later.  An exchange lives until it is replied to; when the caller goes away
-   first, on_abort tells the owner, who must not use the exchange again.
+   first, on_abort tells the owner, who must not use the exchange again.  A
+   caller that closes its side of an HTTP/1.1 connection has gone away.
 */
 
 #ifndef BW_HTTPSERVER_H
@@ -27,6 +28,7 @@
     BwSpan body;
     void *data; /* the owner's */
     struct BwExchange **anchor;
+    int watched_fd; /* of the connection; -1: h2o sees its end */
 } BwExchange;
 
 typedef struct BwHttpEvents {
@@ -41,6 +43,8 @@
     h2o_context_t context;
     h2o_accept_ctx_t accept;
     h2o_socket_t *listener;
+    int watch_fd; /* epoll over connections whose request waits */
+    h2o_socket_t *watch;
     uint16_t port;
     const BwHttpEvents *events;
     void *ctx;
--- a/tests/test_bound.c
+++ b/tests/test_bound.c
@@ -491,6 +491,25 @@
     check_rules();
 }
 
+static void
+test_caller_gone(void)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+
+    set_up();
+    start_still(&call, 0, &job, 8);
+    BoundCall_Abandon(&call);
+    BoundCall_Clear(&call);
+    BoundFleet_WaitRunning(&fleet, job.name, 0);
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.starts, ==, 8);
+    g_assert_cmpuint(count.stopped, ==, 8);
+    expect_status(0, "GET", job.path, 410);
+    check_rules();
+}
+
 static void
 test_cancelled(void)
 {
@@ -891,6 +910,7 @@
         {"/bound/supervisor_restarted", test_supervisor_restarted},
         {"/bound/worker_crashed", test_worker_crashed},
         {"/bound/worker_silent", test_worker_silent},
+        {"/bound/caller_gone", test_caller_gone},
         {"/bound/cancelled", test_cancelled},
         {"/bound/deadline", test_deadline},
         {"/bound/dispatcher_stopped", test_dispatcher_stopped},
