Place by room and release time, and decline what finds no room at once

The pace of 16 tasks is noise (declarations are off by 0.4), so all dispatchers took the same worker; the wait of a full worker was taken as 25 ms; and views are up to a third of a session old, so a PLACE joined a queue nobody foresaw. Ruled out: the supervisor, which started each task as room came free.

Change: the pace is that of a hundred tasks, and of the last few only if far off; the account tells the tasks that wait and the time until one of those that run ends; a PLACE that counts on room says so, and is declined with a fresh account when there is none. Outcomes of a PLACE go in one message.

--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -16,8 +16,9 @@
 
 #define LEASE_DRIFT_PERMILLE 1030
 #define GONE_MARGIN_US 120000 /* stops take effect, and clocks drift */
-#define FIRST_SLOT_US 25000   /* until a full worker frees room */
-#define MOVES_MAX 8
+#define RELEASE_MIN_US 5000   /* until a full worker frees room */
+#define MOVES_MAX 12
+#define BOUNCES_MAX 3 /* after which a task waits at a worker */
 #define FAILURES_TO_EJECT 3
 #define EJECTED_US 3000000
 #define EJECTED_SHARE_MAX 2 /* half of the workers */
@@ -95,11 +96,11 @@
 }
 
 static BwRoom
-view_room(const BwView *view, uint64_t *core_us)
+view_room(const BwView *view, uint32_t *ahead)
 {
     BwRoom room = view->free;
 
-    *core_us = view->queued_core_us;
+    *ahead = view->queued;
     for (uint32_t i = 0; i < view->in_flight_count; i++) {
         const BwInFlight *sent = &view->in_flight[i];
 
@@ -109,7 +110,7 @@
         room.mem_mb -=
             sent->room.mem_mb < room.mem_mb ? sent->room.mem_mb : room.mem_mb;
         room.gpu -= sent->room.gpu < room.gpu ? sent->room.gpu : room.gpu;
-        *core_us += sent->core_us;
+        *ahead += sent->task_count;
     }
     return room;
 }
@@ -155,25 +156,25 @@
 }
 
 static void
-reserve(BwView *view, const BwRoom *room, uint64_t core_us)
+reserve(BwView *view, const BwRoom *room)
 {
     BwInFlight *sent = next_in_flight(view);
 
     sent->room.cpu_milli += room->cpu_milli;
     sent->room.mem_mb += room->mem_mb;
     sent->room.gpu += room->gpu;
-    sent->core_us += core_us;
+    sent->task_count++;
 }
 
 static void
-unreserve(BwView *view, const BwRoom *room, uint64_t core_us)
+unreserve(BwView *view, const BwRoom *room)
 {
     BwInFlight *sent = next_in_flight(view);
 
     sent->room.cpu_milli -= room->cpu_milli;
     sent->room.mem_mb -= room->mem_mb;
     sent->room.gpu -= room->gpu;
-    sent->core_us -= core_us;
+    sent->task_count--;
 }
 
 static void
@@ -182,7 +183,8 @@
     uint32_t kept = 0;
 
     view->free = load->free;
-    view->queued_core_us = load->queued_core_us;
+    view->queued = load->queued;
+    view->release_us = load->release_us;
     view->pace_permille = load->pace_permille;
     view->failed_permille = load->failed_permille;
     for (uint32_t i = 0; i < view->in_flight_count; i++) {
@@ -230,7 +232,8 @@
         uint64_t run_us, uint64_t now_us, uint64_t *cost_us)
 {
     const BwBoundStep *step = &job->steps[piece->step];
-    uint64_t wait_us = 0, core_us;
+    uint64_t wait_us = 0;
+    uint32_t ahead;
     BwRoom room;
 
     if (!view_takes(view, now_us) ||
@@ -241,11 +244,11 @@
     if (step->spread_max > 0 &&
         count_there(job, view, piece->step) >= step->spread_max)
         return NEVER;
-    room = view_room(view, &core_us);
-    if (!room_fits(&step->room, &room) || view->queued_core_us > 0)
-        wait_us = FIRST_SLOT_US + core_us * 1000 /
-                                      (view->capacity.cpu_milli + 1) *
-                                      view->pace_permille / 1000;
+    room = view_room(view, &ahead);
+    if (!room_fits(&step->room, &room))
+        wait_us =
+            (ahead + 1) * (view->release_us > RELEASE_MIN_US ? view->release_us
+                                                             : RELEASE_MIN_US);
     run_us = run_us * view->pace_permille / 1000;
     if (!view_has_label(view, step->affinity))
         run_us = run_us * FAR_PERMILLE / 1000;
@@ -259,11 +262,14 @@
 /* Picks the view that ends the task first, or NULL when none ends it by
    `limit_us`. */
 static BwView *
-pick_view(BwDispatcher *d, const BwBoundJob *job, const BwPiece *piece,
+pick_view(BwDispatcher *d, const BwBoundJob *job, BwPiece *piece,
           uint64_t run_us, uint64_t now_us, uint64_t limit_us)
 {
     BwView *best = NULL;
     uint64_t best_cost_us = NEVER;
+    const BwRoom *room = &job->steps[piece->step].room;
+    uint32_t ahead;
+    BwRoom free_room;
 
     for (BwView *view = d->views; view != NULL; view = view->hh.next) {
         uint64_t cost_us = 0;
@@ -274,6 +280,11 @@
         best = view;
         best_cost_us = cost_us;
     }
+    if (best != NULL) {
+        free_room = view_room(best, &ahead);
+        piece->may_wait =
+            !room_fits(room, &free_room) || piece->moves >= BOUNCES_MAX;
+    }
     return best;
 }
 
@@ -324,6 +335,7 @@
         piece->state = BW_PIECE_PLACED;
         piece->link = view->link;
         piece->placed_us = now_us;
+        place->may_wait |= piece->may_wait;
         tasks[count++].index = piece->index;
     }
     place->number = ++view->place_number;
@@ -356,7 +368,6 @@
             uint64_t run_us, uint64_t limit_us)
 {
     const BwRoom *room = &job->steps[step].room;
-    uint64_t core_us = room->cpu_milli * run_us / 1000;
     uint32_t i;
 
     for (i = 0; i < job->piece_count; i++) {
@@ -367,7 +378,7 @@
         piece->view = pick_view(d, job, piece, run_us, now_us, limit_us);
         if (piece->view == NULL)
             break;
-        reserve(piece->view, room, core_us);
+        reserve(piece->view, room);
     }
     if (i == job->piece_count)
         return true;
@@ -376,7 +387,7 @@
 
         if (piece->step != step || piece->state != BW_PIECE_WAITING)
             continue;
-        unreserve(piece->view, room, core_us);
+        unreserve(piece->view, room);
         piece->view = NULL;
     }
     return false;
@@ -531,10 +542,10 @@
 }
 
 static bool
-on_moved(BwDispatcher *d, BwPiece *piece, uint32_t kind)
+on_moved(BwDispatcher *d, BwPiece *piece, uint32_t kind, uint32_t reason)
 {
     piece->state = BW_PIECE_WAITING;
-    piece->avoid = piece->view;
+    piece->avoid = reason == BW_DECLINE_BUSY ? NULL : piece->view;
     d->counters.bounced += kind == BW_OUTCOME_NOT_RUN;
     d->counters.lost += kind == BW_OUTCOME_LOST;
     return ++piece->moves < MOVES_MAX;
@@ -561,7 +572,7 @@
         else if (task->kind == BW_OUTCOME_FAILED)
             is_alive = on_failed(d, now_us, job, piece);
         else
-            is_alive = on_moved(d, piece, task->kind);
+            is_alive = on_moved(d, piece, task->kind, task->reason);
     }
     if (!is_alive)
         end_job(d, job, BW_BOUND_FAILED, "a task failed for good");
@@ -757,7 +768,7 @@
 
             if (piece->view != view || piece->state != BW_PIECE_UNKNOWN)
                 continue;
-            is_alive = on_moved(d, piece, BW_OUTCOME_LOST) && is_alive;
+            is_alive = on_moved(d, piece, BW_OUTCOME_LOST, 0) && is_alive;
             piece->avoid = NULL;
             is_freed = true;
         }
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -37,6 +37,7 @@
     uint32_t index;    /* within the step */
     uint32_t failures; /* ends by a fault */
     uint32_t moves;    /* places that did not run it */
+    bool may_wait;     /* no worker is known to have room */
     struct BwView *view;
     struct BwView *avoid; /* the last that refused or failed it */
     uint64_t link;        /* generation of the view's connection */
@@ -72,7 +73,7 @@
 typedef struct BwInFlight {
     uint64_t number;
     BwRoom room;
-    uint64_t core_us;
+    uint32_t task_count;
 } BwInFlight;
 
 /* What is known of one supervisor and its worker. */
@@ -87,7 +88,8 @@
     uint32_t label_count;
     BwRoom capacity;
     BwRoom free; /* as told */
-    uint64_t queued_core_us;
+    uint32_t queued;
+    uint64_t release_us;
     uint32_t pace_permille;
     uint32_t failed_permille;
     uint32_t failed_in_row;
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -27,7 +27,11 @@
 #define HOLDS_MAX 3
 #define TRIES_MAX 4
 #define RUN_STEP 16
-#define PACE_SHIFT 4
+#define PACE_SHIFT 6
+#define FAST_PACE_SHIFT 3
+#define FAILED_SHIFT 4
+#define FAR_PACE 2
+#define PACE_MAX_PERMILLE 8000
 #define LEASE_DRIFT_PERMILLE 1030
 #define LEASE_MARGIN_US 20000
 
@@ -67,12 +71,6 @@
            used->gpu + room->gpu <= capacity->gpu;
 }
 
-static uint64_t
-core_us(const BwSeat *seat)
-{
-    return seat->room.cpu_milli * seat->expected_us / 1000;
-}
-
 /* Whether the worker has answered lately enough to be given work. */
 static bool
 is_responsive(const BwSupervisor *s, uint64_t now_us)
@@ -87,8 +85,38 @@
            !s->is_leaving && is_responsive(s, now_us);
 }
 
+/* The pace of the last few tasks counts only when it is far from that of
+   many: single declarations are far off. */
+static uint32_t
+current_pace(const BwSupervisor *s)
+{
+    if (s->fast_pace_permille > FAR_PACE * s->pace_permille ||
+        s->pace_permille > FAR_PACE * s->fast_pace_permille)
+        return s->fast_pace_permille;
+    return s->pace_permille;
+}
+
+/* How long until one of the tasks that run ends, on average. */
+static uint64_t
+release_us(const BwSupervisor *s, uint64_t now_us)
+{
+    uint64_t left_us = 0, count = 0;
+
+    for (const BwSeat *seat = s->seats; seat != NULL; seat = seat->hh.next) {
+        uint64_t run_us = seat->expected_us * s->pace_permille / 1000;
+        uint64_t ran_us = now_us - seat->started_us;
+
+        if (!is_on_worker(seat))
+            continue;
+        count++;
+        if (seat->state != BW_SEAT_STOPPING)
+            left_us += ran_us < run_us ? run_us - ran_us : ran_us / 2;
+    }
+    return count > 0 ? left_us / count / count : 0;
+}
+
 static BwWorkerLoad
-make_load(const BwSupervisor *s, const BwSupervisorPeer *peer)
+make_load(const BwSupervisor *s, const BwSupervisorPeer *peer, uint64_t now_us)
 {
     BwWorkerLoad load = {0};
 
@@ -96,8 +124,9 @@
     load.free = s->capacity;
     remove_room(&load.free, &s->used);
     remove_room(&load.free, &s->queued);
-    load.queued_core_us = s->queued_core_us;
-    load.pace_permille = s->pace_permille;
+    load.queued = s->queued_count;
+    load.release_us = release_us(s, now_us);
+    load.pace_permille = current_pace(s);
     load.failed_permille = s->failed_permille;
     return load;
 }
@@ -107,7 +136,7 @@
 {
     BwMessage message = {.kind = BW_MSG_WORKER};
     BwWorkerState *state = &message.u.worker;
-    BwWorkerLoad load = make_load(s, peer);
+    BwWorkerLoad load = make_load(s, peer, now_us);
     BwName labels[BW_LABELS_MAX];
 
     for (uint32_t i = 0; i < s->label_count; i++)
@@ -139,21 +168,20 @@
 }
 
 static void
-report(BwSupervisor *s, uint32_t peer_id, uint64_t ref, uint32_t index,
-       uint32_t kind, uint32_t reason, uint64_t ran_us)
+report(BwSupervisor *s, uint64_t now_us, uint32_t peer_id, uint64_t ref,
+       BwTaskOutcome *tasks, uint32_t task_count)
 {
     BwMessage message = {.kind = BW_MSG_OUTCOME};
-    BwTaskOutcome outcome = {index, kind, reason, ran_us};
     BwSupervisorPeer *peer;
     BwWorkerLoad load;
 
     HASH_FIND(hh, s->peers, &peer_id, sizeof(peer_id), peer);
-    if (peer == NULL)
+    if (peer == NULL || task_count == 0)
         return;
-    load = make_load(s, peer);
+    load = make_load(s, peer, now_us);
     message.u.outcome.ref = ref;
-    message.u.outcome.tasks = &outcome;
-    message.u.outcome.task_count = 1;
+    message.u.outcome.tasks = tasks;
+    message.u.outcome.task_count = task_count;
     message.u.outcome.load = &load;
     message.u.outcome.load_count = 1;
     s->port->send(s->ctx, peer_id, &message);
@@ -169,7 +197,7 @@
     if (seat->state == BW_SEAT_QUEUED) {
         DL_DELETE(s->queue, seat);
         remove_room(&s->queued, &seat->room);
-        s->queued_core_us = take_away(s->queued_core_us, core_us(seat));
+        s->queued_count--;
     }
     else {
         remove_room(&s->used, &seat->room);
@@ -220,13 +248,14 @@
 finish_seat(BwSupervisor *s, uint64_t now_us, BwSeat *seat, uint32_t kind,
             uint32_t reason)
 {
-    uint64_t ran_us = seat->started_us != 0 ? now_us - seat->started_us : 0;
+    BwTaskOutcome outcome = {seat->key.index, kind, reason, 0};
 
+    if (seat->started_us != 0)
+        outcome.ran_us = now_us - seat->started_us;
     unlink_seat(s, seat);
-    count_outcome(s, seat, kind, ran_us);
+    count_outcome(s, seat, kind, outcome.ran_us);
     if (kind != 0 && seat->peer != 0)
-        report(s, seat->peer, seat->ref, seat->key.index, kind, reason,
-               ran_us);
+        report(s, now_us, seat->peer, seat->ref, &outcome, 1);
     free_seat(seat);
 }
 
@@ -318,7 +347,7 @@
             continue;
         DL_DELETE(s->queue, seat);
         remove_room(&s->queued, &seat->room);
-        s->queued_core_us = take_away(s->queued_core_us, core_us(seat));
+        s->queued_count--;
         add_room(&s->used, &seat->room);
         seat->state = BW_SEAT_STARTING;
         s->port->log(s->ctx, "start", seat, "room");
@@ -858,21 +887,44 @@
     HASH_ADD(by_number, s->numbers, number, sizeof(seat->number), seat);
     DL_INSERT_INORDER(s->queue, seat, compare_seats);
     add_room(&s->queued, &seat->room);
-    s->queued_core_us += core_us(seat);
+    s->queued_count++;
     peer->seat_count++;
     return 0;
 }
 
+/* Takes back the tasks of a PLACE that found no room.  Returns how many. */
+static uint32_t
+take_back(BwSupervisor *s, const BwPlace *place, uint32_t peer,
+          BwTaskOutcome *declined)
+{
+    BwSeat *seat, *next;
+    uint32_t count = 0;
+
+    DL_FOREACH_SAFE(s->queue, seat, next)
+    {
+        if (seat->peer != peer || seat->ref != place->ref ||
+            seat->key.step != place->step)
+            continue;
+        declined[count].index = seat->key.index;
+        declined[count].kind = BW_OUTCOME_NOT_RUN;
+        declined[count++].reason = BW_DECLINE_BUSY;
+        unlink_seat(s, seat);
+        free_seat(seat);
+    }
+    return count;
+}
+
 static void
 on_place(BwSupervisor *s, uint64_t now_us, BwSupervisorPeer *peer,
          const BwPlace *place)
 {
     BwSeatText *text = malloc(sizeof(*text) + place->spec.size_bytes);
-    uint32_t spread = 0;
+    BwTaskOutcome *declined = calloc(place->task_count + 1, sizeof(*declined));
+    uint32_t spread = 0, count = 0;
 
     peer->place_seen = place->number;
-    if (text == NULL)
-        return;
+    if (text == NULL || declined == NULL)
+        goto cleanup;
     text->references = 1;
     text->spec_bytes = place->spec.size_bytes;
     memcpy(text->spec, place->spec.base, place->spec.size_bytes);
@@ -885,15 +937,23 @@
         if (reason == 0)
             reason = queue_task(s, now_us, peer, place, index, text);
         if (reason != 0) {
-            s->counters.declined++;
-            report(s, peer->peer, place->ref, index, BW_OUTCOME_NOT_RUN,
-                   reason, 0);
+            declined[count].index = index;
+            declined[count].kind = BW_OUTCOME_NOT_RUN;
+            declined[count++].reason = reason;
         }
         spread++;
     }
+    start_queued(s, now_us);
+    if (place->may_wait == 0 && count < place->task_count)
+        count += take_back(s, place, peer->peer, declined + count);
+    s->counters.declined += count;
+    report(s, now_us, peer->peer, place->ref, declined, count);
     if (--text->references == 0)
         free(text);
-    start_queued(s, now_us);
+    text = NULL;
+cleanup:
+    free(text);
+    free(declined);
 }
 
 static void
@@ -949,7 +1009,7 @@
         if (now_us - peer->asked_us >=
             s->limits.session_us / SESSION_RENEWALS) {
             BwMessage message = {.kind = BW_MSG_SESSION};
-            BwWorkerLoad load = make_load(s, peer);
+            BwWorkerLoad load = make_load(s, peer, now_us);
 
             peer->asked_us = now_us;
             message.u.session.asked_us = now_us;
@@ -1044,6 +1104,7 @@
     s->port = port;
     s->ctx = ctx;
     s->pace_permille = 1000;
+    s->fast_pace_permille = 1000;
 }
 
 void
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -158,8 +158,9 @@
     BwSeat *queue;   /* list by priority and due time */
     BwSupervisorPeer *peers;
     BwRoom queued;
-    uint64_t queued_core_us;
-    uint32_t pace_permille;
+    uint32_t queued_count;
+    uint32_t pace_permille;      /* of the last hundred tasks or so */
+    uint32_t fast_pace_permille; /* of the last few */
     uint32_t failed_permille;
     uint32_t orphan_count; /* seats whose dispatcher is gone */
     bool was_usable;       /* as last told */
--- a/packages/ports/messages.h
+++ b/packages/ports/messages.h
@@ -466,8 +466,9 @@
 typedef struct BwWorkerLoad {
     uint64_t place_seen;
     BwRoom free;
-    uint64_t queued_core_us; /* work that waits there: cores x microseconds */
-    uint32_t pace_permille;  /* run time against the declared one */
+    uint32_t queued;        /* tasks that wait there */
+    uint64_t release_us;    /* until one of those that run ends, on average */
+    uint32_t pace_permille; /* run time against the expected one */
     uint32_t failed_permille;
 } BwWorkerLoad;
 
@@ -498,6 +499,7 @@
     uint32_t step;
     uint32_t priority;
     uint32_t spread_max; /* tasks of the step there; 0: no bound */
+    uint32_t may_wait;   /* 0: decline what finds no room at once */
     uint64_t expected_us;
     uint64_t due_in_us;
     uint64_t deadline_in_us;
