Answer 504, not failed, where a job is given up

A start that the worker refuses outright was reported as a failed task.

Change: such a job ends as expired, 504; failed is said only after attempts_max ends of a task by a fault. A refused start is not run.

--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -525,8 +525,8 @@
     job->done_count++;
 }
 
-/* Returns false when the job has failed for good. */
-static bool
+/* How a job ends that a task cannot go on with; COMPLETED while it can. */
+static BwBoundEnd
 on_failed(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, BwPiece *piece)
 {
     bool is_suspect = piece->view->failed_in_row > 0;
@@ -538,17 +538,19 @@
         piece->failures++;
     else
         piece->moves++;
-    return piece->failures < job->attempts_max && piece->moves < MOVES_MAX;
+    if (piece->failures >= job->attempts_max)
+        return BW_BOUND_FAILED;
+    return piece->moves < MOVES_MAX ? BW_BOUND_COMPLETED : BW_BOUND_EXPIRED;
 }
 
-static bool
+static BwBoundEnd
 on_moved(BwDispatcher *d, BwPiece *piece, uint32_t kind, uint32_t reason)
 {
     piece->state = BW_PIECE_WAITING;
     piece->avoid = reason == BW_DECLINE_BUSY ? NULL : piece->view;
     d->counters.bounced += kind == BW_OUTCOME_NOT_RUN;
     d->counters.lost += kind == BW_OUTCOME_LOST;
-    return ++piece->moves < MOVES_MAX;
+    return ++piece->moves < MOVES_MAX ? BW_BOUND_COMPLETED : BW_BOUND_EXPIRED;
 }
 
 static void
@@ -556,12 +558,13 @@
            const BwOutcome *outcome)
 {
     BwBoundJob *job;
-    bool is_alive = true;
+    BwBoundEnd end = BW_BOUND_COMPLETED;
 
     HASH_FIND(hh, d->jobs, &outcome->ref, sizeof(outcome->ref), job);
     if (job == NULL)
         return;
-    for (uint32_t i = 0; i < outcome->task_count && is_alive; i++) {
+    for (uint32_t i = 0; i < outcome->task_count && end == BW_BOUND_COMPLETED;
+         i++) {
         const BwTaskOutcome *task = &outcome->tasks[i];
         BwPiece *piece = find_piece(job, view, task->index);
 
@@ -570,12 +573,14 @@
         if (task->kind == BW_OUTCOME_DONE)
             on_done(d, job, piece, task->ran_us);
         else if (task->kind == BW_OUTCOME_FAILED)
-            is_alive = on_failed(d, now_us, job, piece);
+            end = on_failed(d, now_us, job, piece);
         else
-            is_alive = on_moved(d, piece, task->kind, task->reason);
+            end = on_moved(d, piece, task->kind, task->reason);
     }
-    if (!is_alive)
-        end_job(d, job, BW_BOUND_FAILED, "a task failed for good");
+    if (end != BW_BOUND_COMPLETED)
+        end_job(d, job, end,
+                end == BW_BOUND_FAILED ? "a task failed for good"
+                                       : "a task moved too often");
     else if (job->done_count == job->piece_count)
         end_job(d, job, BW_BOUND_COMPLETED, "all tasks are done");
     else
@@ -768,12 +773,14 @@
 
             if (piece->view != view || piece->state != BW_PIECE_UNKNOWN)
                 continue;
-            is_alive = on_moved(d, piece, BW_OUTCOME_LOST, 0) && is_alive;
+            is_alive =
+                on_moved(d, piece, BW_OUTCOME_LOST, 0) == BW_BOUND_COMPLETED &&
+                is_alive;
             piece->avoid = NULL;
             is_freed = true;
         }
         if (!is_alive)
-            end_job(d, job, BW_BOUND_FAILED, "a task moved too often");
+            end_job(d, job, BW_BOUND_EXPIRED, "a task moved too often");
         else if (is_freed)
             replace_pieces(d, now_us, job, "its worker was lost");
     }
