--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -112,7 +112,7 @@
 
 typedef enum BwBoundEnd {
     BW_BOUND_COMPLETED,
-    BW_BOUND_FAILED,  /* a task failed for good */
+    BW_BOUND_FAILED,  /* a task failed attempts_max times */
     BW_BOUND_REFUSED, /* nothing was started: come back */
     BW_BOUND_EXPIRED, /* it cannot be in time any more; it may have run */
 } BwBoundEnd;
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -546,10 +546,9 @@
         return;
     }
     s->port->log(s->ctx, "refused", seat, "by the worker");
-    finish_seat(
-        s, now_us, seat,
-        verdict == BW_WORKER_BAD ? BW_OUTCOME_FAILED : BW_OUTCOME_NOT_RUN,
-        verdict == BW_WORKER_LATE ? BW_DECLINE_LATE : BW_DECLINE_REFUSED);
+    finish_seat(s, now_us, seat, BW_OUTCOME_NOT_RUN,
+                verdict == BW_WORKER_LATE ? BW_DECLINE_LATE
+                                          : BW_DECLINE_REFUSED);
 }
 
 void
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -164,9 +164,13 @@
                                 ? "no worker can end it in time; come back"
                                 : "");
         break;
-    default:
+    case BW_BOUND_FAILED:
         reply_state(role, exchange, BW_STATE_FAILED);
         break;
+    case BW_BOUND_EXPIRED:
+        BwDaemon_ReplyError(exchange, BW_ERR_TIMED_OUT_RUNNING,
+                            "it cannot end in time; some tasks may have run");
+        break;
     }
 }
 
