Compare workers by tasks of one job; hand back what waits too long

A task of lower priority then stayed in the queue that it had joined while others passed it.

Change: pace.c compares the tasks of one step, which are alike, across the workers that ran them; a supervisor tells only a pace far above, from ends and from the progress of what runs; a PLACE carries how long it may wait, twice the foreseen time, after which the task is handed back with a fresh account.

--- a/packages/adapters/wire.c
+++ b/packages/adapters/wire.c
@@ -304,7 +304,7 @@
     U64(BwWorkerLoad, place_seen),    U64(BwWorkerLoad, free.cpu_milli),
     U64(BwWorkerLoad, free.mem_mb),   U64(BwWorkerLoad, free.gpu),
     U32(BwWorkerLoad, queued),        U64(BwWorkerLoad, release_us),
-    U32(BwWorkerLoad, pace_permille), U32(BwWorkerLoad, failed_permille),
+    U32(BwWorkerLoad, slow_permille), U32(BwWorkerLoad, failed_permille),
 };
 static const Layout load_account_layout =
     LAYOUT(BwWorkerLoad, load_account_fields);
@@ -333,7 +333,7 @@
     U32(BwPlace, step),
     U32(BwPlace, priority),
     U32(BwPlace, spread_max),
-    U32(BwPlace, may_wait),
+    U64(BwPlace, wait_us),
     U64(BwPlace, expected_us),
     U64(BwPlace, due_in_us),
     U64(BwPlace, deadline_in_us),
--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -13,17 +13,22 @@
 
 #include "brasswing.h"
 #include "dispatcher.h"
+#include "pace.h"
 
 #define LEASE_DRIFT_PERMILLE 1030
 #define GONE_MARGIN_US 120000 /* stops take effect, and clocks drift */
 #define RELEASE_MIN_US 5000   /* until a full worker frees room */
-#define MOVES_MAX 12
+#define MOVES_MAX 24
 #define BOUNCES_MAX 3 /* after which a task waits at a worker */
 #define FAILURES_TO_EJECT 3
 #define EJECTED_US 3000000
 #define EJECTED_SHARE_MAX 2 /* half of the workers */
 #define RATIO_SHIFT 5
 #define RATIO_START_PERMILLE 1000
+#define RATIO_MAX_PERMILLE 4000
+#define ANCHORED_MAX 256
+#define ANCHOR_US 1000000
+#define PATIENCE_US 20000 /* beyond twice the foreseen wait */
 #define FAR_PERMILLE 1500
 #define CROWDED_PERMILLE 100
 #define RETRY_AFTER_MS 1000
@@ -57,9 +62,9 @@
     return declared_us * pace->ratio_permille / 1000;
 }
 
+/* Learns the run time of a route against the declared one. */
 static void
-learn_pace(BwDispatcher *d, const BwBoundJob *job, const BwPiece *piece,
-           uint64_t ran_us)
+learn_ratio(BwDispatcher *d, const BwBoundJob *job, const BwPiece *piece)
 {
     BwRoutePace *pace = find_pace(d, job->route);
     uint64_t declared_us = job->steps[piece->step].declared_us;
@@ -67,13 +72,52 @@
 
     if (pace == NULL || declared_us == 0)
         return;
-    ratio = ran_us * 1000 / declared_us;
-    if (ratio > 4000)
-        ratio = 4000;
+    ratio = piece->ran_us * 1000 / declared_us * BW_PACE_MEAN_PERMILLE /
+            piece->view->pace_permille;
+    if (ratio > RATIO_MAX_PERMILLE)
+        ratio = RATIO_MAX_PERMILLE;
     pace->ratio_permille += (uint32_t)(ratio >> RATIO_SHIFT) -
                             (pace->ratio_permille >> RATIO_SHIFT);
 }
 
+/* Compares the workers that ran the tasks of each step. */
+static void
+learn_paces(const BwBoundJob *job)
+{
+    BwPaceSample *samples = malloc(job->piece_count * sizeof(*samples));
+
+    if (samples == NULL)
+        return;
+    for (uint32_t step = 0; step < job->step_count; step++) {
+        uint32_t count = 0;
+
+        for (uint32_t i = 0; i < job->piece_count; i++) {
+            const BwPiece *piece = &job->pieces[i];
+
+            if (piece->step != step || piece->state != BW_PIECE_DONE)
+                continue;
+            samples[count].pace_permille = &piece->view->pace_permille;
+            samples[count++].ran_us = piece->ran_us;
+        }
+        BwPace_Compare(samples, count);
+    }
+    free(samples);
+}
+
+static void
+anchor_paces(BwDispatcher *d)
+{
+    uint32_t *paces[ANCHORED_MAX];
+    uint32_t count = 0;
+
+    for (BwView *view = d->views; view != NULL && count < ANCHORED_MAX;
+         view = view->hh.next) {
+        if (view->peer != 0)
+            paces[count++] = &view->pace_permille;
+    }
+    BwPace_Anchor(paces, count);
+}
+
 /* -------------------------------------------------------------- views */
 
 static BwView *
@@ -185,7 +229,7 @@
     view->free = load->free;
     view->queued = load->queued;
     view->release_us = load->release_us;
-    view->pace_permille = load->pace_permille;
+    view->slow_permille = load->slow_permille;
     view->failed_permille = load->failed_permille;
     for (uint32_t i = 0; i < view->in_flight_count; i++) {
         if (view->in_flight[i].number > load->place_seen)
@@ -225,38 +269,60 @@
     return count;
 }
 
-/* When the view would end a task, and a cost that spreads load; NEVER when it
-   cannot take it. */
 static uint64_t
+view_pace(const BwView *view)
+{
+    return view->slow_permille > view->pace_permille ? view->slow_permille
+                                                     : view->pace_permille;
+}
+
+/* What would become of a task at a view. */
+typedef struct Foresight {
+    uint64_t wait_us; /* for room */
+    uint64_t end_us;  /* NEVER when the view cannot take it */
+    uint64_t cost_us; /* time, and a part that spreads load */
+} Foresight;
+
+static bool
+is_suited(const BwBoundJob *job, const BwPiece *piece, const BwView *view,
+          uint64_t now_us)
+{
+    const BwBoundStep *step = &job->steps[piece->step];
+
+    return view_takes(view, now_us) &&
+           strcmp(view->service, job->service) == 0 &&
+           room_fits(&step->room, &view->capacity) &&
+           view_has_label(view, step->requirement) && piece->avoid != view &&
+           (step->spread_max == 0 ||
+            count_there(job, view, piece->step) < step->spread_max);
+}
+
+static Foresight
 foresee(const BwBoundJob *job, const BwPiece *piece, const BwView *view,
-        uint64_t run_us, uint64_t now_us, uint64_t *cost_us)
+        uint64_t run_us, uint64_t now_us)
 {
     const BwBoundStep *step = &job->steps[piece->step];
-    uint64_t wait_us = 0;
+    Foresight foresight = {0, NEVER, NEVER};
+    uint64_t used_milli;
     uint32_t ahead;
     BwRoom room;
 
-    if (!view_takes(view, now_us) ||
-        strcmp(view->service, job->service) != 0 ||
-        !room_fits(&step->room, &view->capacity) ||
-        !view_has_label(view, step->requirement) || piece->avoid == view)
-        return NEVER;
-    if (step->spread_max > 0 &&
-        count_there(job, view, piece->step) >= step->spread_max)
-        return NEVER;
+    if (!is_suited(job, piece, view, now_us))
+        return foresight;
     room = view_room(view, &ahead);
     if (!room_fits(&step->room, &room))
-        wait_us =
+        foresight.wait_us =
             (ahead + 1) * (view->release_us > RELEASE_MIN_US ? view->release_us
                                                              : RELEASE_MIN_US);
-    run_us = run_us * view->pace_permille / 1000;
+    run_us = run_us * view_pace(view) / BW_PACE_MEAN_PERMILLE;
     if (!view_has_label(view, step->affinity))
         run_us = run_us * FAR_PERMILLE / 1000;
-    *cost_us = wait_us + run_us +
-               run_us * CROWDED_PERMILLE / 1000 *
-                   (view->capacity.cpu_milli - room.cpu_milli) /
-                   (view->capacity.cpu_milli + 1);
-    return now_us + wait_us + run_us;
+    used_milli = view->capacity.cpu_milli - room.cpu_milli;
+    foresight.end_us = now_us + foresight.wait_us + run_us;
+    foresight.cost_us = foresight.wait_us + run_us +
+                        run_us * CROWDED_PERMILLE / 1000 * used_milli /
+                            (view->capacity.cpu_milli + 1);
+    return foresight;
 }
 
 /* Picks the view that ends the task first, or NULL when none ends it by
@@ -266,25 +332,19 @@
           uint64_t run_us, uint64_t now_us, uint64_t limit_us)
 {
     BwView *best = NULL;
-    uint64_t best_cost_us = NEVER;
-    const BwRoom *room = &job->steps[piece->step].room;
-    uint32_t ahead;
-    BwRoom free_room;
+    Foresight least = {0, NEVER, NEVER};
 
     for (BwView *view = d->views; view != NULL; view = view->hh.next) {
-        uint64_t cost_us = 0;
-        uint64_t end_us = foresee(job, piece, view, run_us, now_us, &cost_us);
+        Foresight foresight = foresee(job, piece, view, run_us, now_us);
 
-        if (end_us > limit_us || cost_us >= best_cost_us)
+        if (foresight.end_us > limit_us || foresight.cost_us >= least.cost_us)
             continue;
         best = view;
-        best_cost_us = cost_us;
-    }
-    if (best != NULL) {
-        free_room = view_room(best, &ahead);
-        piece->may_wait =
-            !room_fits(room, &free_room) || piece->moves >= BOUNCES_MAX;
+        least = foresight;
     }
+    piece->wait_us = least.wait_us;
+    if (least.wait_us > 0 || piece->moves >= BOUNCES_MAX)
+        piece->wait_us = 2 * least.wait_us + PATIENCE_US;
     return best;
 }
 
@@ -335,7 +395,8 @@
         piece->state = BW_PIECE_PLACED;
         piece->link = view->link;
         piece->placed_us = now_us;
-        place->may_wait |= piece->may_wait;
+        if (piece->wait_us > place->wait_us)
+            place->wait_us = piece->wait_us;
         tasks[count++].index = piece->index;
     }
     place->number = ++view->place_number;
@@ -519,10 +580,12 @@
 on_done(BwDispatcher *d, BwBoundJob *job, BwPiece *piece, uint64_t ran_us)
 {
     piece->view->failed_in_row = 0;
-    learn_pace(d, job, piece, ran_us);
     piece->state = BW_PIECE_DONE;
+    piece->ran_us = ran_us;
+    learn_ratio(d, job, piece);
     job->left[piece->step]--;
-    job->done_count++;
+    if (++job->done_count == job->piece_count)
+        learn_paces(job);
 }
 
 /* How a job ends that a task cannot go on with; COMPLETED while it can. */
@@ -834,7 +897,7 @@
         if (view == NULL)
             return;
         strcpy(view->name, text);
-        view->pace_permille = 1000;
+        view->pace_permille = BW_PACE_MEAN_PERMILLE;
         HASH_ADD_STR(d->views, name, view);
     }
     else if (view->peer != 0) {
@@ -927,6 +990,10 @@
 {
     BwBoundJob *job, *next;
 
+    if (now_us - d->anchored_us >= ANCHOR_US) {
+        d->anchored_us = now_us;
+        anchor_paces(d);
+    }
     for (BwView *view = d->views; view != NULL; view = view->hh.next) {
         if (view->gone_us != 0 && now_us >= view->gone_us)
             release_unknown(d, now_us, view);
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -37,7 +37,8 @@
     uint32_t index;    /* within the step */
     uint32_t failures; /* ends by a fault */
     uint32_t moves;    /* places that did not run it */
-    bool may_wait;     /* no worker is known to have room */
+    uint64_t wait_us;  /* that is foreseen at the view */
+    uint64_t ran_us;
     struct BwView *view;
     struct BwView *avoid; /* the last that refused or failed it */
     uint64_t link;        /* generation of the view's connection */
@@ -90,7 +91,8 @@
     BwRoom free; /* as told */
     uint32_t queued;
     uint64_t release_us;
-    uint32_t pace_permille;
+    uint32_t pace_permille; /* see pace.h */
+    uint32_t slow_permille; /* as told */
     uint32_t failed_permille;
     uint32_t failed_in_row;
     uint64_t ejected_until_us;
@@ -155,6 +157,7 @@
     BwRoutePace *paces;
     uint64_t next_ref;
     uint64_t next_link;
+    uint64_t anchored_us; /* when the paces were last anchored */
 } BwDispatcher;
 
 void
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -27,11 +27,13 @@
 #define HOLDS_MAX 3
 #define TRIES_MAX 4
 #define RUN_STEP 16
-#define PACE_SHIFT 6
-#define FAST_PACE_SHIFT 3
-#define FAILED_SHIFT 4
-#define FAR_PACE 2
+#define PACE_SHIFT 3
+#define ENDED_WEIGHT 4 /* of the tasks that ended, beside each that runs */
+#define FAR_PACE_PERMILLE 2000
 #define PACE_MAX_PERMILLE 8000
+#define PROGRESS_AFTER_US 80000
+#define STUCK_FACTOR 4
+#define FAILED_SHIFT 4
 #define LEASE_DRIFT_PERMILLE 1030
 #define LEASE_MARGIN_US 20000
 
@@ -85,15 +87,30 @@
            !s->is_leaving && is_responsive(s, now_us);
 }
 
-/* The pace of the last few tasks counts only when it is far from that of
-   many: single declarations are far off. */
+/* The run times against the expected ones, of tasks that ended and of those
+   that run, as far as their progress shows; 1000 unless they are far above.
+   Single declarations are far off, so small differences say nothing. */
 static uint32_t
-current_pace(const BwSupervisor *s)
+slow_permille(const BwSupervisor *s, uint64_t now_us)
 {
-    if (s->fast_pace_permille > FAR_PACE * s->pace_permille ||
-        s->pace_permille > FAR_PACE * s->fast_pace_permille)
-        return s->fast_pace_permille;
-    return s->pace_permille;
+    uint64_t sum = s->pace_permille * ENDED_WEIGHT;
+    uint64_t count = ENDED_WEIGHT;
+    uint64_t mean;
+
+    for (const BwSeat *seat = s->seats; seat != NULL; seat = seat->hh.next) {
+        uint64_t ran_us = now_us - seat->started_us;
+        uint64_t whole_us, pace;
+
+        if (seat->state != BW_SEAT_RUNNING || ran_us < PROGRESS_AFTER_US)
+            continue;
+        whole_us = seat->percent > 0 ? ran_us * 100 / seat->percent
+                                     : ran_us * STUCK_FACTOR;
+        pace = whole_us * 1000 / (seat->expected_us + 1000);
+        sum += pace < PACE_MAX_PERMILLE ? pace : PACE_MAX_PERMILLE;
+        count++;
+    }
+    mean = sum / count;
+    return mean > FAR_PACE_PERMILLE ? (uint32_t)mean : 1000;
 }
 
 /* How long until one of the tasks that run ends, on average. */
@@ -103,7 +120,7 @@
     uint64_t left_us = 0, count = 0;
 
     for (const BwSeat *seat = s->seats; seat != NULL; seat = seat->hh.next) {
-        uint64_t run_us = seat->expected_us * s->pace_permille / 1000;
+        uint64_t run_us = seat->expected_us;
         uint64_t ran_us = now_us - seat->started_us;
 
         if (!is_on_worker(seat))
@@ -126,7 +143,7 @@
     remove_room(&load.free, &s->queued);
     load.queued = s->queued_count;
     load.release_us = release_us(s, now_us);
-    load.pace_permille = current_pace(s);
+    load.slow_permille = slow_permille(s, now_us);
     load.failed_permille = s->failed_permille;
     return load;
 }
@@ -232,8 +249,8 @@
     if (kind == BW_OUTCOME_DONE) {
         uint64_t pace = ran_us * 1000 / expected;
 
-        if (pace > 20000)
-            pace = 20000;
+        if (pace > PACE_MAX_PERMILLE)
+            pace = PACE_MAX_PERMILLE;
         s->pace_permille +=
             (uint32_t)(pace >> PACE_SHIFT) - (s->pace_permille >> PACE_SHIFT);
     }
@@ -859,6 +876,7 @@
     seat->run = 1;
     seat->expected_us = place->expected_us;
     seat->due_us = now_us + place->due_in_us;
+    seat->patience_us = now_us + place->wait_us;
     seat->deadline_us = now_us + place->deadline_in_us;
     return seat;
 }
@@ -893,8 +911,8 @@
 
 /* Takes back the tasks of a PLACE that found no room.  Returns how many. */
 static uint32_t
-take_back(BwSupervisor *s, const BwPlace *place, uint32_t peer,
-          BwTaskOutcome *declined)
+take_back(BwSupervisor *s, uint64_t now_us, const BwPlace *place,
+          uint32_t peer, BwTaskOutcome *declined)
 {
     BwSeat *seat, *next;
     uint32_t count = 0;
@@ -902,7 +920,7 @@
     DL_FOREACH_SAFE(s->queue, seat, next)
     {
         if (seat->peer != peer || seat->ref != place->ref ||
-            seat->key.step != place->step)
+            seat->key.step != place->step || seat->patience_us > now_us)
             continue;
         declined[count].index = seat->key.index;
         declined[count].kind = BW_OUTCOME_NOT_RUN;
@@ -943,8 +961,8 @@
         spread++;
     }
     start_queued(s, now_us);
-    if (place->may_wait == 0 && count < place->task_count)
-        count += take_back(s, place, peer->peer, declined + count);
+    if (place->wait_us == 0 && count < place->task_count)
+        count += take_back(s, now_us, place, peer->peer, declined + count);
     s->counters.declined += count;
     report(s, now_us, peer->peer, place->ref, declined, count);
     if (--text->references == 0)
@@ -1034,6 +1052,10 @@
             if (!seat->is_stop_in_flight && seat->stopped_us == 0)
                 send_stop(s, now_us, seat);
         }
+        else if (seat->state == BW_SEAT_QUEUED &&
+                 now_us >= seat->patience_us) {
+            finish_seat(s, now_us, seat, BW_OUTCOME_NOT_RUN, BW_DECLINE_BUSY);
+        }
         else if (now_us >= seat->deadline_us) {
             end_seat(s, now_us, seat,
                      is_on_worker(seat) ? BW_OUTCOME_LOST : BW_OUTCOME_NOT_RUN,
@@ -1103,7 +1125,6 @@
     s->port = port;
     s->ctx = ctx;
     s->pace_permille = 1000;
-    s->fast_pace_permille = 1000;
 }
 
 void
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -62,6 +62,7 @@
     uint64_t number; /* of this seat, never used again */
     uint64_t expected_us;
     uint64_t due_us;
+    uint64_t patience_us; /* it is declined when it has no room by then */
     uint64_t deadline_us;
     uint64_t started_us;
     uint64_t stop_sent_us;
@@ -159,8 +160,7 @@
     BwSupervisorPeer *peers;
     BwRoom queued;
     uint32_t queued_count;
-    uint32_t pace_permille;      /* of the last hundred tasks or so */
-    uint32_t fast_pace_permille; /* of the last few */
+    uint32_t pace_permille; /* run times of the last few tasks */
     uint32_t failed_permille;
     uint32_t orphan_count; /* seats whose dispatcher is gone */
     bool was_usable;       /* as last told */
--- a/packages/ports/messages.h
+++ b/packages/ports/messages.h
@@ -468,7 +468,8 @@
     BwRoom free;
     uint32_t queued;        /* tasks that wait there */
     uint64_t release_us;    /* until one of those that run ends, on average */
-    uint32_t pace_permille; /* run time against the expected one */
+    uint32_t slow_permille; /* run time against the expected one if it is far
+                               above, else 1000 */
     uint32_t failed_permille;
 } BwWorkerLoad;
 
@@ -499,7 +500,7 @@
     uint32_t step;
     uint32_t priority;
     uint32_t spread_max; /* tasks of the step there; 0: no bound */
-    uint32_t may_wait;   /* 0: decline what finds no room at once */
+    uint64_t wait_us;    /* decline what finds no room for so long */
     uint64_t expected_us;
     uint64_t due_in_us;
     uint64_t deadline_in_us;
