--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -13,16 +13,22 @@
 
 #include "brasswing.h"
 #include "dispatcher.h"
+#include "pace.h"
 
 #define LEASE_DRIFT_PERMILLE 1030
 #define GONE_MARGIN_US 120000 /* stops take effect, and clocks drift */
-#define FIRST_SLOT_US 25000   /* until a full worker frees room */
-#define MOVES_MAX 8
+#define RELEASE_MIN_US 5000   /* until a full worker frees room */
+#define MOVES_MAX 24
+#define BOUNCES_MAX 3 /* after which a task waits at a worker */
 #define FAILURES_TO_EJECT 3
 #define EJECTED_US 3000000
 #define EJECTED_SHARE_MAX 2 /* half of the workers */
 #define RATIO_SHIFT 5
 #define RATIO_START_PERMILLE 1000
+#define RATIO_MAX_PERMILLE 4000
+#define ANCHORED_MAX 256
+#define ANCHOR_US 1000000
+#define PATIENCE_US 20000 /* beyond twice the foreseen wait */
 #define FAR_PERMILLE 1500
 #define CROWDED_PERMILLE 100
 #define RETRY_AFTER_MS 1000
@@ -56,9 +62,9 @@
     return declared_us * pace->ratio_permille / 1000;
 }
 
+/* Learns the run time of a route against the declared one. */
 static void
-learn_pace(BwDispatcher *d, const BwBoundJob *job, const BwPiece *piece,
-           uint64_t ran_us)
+learn_ratio(BwDispatcher *d, const BwBoundJob *job, const BwPiece *piece)
 {
     BwRoutePace *pace = find_pace(d, job->route);
     uint64_t declared_us = job->steps[piece->step].declared_us;
@@ -66,13 +72,52 @@
 
     if (pace == NULL || declared_us == 0)
         return;
-    ratio = ran_us * 1000 / declared_us;
-    if (ratio > 4000)
-        ratio = 4000;
+    ratio = piece->ran_us * 1000 / declared_us * BW_PACE_MEAN_PERMILLE /
+            piece->view->pace_permille;
+    if (ratio > RATIO_MAX_PERMILLE)
+        ratio = RATIO_MAX_PERMILLE;
     pace->ratio_permille += (uint32_t)(ratio >> RATIO_SHIFT) -
                             (pace->ratio_permille >> RATIO_SHIFT);
 }
 
+/* Compares the workers that ran the tasks of each step. */
+static void
+learn_paces(const BwBoundJob *job)
+{
+    BwPaceSample *samples = malloc(job->piece_count * sizeof(*samples));
+
+    if (samples == NULL)
+        return;
+    for (uint32_t step = 0; step < job->step_count; step++) {
+        uint32_t count = 0;
+
+        for (uint32_t i = 0; i < job->piece_count; i++) {
+            const BwPiece *piece = &job->pieces[i];
+
+            if (piece->step != step || piece->state != BW_PIECE_DONE)
+                continue;
+            samples[count].pace_permille = &piece->view->pace_permille;
+            samples[count++].ran_us = piece->ran_us;
+        }
+        BwPace_Compare(samples, count);
+    }
+    free(samples);
+}
+
+static void
+anchor_paces(BwDispatcher *d)
+{
+    uint32_t *paces[ANCHORED_MAX];
+    uint32_t count = 0;
+
+    for (BwView *view = d->views; view != NULL && count < ANCHORED_MAX;
+         view = view->hh.next) {
+        if (view->peer != 0)
+            paces[count++] = &view->pace_permille;
+    }
+    BwPace_Anchor(paces, count);
+}
+
 /* -------------------------------------------------------------- views */
 
 static BwView *
@@ -95,11 +140,11 @@
 }
 
 static BwRoom
-view_room(const BwView *view, uint64_t *core_us)
+view_room(const BwView *view, uint32_t *ahead)
 {
     BwRoom room = view->free;
 
-    *core_us = view->queued_core_us;
+    *ahead = view->queued;
     for (uint32_t i = 0; i < view->in_flight_count; i++) {
         const BwInFlight *sent = &view->in_flight[i];
 
@@ -109,7 +154,7 @@
         room.mem_mb -=
             sent->room.mem_mb < room.mem_mb ? sent->room.mem_mb : room.mem_mb;
         room.gpu -= sent->room.gpu < room.gpu ? sent->room.gpu : room.gpu;
-        *core_us += sent->core_us;
+        *ahead += sent->task_count;
     }
     return room;
 }
@@ -155,25 +200,25 @@
 }
 
 static void
-reserve(BwView *view, const BwRoom *room, uint64_t core_us)
+reserve(BwView *view, const BwRoom *room)
 {
     BwInFlight *sent = next_in_flight(view);
 
     sent->room.cpu_milli += room->cpu_milli;
     sent->room.mem_mb += room->mem_mb;
     sent->room.gpu += room->gpu;
-    sent->core_us += core_us;
+    sent->task_count++;
 }
 
 static void
-unreserve(BwView *view, const BwRoom *room, uint64_t core_us)
+unreserve(BwView *view, const BwRoom *room)
 {
     BwInFlight *sent = next_in_flight(view);
 
     sent->room.cpu_milli -= room->cpu_milli;
     sent->room.mem_mb -= room->mem_mb;
     sent->room.gpu -= room->gpu;
-    sent->core_us -= core_us;
+    sent->task_count--;
 }
 
 static void
@@ -182,8 +227,9 @@
     uint32_t kept = 0;
 
     view->free = load->free;
-    view->queued_core_us = load->queued_core_us;
-    view->pace_permille = load->pace_permille;
+    view->queued = load->queued;
+    view->release_us = load->release_us;
+    view->slow_permille = load->slow_permille;
     view->failed_permille = load->failed_permille;
     for (uint32_t i = 0; i < view->in_flight_count; i++) {
         if (view->in_flight[i].number > load->place_seen)
@@ -223,57 +269,82 @@
     return count;
 }
 
-/* When the view would end a task, and a cost that spreads load; NEVER when it
-   cannot take it. */
 static uint64_t
+view_pace(const BwView *view)
+{
+    return view->slow_permille > view->pace_permille ? view->slow_permille
+                                                     : view->pace_permille;
+}
+
+/* What would become of a task at a view. */
+typedef struct Foresight {
+    uint64_t wait_us; /* for room */
+    uint64_t end_us;  /* NEVER when the view cannot take it */
+    uint64_t cost_us; /* time, and a part that spreads load */
+} Foresight;
+
+static bool
+is_suited(const BwBoundJob *job, const BwPiece *piece, const BwView *view,
+          uint64_t now_us)
+{
+    const BwBoundStep *step = &job->steps[piece->step];
+
+    return view_takes(view, now_us) &&
+           strcmp(view->service, job->service) == 0 &&
+           room_fits(&step->room, &view->capacity) &&
+           view_has_label(view, step->requirement) && piece->avoid != view &&
+           (step->spread_max == 0 ||
+            count_there(job, view, piece->step) < step->spread_max);
+}
+
+static Foresight
 foresee(const BwBoundJob *job, const BwPiece *piece, const BwView *view,
-        uint64_t run_us, uint64_t now_us, uint64_t *cost_us)
+        uint64_t run_us, uint64_t now_us)
 {
     const BwBoundStep *step = &job->steps[piece->step];
-    uint64_t wait_us = 0, core_us;
+    Foresight foresight = {0, NEVER, NEVER};
+    uint64_t used_milli;
+    uint32_t ahead;
     BwRoom room;
 
-    if (!view_takes(view, now_us) ||
-        strcmp(view->service, job->service) != 0 ||
-        !room_fits(&step->room, &view->capacity) ||
-        !view_has_label(view, step->requirement) || piece->avoid == view)
-        return NEVER;
-    if (step->spread_max > 0 &&
-        count_there(job, view, piece->step) >= step->spread_max)
-        return NEVER;
-    room = view_room(view, &core_us);
-    if (!room_fits(&step->room, &room) || view->queued_core_us > 0)
-        wait_us = FIRST_SLOT_US + core_us * 1000 /
-                                      (view->capacity.cpu_milli + 1) *
-                                      view->pace_permille / 1000;
-    run_us = run_us * view->pace_permille / 1000;
+    if (!is_suited(job, piece, view, now_us))
+        return foresight;
+    room = view_room(view, &ahead);
+    if (!room_fits(&step->room, &room))
+        foresight.wait_us =
+            (ahead + 1) * (view->release_us > RELEASE_MIN_US ? view->release_us
+                                                             : RELEASE_MIN_US);
+    run_us = run_us * view_pace(view) / BW_PACE_MEAN_PERMILLE;
     if (!view_has_label(view, step->affinity))
         run_us = run_us * FAR_PERMILLE / 1000;
-    *cost_us = wait_us + run_us +
-               run_us * CROWDED_PERMILLE / 1000 *
-                   (view->capacity.cpu_milli - room.cpu_milli) /
-                   (view->capacity.cpu_milli + 1);
-    return now_us + wait_us + run_us;
+    used_milli = view->capacity.cpu_milli - room.cpu_milli;
+    foresight.end_us = now_us + foresight.wait_us + run_us;
+    foresight.cost_us = foresight.wait_us + run_us +
+                        run_us * CROWDED_PERMILLE / 1000 * used_milli /
+                            (view->capacity.cpu_milli + 1);
+    return foresight;
 }
 
 /* Picks the view that ends the task first, or NULL when none ends it by
    `limit_us`. */
 static BwView *
-pick_view(BwDispatcher *d, const BwBoundJob *job, const BwPiece *piece,
+pick_view(BwDispatcher *d, const BwBoundJob *job, BwPiece *piece,
           uint64_t run_us, uint64_t now_us, uint64_t limit_us)
 {
     BwView *best = NULL;
-    uint64_t best_cost_us = NEVER;
+    Foresight least = {0, NEVER, NEVER};
 
     for (BwView *view = d->views; view != NULL; view = view->hh.next) {
-        uint64_t cost_us = 0;
-        uint64_t end_us = foresee(job, piece, view, run_us, now_us, &cost_us);
+        Foresight foresight = foresee(job, piece, view, run_us, now_us);
 
-        if (end_us > limit_us || cost_us >= best_cost_us)
+        if (foresight.end_us > limit_us || foresight.cost_us >= least.cost_us)
             continue;
         best = view;
-        best_cost_us = cost_us;
+        least = foresight;
     }
+    piece->wait_us = least.wait_us;
+    if (least.wait_us > 0 || piece->moves >= BOUNCES_MAX)
+        piece->wait_us = 2 * least.wait_us + PATIENCE_US;
     return best;
 }
 
@@ -324,6 +395,8 @@
         piece->state = BW_PIECE_PLACED;
         piece->link = view->link;
         piece->placed_us = now_us;
+        if (piece->wait_us > place->wait_us)
+            place->wait_us = piece->wait_us;
         tasks[count++].index = piece->index;
     }
     place->number = ++view->place_number;
@@ -356,7 +429,6 @@
             uint64_t run_us, uint64_t limit_us)
 {
     const BwRoom *room = &job->steps[step].room;
-    uint64_t core_us = room->cpu_milli * run_us / 1000;
     uint32_t i;
 
     for (i = 0; i < job->piece_count; i++) {
@@ -367,7 +439,7 @@
         piece->view = pick_view(d, job, piece, run_us, now_us, limit_us);
         if (piece->view == NULL)
             break;
-        reserve(piece->view, room, core_us);
+        reserve(piece->view, room);
     }
     if (i == job->piece_count)
         return true;
@@ -376,7 +448,7 @@
 
         if (piece->step != step || piece->state != BW_PIECE_WAITING)
             continue;
-        unreserve(piece->view, room, core_us);
+        unreserve(piece->view, room);
         piece->view = NULL;
     }
     return false;
@@ -508,14 +580,16 @@
 on_done(BwDispatcher *d, BwBoundJob *job, BwPiece *piece, uint64_t ran_us)
 {
     piece->view->failed_in_row = 0;
-    learn_pace(d, job, piece, ran_us);
     piece->state = BW_PIECE_DONE;
+    piece->ran_us = ran_us;
+    learn_ratio(d, job, piece);
     job->left[piece->step]--;
-    job->done_count++;
+    if (++job->done_count == job->piece_count)
+        learn_paces(job);
 }
 
-/* Returns false when the job has failed for good. */
-static bool
+/* How a job ends that a task cannot go on with; COMPLETED while it can. */
+static BwBoundEnd
 on_failed(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, BwPiece *piece)
 {
     bool is_suspect = piece->view->failed_in_row > 0;
@@ -527,17 +601,19 @@
         piece->failures++;
     else
         piece->moves++;
-    return piece->failures < job->attempts_max && piece->moves < MOVES_MAX;
+    if (piece->failures >= job->attempts_max)
+        return BW_BOUND_FAILED;
+    return piece->moves < MOVES_MAX ? BW_BOUND_COMPLETED : BW_BOUND_EXPIRED;
 }
 
-static bool
-on_moved(BwDispatcher *d, BwPiece *piece, uint32_t kind)
+static BwBoundEnd
+on_moved(BwDispatcher *d, BwPiece *piece, uint32_t kind, uint32_t reason)
 {
     piece->state = BW_PIECE_WAITING;
-    piece->avoid = piece->view;
+    piece->avoid = reason == BW_DECLINE_BUSY ? NULL : piece->view;
     d->counters.bounced += kind == BW_OUTCOME_NOT_RUN;
     d->counters.lost += kind == BW_OUTCOME_LOST;
-    return ++piece->moves < MOVES_MAX;
+    return ++piece->moves < MOVES_MAX ? BW_BOUND_COMPLETED : BW_BOUND_EXPIRED;
 }
 
 static void
@@ -545,12 +621,13 @@
            const BwOutcome *outcome)
 {
     BwBoundJob *job;
-    bool is_alive = true;
+    BwBoundEnd end = BW_BOUND_COMPLETED;
 
     HASH_FIND(hh, d->jobs, &outcome->ref, sizeof(outcome->ref), job);
     if (job == NULL)
         return;
-    for (uint32_t i = 0; i < outcome->task_count && is_alive; i++) {
+    for (uint32_t i = 0; i < outcome->task_count && end == BW_BOUND_COMPLETED;
+         i++) {
         const BwTaskOutcome *task = &outcome->tasks[i];
         BwPiece *piece = find_piece(job, view, task->index);
 
@@ -559,12 +636,14 @@
         if (task->kind == BW_OUTCOME_DONE)
             on_done(d, job, piece, task->ran_us);
         else if (task->kind == BW_OUTCOME_FAILED)
-            is_alive = on_failed(d, now_us, job, piece);
+            end = on_failed(d, now_us, job, piece);
         else
-            is_alive = on_moved(d, piece, task->kind);
+            end = on_moved(d, piece, task->kind, task->reason);
     }
-    if (!is_alive)
-        end_job(d, job, BW_BOUND_FAILED, "a task failed for good");
+    if (end != BW_BOUND_COMPLETED)
+        end_job(d, job, end,
+                end == BW_BOUND_FAILED ? "a task failed for good"
+                                       : "a task moved too often");
     else if (job->done_count == job->piece_count)
         end_job(d, job, BW_BOUND_COMPLETED, "all tasks are done");
     else
@@ -757,12 +836,14 @@
 
             if (piece->view != view || piece->state != BW_PIECE_UNKNOWN)
                 continue;
-            is_alive = on_moved(d, piece, BW_OUTCOME_LOST) && is_alive;
+            is_alive =
+                on_moved(d, piece, BW_OUTCOME_LOST, 0) == BW_BOUND_COMPLETED &&
+                is_alive;
             piece->avoid = NULL;
             is_freed = true;
         }
         if (!is_alive)
-            end_job(d, job, BW_BOUND_FAILED, "a task moved too often");
+            end_job(d, job, BW_BOUND_EXPIRED, "a task moved too often");
         else if (is_freed)
             replace_pieces(d, now_us, job, "its worker was lost");
     }
@@ -816,7 +897,7 @@
         if (view == NULL)
             return;
         strcpy(view->name, text);
-        view->pace_permille = 1000;
+        view->pace_permille = BW_PACE_MEAN_PERMILLE;
         HASH_ADD_STR(d->views, name, view);
     }
     else if (view->peer != 0) {
@@ -909,6 +990,10 @@
 {
     BwBoundJob *job, *next;
 
+    if (now_us - d->anchored_us >= ANCHOR_US) {
+        d->anchored_us = now_us;
+        anchor_paces(d);
+    }
     for (BwView *view = d->views; view != NULL; view = view->hh.next) {
         if (view->gone_us != 0 && now_us >= view->gone_us)
             release_unknown(d, now_us, view);
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -37,6 +37,8 @@
     uint32_t index;    /* within the step */
     uint32_t failures; /* ends by a fault */
     uint32_t moves;    /* places that did not run it */
+    uint64_t wait_us;  /* that is foreseen at the view */
+    uint64_t ran_us;
     struct BwView *view;
     struct BwView *avoid; /* the last that refused or failed it */
     uint64_t link;        /* generation of the view's connection */
@@ -72,7 +74,7 @@
 typedef struct BwInFlight {
     uint64_t number;
     BwRoom room;
-    uint64_t core_us;
+    uint32_t task_count;
 } BwInFlight;
 
 /* What is known of one supervisor and its worker. */
@@ -87,8 +89,10 @@
     uint32_t label_count;
     BwRoom capacity;
     BwRoom free; /* as told */
-    uint64_t queued_core_us;
-    uint32_t pace_permille;
+    uint32_t queued;
+    uint64_t release_us;
+    uint32_t pace_permille; /* see pace.h */
+    uint32_t slow_permille; /* as told */
     uint32_t failed_permille;
     uint32_t failed_in_row;
     uint64_t ejected_until_us;
@@ -110,7 +114,7 @@
 
 typedef enum BwBoundEnd {
     BW_BOUND_COMPLETED,
-    BW_BOUND_FAILED,  /* a task failed for good */
+    BW_BOUND_FAILED,  /* a task failed attempts_max times */
     BW_BOUND_REFUSED, /* nothing was started: come back */
     BW_BOUND_EXPIRED, /* it cannot be in time any more; it may have run */
 } BwBoundEnd;
@@ -153,6 +157,7 @@
     BwRoutePace *paces;
     uint64_t next_ref;
     uint64_t next_link;
+    uint64_t anchored_us; /* when the paces were last anchored */
 } BwDispatcher;
 
 void
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -27,7 +27,13 @@
 #define HOLDS_MAX 3
 #define TRIES_MAX 4
 #define RUN_STEP 16
-#define PACE_SHIFT 4
+#define PACE_SHIFT 3
+#define ENDED_WEIGHT 4 /* of the tasks that ended, beside each that runs */
+#define FAR_PACE_PERMILLE 2000
+#define PACE_MAX_PERMILLE 8000
+#define PROGRESS_AFTER_US 80000
+#define STUCK_FACTOR 4
+#define FAILED_SHIFT 4
 #define LEASE_DRIFT_PERMILLE 1030
 #define LEASE_MARGIN_US 20000
 
@@ -67,12 +73,6 @@
            used->gpu + room->gpu <= capacity->gpu;
 }
 
-static uint64_t
-core_us(const BwSeat *seat)
-{
-    return seat->room.cpu_milli * seat->expected_us / 1000;
-}
-
 /* Whether the worker has answered lately enough to be given work. */
 static bool
 is_responsive(const BwSupervisor *s, uint64_t now_us)
@@ -87,8 +87,53 @@
            !s->is_leaving && is_responsive(s, now_us);
 }
 
+/* The run times against the expected ones, of tasks that ended and of those
+   that run, as far as their progress shows; 1000 unless they are far above.
+   Single declarations are far off, so small differences say nothing. */
+static uint32_t
+slow_permille(const BwSupervisor *s, uint64_t now_us)
+{
+    uint64_t sum = s->pace_permille * ENDED_WEIGHT;
+    uint64_t count = ENDED_WEIGHT;
+    uint64_t mean;
+
+    for (const BwSeat *seat = s->seats; seat != NULL; seat = seat->hh.next) {
+        uint64_t ran_us = now_us - seat->started_us;
+        uint64_t whole_us, pace;
+
+        if (seat->state != BW_SEAT_RUNNING || ran_us < PROGRESS_AFTER_US)
+            continue;
+        whole_us = seat->percent > 0 ? ran_us * 100 / seat->percent
+                                     : ran_us * STUCK_FACTOR;
+        pace = whole_us * 1000 / (seat->expected_us + 1000);
+        sum += pace < PACE_MAX_PERMILLE ? pace : PACE_MAX_PERMILLE;
+        count++;
+    }
+    mean = sum / count;
+    return mean > FAR_PACE_PERMILLE ? (uint32_t)mean : 1000;
+}
+
+/* How long until one of the tasks that run ends, on average. */
+static uint64_t
+release_us(const BwSupervisor *s, uint64_t now_us)
+{
+    uint64_t left_us = 0, count = 0;
+
+    for (const BwSeat *seat = s->seats; seat != NULL; seat = seat->hh.next) {
+        uint64_t run_us = seat->expected_us;
+        uint64_t ran_us = now_us - seat->started_us;
+
+        if (!is_on_worker(seat))
+            continue;
+        count++;
+        if (seat->state != BW_SEAT_STOPPING)
+            left_us += ran_us < run_us ? run_us - ran_us : ran_us / 2;
+    }
+    return count > 0 ? left_us / count / count : 0;
+}
+
 static BwWorkerLoad
-make_load(const BwSupervisor *s, const BwSupervisorPeer *peer)
+make_load(const BwSupervisor *s, const BwSupervisorPeer *peer, uint64_t now_us)
 {
     BwWorkerLoad load = {0};
 
@@ -96,8 +141,9 @@
     load.free = s->capacity;
     remove_room(&load.free, &s->used);
     remove_room(&load.free, &s->queued);
-    load.queued_core_us = s->queued_core_us;
-    load.pace_permille = s->pace_permille;
+    load.queued = s->queued_count;
+    load.release_us = release_us(s, now_us);
+    load.slow_permille = slow_permille(s, now_us);
     load.failed_permille = s->failed_permille;
     return load;
 }
@@ -107,7 +153,7 @@
 {
     BwMessage message = {.kind = BW_MSG_WORKER};
     BwWorkerState *state = &message.u.worker;
-    BwWorkerLoad load = make_load(s, peer);
+    BwWorkerLoad load = make_load(s, peer, now_us);
     BwName labels[BW_LABELS_MAX];
 
     for (uint32_t i = 0; i < s->label_count; i++)
@@ -139,21 +185,20 @@
 }
 
 static void
-report(BwSupervisor *s, uint32_t peer_id, uint64_t ref, uint32_t index,
-       uint32_t kind, uint32_t reason, uint64_t ran_us)
+report(BwSupervisor *s, uint64_t now_us, uint32_t peer_id, uint64_t ref,
+       BwTaskOutcome *tasks, uint32_t task_count)
 {
     BwMessage message = {.kind = BW_MSG_OUTCOME};
-    BwTaskOutcome outcome = {index, kind, reason, ran_us};
     BwSupervisorPeer *peer;
     BwWorkerLoad load;
 
     HASH_FIND(hh, s->peers, &peer_id, sizeof(peer_id), peer);
-    if (peer == NULL)
+    if (peer == NULL || task_count == 0)
         return;
-    load = make_load(s, peer);
+    load = make_load(s, peer, now_us);
     message.u.outcome.ref = ref;
-    message.u.outcome.tasks = &outcome;
-    message.u.outcome.task_count = 1;
+    message.u.outcome.tasks = tasks;
+    message.u.outcome.task_count = task_count;
     message.u.outcome.load = &load;
     message.u.outcome.load_count = 1;
     s->port->send(s->ctx, peer_id, &message);
@@ -169,7 +214,7 @@
     if (seat->state == BW_SEAT_QUEUED) {
         DL_DELETE(s->queue, seat);
         remove_room(&s->queued, &seat->room);
-        s->queued_core_us = take_away(s->queued_core_us, core_us(seat));
+        s->queued_count--;
     }
     else {
         remove_room(&s->used, &seat->room);
@@ -204,8 +249,8 @@
     if (kind == BW_OUTCOME_DONE) {
         uint64_t pace = ran_us * 1000 / expected;
 
-        if (pace > 20000)
-            pace = 20000;
+        if (pace > PACE_MAX_PERMILLE)
+            pace = PACE_MAX_PERMILLE;
         s->pace_permille +=
             (uint32_t)(pace >> PACE_SHIFT) - (s->pace_permille >> PACE_SHIFT);
     }
@@ -220,13 +265,14 @@
 finish_seat(BwSupervisor *s, uint64_t now_us, BwSeat *seat, uint32_t kind,
             uint32_t reason)
 {
-    uint64_t ran_us = seat->started_us != 0 ? now_us - seat->started_us : 0;
+    BwTaskOutcome outcome = {seat->key.index, kind, reason, 0};
 
+    if (seat->started_us != 0)
+        outcome.ran_us = now_us - seat->started_us;
     unlink_seat(s, seat);
-    count_outcome(s, seat, kind, ran_us);
+    count_outcome(s, seat, kind, outcome.ran_us);
     if (kind != 0 && seat->peer != 0)
-        report(s, seat->peer, seat->ref, seat->key.index, kind, reason,
-               ran_us);
+        report(s, now_us, seat->peer, seat->ref, &outcome, 1);
     free_seat(seat);
 }
 
@@ -318,7 +364,7 @@
             continue;
         DL_DELETE(s->queue, seat);
         remove_room(&s->queued, &seat->room);
-        s->queued_core_us = take_away(s->queued_core_us, core_us(seat));
+        s->queued_count--;
         add_room(&s->used, &seat->room);
         seat->state = BW_SEAT_STARTING;
         s->port->log(s->ctx, "start", seat, "room");
@@ -517,10 +563,9 @@
         return;
     }
     s->port->log(s->ctx, "refused", seat, "by the worker");
-    finish_seat(
-        s, now_us, seat,
-        verdict == BW_WORKER_BAD ? BW_OUTCOME_FAILED : BW_OUTCOME_NOT_RUN,
-        verdict == BW_WORKER_LATE ? BW_DECLINE_LATE : BW_DECLINE_REFUSED);
+    finish_seat(s, now_us, seat, BW_OUTCOME_NOT_RUN,
+                verdict == BW_WORKER_LATE ? BW_DECLINE_LATE
+                                          : BW_DECLINE_REFUSED);
 }
 
 void
@@ -831,6 +876,7 @@
     seat->run = 1;
     seat->expected_us = place->expected_us;
     seat->due_us = now_us + place->due_in_us;
+    seat->patience_us = now_us + place->wait_us;
     seat->deadline_us = now_us + place->deadline_in_us;
     return seat;
 }
@@ -858,21 +904,44 @@
     HASH_ADD(by_number, s->numbers, number, sizeof(seat->number), seat);
     DL_INSERT_INORDER(s->queue, seat, compare_seats);
     add_room(&s->queued, &seat->room);
-    s->queued_core_us += core_us(seat);
+    s->queued_count++;
     peer->seat_count++;
     return 0;
 }
 
+/* Takes back the tasks of a PLACE that found no room.  Returns how many. */
+static uint32_t
+take_back(BwSupervisor *s, uint64_t now_us, const BwPlace *place,
+          uint32_t peer, BwTaskOutcome *declined)
+{
+    BwSeat *seat, *next;
+    uint32_t count = 0;
+
+    DL_FOREACH_SAFE(s->queue, seat, next)
+    {
+        if (seat->peer != peer || seat->ref != place->ref ||
+            seat->key.step != place->step || seat->patience_us > now_us)
+            continue;
+        declined[count].index = seat->key.index;
+        declined[count].kind = BW_OUTCOME_NOT_RUN;
+        declined[count++].reason = BW_DECLINE_BUSY;
+        unlink_seat(s, seat);
+        free_seat(seat);
+    }
+    return count;
+}
+
 static void
 on_place(BwSupervisor *s, uint64_t now_us, BwSupervisorPeer *peer,
          const BwPlace *place)
 {
     BwSeatText *text = malloc(sizeof(*text) + place->spec.size_bytes);
-    uint32_t spread = 0;
+    BwTaskOutcome *declined = calloc(place->task_count + 1, sizeof(*declined));
+    uint32_t spread = 0, count = 0;
 
     peer->place_seen = place->number;
-    if (text == NULL)
-        return;
+    if (text == NULL || declined == NULL)
+        goto cleanup;
     text->references = 1;
     text->spec_bytes = place->spec.size_bytes;
     memcpy(text->spec, place->spec.base, place->spec.size_bytes);
@@ -885,15 +954,23 @@
         if (reason == 0)
             reason = queue_task(s, now_us, peer, place, index, text);
         if (reason != 0) {
-            s->counters.declined++;
-            report(s, peer->peer, place->ref, index, BW_OUTCOME_NOT_RUN,
-                   reason, 0);
+            declined[count].index = index;
+            declined[count].kind = BW_OUTCOME_NOT_RUN;
+            declined[count++].reason = reason;
         }
         spread++;
     }
+    start_queued(s, now_us);
+    if (place->wait_us == 0 && count < place->task_count)
+        count += take_back(s, now_us, place, peer->peer, declined + count);
+    s->counters.declined += count;
+    report(s, now_us, peer->peer, place->ref, declined, count);
     if (--text->references == 0)
         free(text);
-    start_queued(s, now_us);
+    text = NULL;
+cleanup:
+    free(text);
+    free(declined);
 }
 
 static void
@@ -949,7 +1026,7 @@
         if (now_us - peer->asked_us >=
             s->limits.session_us / SESSION_RENEWALS) {
             BwMessage message = {.kind = BW_MSG_SESSION};
-            BwWorkerLoad load = make_load(s, peer);
+            BwWorkerLoad load = make_load(s, peer, now_us);
 
             peer->asked_us = now_us;
             message.u.session.asked_us = now_us;
@@ -975,6 +1052,10 @@
             if (!seat->is_stop_in_flight && seat->stopped_us == 0)
                 send_stop(s, now_us, seat);
         }
+        else if (seat->state == BW_SEAT_QUEUED &&
+                 now_us >= seat->patience_us) {
+            finish_seat(s, now_us, seat, BW_OUTCOME_NOT_RUN, BW_DECLINE_BUSY);
+        }
         else if (now_us >= seat->deadline_us) {
             end_seat(s, now_us, seat,
                      is_on_worker(seat) ? BW_OUTCOME_LOST : BW_OUTCOME_NOT_RUN,
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -62,6 +62,7 @@
     uint64_t number; /* of this seat, never used again */
     uint64_t expected_us;
     uint64_t due_us;
+    uint64_t patience_us; /* it is declined when it has no room by then */
     uint64_t deadline_us;
     uint64_t started_us;
     uint64_t stop_sent_us;
@@ -158,8 +159,8 @@
     BwSeat *queue;   /* list by priority and due time */
     BwSupervisorPeer *peers;
     BwRoom queued;
-    uint64_t queued_core_us;
-    uint32_t pace_permille;
+    uint32_t queued_count;
+    uint32_t pace_permille; /* run times of the last few tasks */
     uint32_t failed_permille;
     uint32_t orphan_count; /* seats whose dispatcher is gone */
     bool was_usable;       /* as last told */
