Free a seat whose start can no longer be carried out

Cause: a start without an answer was followed by a stop, and its seat was kept until a stop was answered. A worker that leaves both unanswered, and answers looks, had its lease renewed and its room taken for as long as that lasted; the job waited until its deadline.

A look that was made later and does not list a task that nobody confirmed proves that it is not there and never will be.

Test: /bound/late_orders_and_stops. It failed before (504 after the deadline of 30 s) and passes now; the kept orders are then carried out, and start nothing.

--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -316,6 +316,7 @@
 
     order.lease_ms = worker_clock(s, now_us) + s->limits.lease_us / 1000;
     extend_lease(s, now_us);
+    seat->start_ms = order.lease_ms;
     seat->started_us = now_us;
     s->counters.started++;
     s->port->start(s->ctx, seat->number, &order);
@@ -680,9 +681,11 @@
 }
 
 /* Seats that a look does not list although it was sent after they were known
-   to be there, or after their stop has taken effect. */
+   to be there, or after their stop has taken effect, or was made when their
+   start, which nobody confirmed, could no longer be carried out. */
 static void
-take_absent(BwSupervisor *s, uint64_t now_us, uint64_t sent_us)
+take_absent(BwSupervisor *s, uint64_t now_us, uint64_t sent_us,
+            uint64_t clock_ms)
 {
     BwSeat *seat, *next;
 
@@ -690,8 +693,10 @@
     {
         if (!is_on_worker(seat) || seat->listed_us == sent_us)
             continue;
-        if (seat->state == BW_SEAT_STOPPING && seat->stopped_us != 0 &&
-            sent_us >= seat->stopped_us + STOP_SETTLES_US)
+        if (seat->state == BW_SEAT_STOPPING &&
+            ((seat->stopped_us != 0 &&
+              sent_us >= seat->stopped_us + STOP_SETTLES_US) ||
+             (!seat->is_confirmed && clock_ms > seat->start_ms)))
             finish_seat(s, now_us, seat, seat->outcome, seat->reason);
         else if (seat->state == BW_SEAT_RUNNING && seat->listed_us != 0 &&
                  sent_us > seat->listed_us + STOP_SETTLES_US)
@@ -740,7 +745,7 @@
     }
     take_running(s, sent_us, answer);
     take_ends(s, now_us, answer);
-    take_absent(s, now_us, sent_us);
+    take_absent(s, now_us, sent_us, answer->clock_ms);
     start_queued(s, now_us);
     BwSupervisor_Tick(s, now_us);
 }
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -68,6 +68,8 @@
     uint64_t stop_sent_us;
     uint64_t stopped_us; /* when the worker acknowledged the stop; 0 */
     uint64_t listed_us;  /* when the last look that listed it was sent */
+    uint64_t start_ms;   /* a start that comes later, on the worker's clock, is
+                            refused there */
     uint32_t outcome;    /* BwOutcomeKind to report at the end; 0: none */
     uint32_t reason;
     bool is_confirmed; /* the worker has listed it or said yes */
--- a/tests/test_bound.c
+++ b/tests/test_bound.c
@@ -783,6 +783,12 @@
     play_late_orders("{\"late_starts\":true}");
 }
 
+static void
+test_late_orders_and_stops(void)
+{
+    play_late_orders("{\"late_starts\":true,\"late_stops\":true}");
+}
+
 /* Orders that come late while the job goes on elsewhere. */
 static void
 test_late_orders_meanwhile(void)
@@ -920,6 +926,7 @@
         {"/bound/reload", test_reload},
         {"/bound/refused", test_refused},
         {"/bound/late_orders", test_late_orders},
+        {"/bound/late_orders_and_stops", test_late_orders_and_stops},
         {"/bound/late_orders_meanwhile", test_late_orders_meanwhile},
         {"/bound/worker_fails_all", test_worker_fails_all},
         {"/bound/store_down_later", test_store_down_later},
