Test frozen dispatchers and supervisors

Cause: a frozen process keeps its connections and wakes with what it knew, unlike one that was killed.

Change: a frozen dispatcher's job is sent to the other one, and it starts nothing when it wakes; a frozen supervisor's tasks run elsewhere, and what it had queued is not started there again.

--- a/tests/test_bound.c
+++ b/tests/test_bound.c
@@ -425,6 +425,65 @@
     check_rules();
 }
 
+/* A dispatcher that is frozen loses its tasks, and starts none when it wakes
+   while the other one runs the job. */
+static void
+test_dispatcher_frozen(void)
+{
+    BoundCall calls[2];
+    BoundCount count;
+    Job job;
+
+    set_up();
+    start_still(&calls[0], 0, &job, 8);
+    Fleet_Signal(&fleet.dispatchers[0], SIGSTOP);
+    BoundFleet_WaitRunning(&fleet, job.name, 0);
+    BoundCall_Abandon(&calls[0]);
+    BoundCall_Clear(&calls[0]);
+    start_job(&calls[1], 1, &job, 8, 50);
+    BoundFleet_WaitRunning(&fleet, job.name, 8);
+    Fleet_Signal(&fleet.dispatchers[0], SIGCONT);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    BoundFleet_WaitReady(&fleet, 0, 200);
+    go_on();
+    expect_completed(&calls[1]);
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.starts, ==, 16);
+    g_assert_cmpuint(count.done, ==, 8);
+    complete_job(0, 8);
+    check_rules();
+}
+
+/* What waited in a frozen supervisor's queue has moved when it wakes. */
+static void
+test_supervisor_frozen(void)
+{
+    BoundCall calls[2];
+    BoundCount count;
+    Job jobs[2];
+
+    set_up();
+    start_afresh();
+    start_still(&calls[0], 0, &jobs[0], 16);
+    name_job(&jobs[1], "checks");
+    start_job(&calls[1], 1, &jobs[1], 16, 20);
+    BoundFleet_WaitOutput(&fleet.dispatchers[1], jobs[1].name, 1);
+    Fleet_Signal(&fleet.supervisors[2], SIGSTOP);
+    BoundFleet_WaitLost(&fleet, jobs[0].name);
+    go_on();
+    expect_completed(&calls[1]);
+    Fleet_Signal(&fleet.supervisors[2], SIGCONT);
+    expect_completed(&calls[0]);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    for (uint32_t i = 0; i < 2; i++) {
+        BoundFleet_WaitRunning(&fleet, jobs[i].name, 0);
+        BoundFleet_Count(&fleet, jobs[i].name, &count);
+        g_assert_cmpuint(count.done, ==, 16);
+    }
+    complete_job(0, 16);
+    check_rules();
+}
+
 /* A supervisor that starts again at once takes no task before what its former
    self left there has ended. */
 static void
@@ -913,6 +972,8 @@
         {"/bound/forgotten_history", test_forgotten_history},
         {"/bound/dispatcher_killed", test_dispatcher_killed},
         {"/bound/supervisor_killed", test_supervisor_killed},
+        {"/bound/dispatcher_frozen", test_dispatcher_frozen},
+        {"/bound/supervisor_frozen", test_supervisor_frozen},
         {"/bound/supervisor_restarted", test_supervisor_restarted},
         {"/bound/worker_crashed", test_worker_crashed},
         {"/bound/worker_silent", test_worker_silent},
