Build a record in the stand-in without an unended copy

Cause: lint (bugprone-not-null-terminated-result) in platform_standin. Change: the key and the text are printed in one go. Lint says nothing now.

--- a/tests/standins/platform_standin.c
+++ b/tests/standins/platform_standin.c
@@ -383,14 +383,13 @@
 write_config(const json_t *config)
 {
     char *text = json_dumps(config, JSON_COMPACT);
-    size_t key_bytes = strlen(CONFIG_KEY);
-    size_t size = 1 + key_bytes + strlen(text);
-    char *bytes = malloc(size + 1);
-
-    bytes[0] = (char)key_bytes;
-    memcpy(bytes + 1, CONFIG_KEY, key_bytes);
-    strcpy(bytes + 1 + key_bytes, text);
-    append_record(find_topic(CONFIG_TOPIC), bytes, (uint32_t)size);
+    size_t room = sizeof(CONFIG_KEY) + strlen(text) + 1;
+    char *bytes = malloc(room);
+
+    bytes[0] = (char)strlen(CONFIG_KEY);
+    snprintf(bytes + 1, room - 1, "%s%s", CONFIG_KEY, text);
+    append_record(find_topic(CONFIG_TOPIC), bytes,
+                  1 + (uint32_t)strlen(bytes + 1));
     free(bytes);
     free(text);
 }
