Take a job only if it ends well within its objective

Change: urgent jobs are taken up to 1.2 of the objective, others up to 0.85, since declarations scatter; an urgent task does not count the tasks behind it in a queue.

--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -14,6 +14,7 @@
 #include "brasswing.h"
 #include "dispatcher.h"
 #include "pace.h"
+#include "room.h"
 
 #define LEASE_DRIFT_PERMILLE 1030
 #define GONE_MARGIN_US 120000 /* stops take effect, and clocks drift */
@@ -32,7 +33,8 @@
 #define FAR_PERMILLE 1500
 #define CROWDED_PERMILLE 100
 #define RETRY_AFTER_MS 1000
-#define LATE_SHARE 2 /* of the objective, that an answer may be late */
+#define URGENT_LIMIT_PERMILLE 1200
+#define LIMIT_PERMILLE 850
 #define NEVER UINT64_MAX
 
 static BwRoutePace *
@@ -139,31 +141,28 @@
            now_us >= view->ejected_until_us && view->answered_us != 0;
 }
 
+/* The room that is free once what is under way has come, and the number of
+   tasks that a new one of that priority waits for. */
 static BwRoom
-view_room(const BwView *view, uint32_t *ahead)
+view_room(const BwView *view, uint32_t priority, uint32_t *ahead)
 {
     BwRoom room = view->free;
 
-    *ahead = view->queued;
+    *ahead = priority == 0 ? view->queued_urgent : view->queued;
     for (uint32_t i = 0; i < view->in_flight_count; i++) {
-        const BwInFlight *sent = &view->in_flight[i];
-
-        room.cpu_milli -= sent->room.cpu_milli < room.cpu_milli
-                              ? sent->room.cpu_milli
-                              : room.cpu_milli;
-        room.mem_mb -=
-            sent->room.mem_mb < room.mem_mb ? sent->room.mem_mb : room.mem_mb;
-        room.gpu -= sent->room.gpu < room.gpu ? sent->room.gpu : room.gpu;
-        *ahead += sent->task_count;
+        BwRoom_Remove(&room, &view->in_flight[i].room);
+        *ahead += view->in_flight[i].task_count;
     }
     return room;
 }
 
 static bool
-room_fits(const BwRoom *need, const BwRoom *room)
+view_has_room(const BwView *view, const BwRoom *need, const BwRoom *room,
+              uint32_t priority)
 {
-    return need->cpu_milli <= room->cpu_milli &&
-           need->mem_mb <= room->mem_mb && need->gpu <= room->gpu;
+    uint32_t queued = priority == 0 ? view->queued_urgent : view->queued;
+
+    return queued == 0 && BwRoom_Fits(need, room);
 }
 
 static bool
@@ -204,9 +203,7 @@
 {
     BwInFlight *sent = next_in_flight(view);
 
-    sent->room.cpu_milli += room->cpu_milli;
-    sent->room.mem_mb += room->mem_mb;
-    sent->room.gpu += room->gpu;
+    BwRoom_Add(&sent->room, room);
     sent->task_count++;
 }
 
@@ -215,9 +212,7 @@
 {
     BwInFlight *sent = next_in_flight(view);
 
-    sent->room.cpu_milli -= room->cpu_milli;
-    sent->room.mem_mb -= room->mem_mb;
-    sent->room.gpu -= room->gpu;
+    BwRoom_Remove(&sent->room, room);
     sent->task_count--;
 }
 
@@ -228,6 +223,7 @@
 
     view->free = load->free;
     view->queued = load->queued;
+    view->queued_urgent = load->queued_urgent;
     view->release_us = load->release_us;
     view->slow_permille = load->slow_permille;
     view->failed_permille = load->failed_permille;
@@ -291,7 +287,7 @@
 
     return view_takes(view, now_us) &&
            strcmp(view->service, job->service) == 0 &&
-           room_fits(&step->room, &view->capacity) &&
+           BwRoom_Fits(&step->room, &view->capacity) &&
            view_has_label(view, step->requirement) && piece->avoid != view &&
            (step->spread_max == 0 ||
             count_there(job, view, piece->step) < step->spread_max);
@@ -309,8 +305,8 @@
 
     if (!is_suited(job, piece, view, now_us))
         return foresight;
-    room = view_room(view, &ahead);
-    if (!room_fits(&step->room, &room))
+    room = view_room(view, job->priority, &ahead);
+    if (!view_has_room(view, &step->room, &room, job->priority))
         foresight.wait_us =
             (ahead + 1) * (view->release_us > RELEASE_MIN_US ? view->release_us
                                                              : RELEASE_MIN_US);
@@ -358,11 +354,18 @@
     return true;
 }
 
+/* When the last task has to end, as far as can be foreseen, for the job to be
+   taken.  Work that would end late keeps others waiting, so only urgent jobs
+   may pass their objective. */
 static uint64_t
 limit_of(const BwBoundJob *job)
 {
+    uint64_t objective_us = job->due_us - job->arrived_us;
     uint64_t limit_us =
-        job->due_us + (job->due_us - job->arrived_us) / LATE_SHARE;
+        job->arrived_us +
+        objective_us *
+            (job->priority == 0 ? URGENT_LIMIT_PERMILLE : LIMIT_PERMILLE) /
+            1000;
 
     return limit_us < job->deadline_us ? limit_us : job->deadline_us;
 }
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -90,6 +90,7 @@
     BwRoom capacity;
     BwRoom free; /* as told */
     uint32_t queued;
+    uint32_t queued_urgent;
     uint64_t release_us;
     uint32_t pace_permille; /* see pace.h */
     uint32_t slow_permille; /* as told */
--- /dev/null
+++ b/packages/core/room.c
@@ -0,0 +1,32 @@
+/* room.c -- processors, memory and accelerators as one quantity */
+
+#include "room.h"
+
+static uint64_t
+take_away(uint64_t from, uint64_t amount)
+{
+    return from > amount ? from - amount : 0;
+}
+
+void
+BwRoom_Add(BwRoom *sum, const BwRoom *room)
+{
+    sum->cpu_milli += room->cpu_milli;
+    sum->mem_mb += room->mem_mb;
+    sum->gpu += room->gpu;
+}
+
+void
+BwRoom_Remove(BwRoom *sum, const BwRoom *room)
+{
+    sum->cpu_milli = take_away(sum->cpu_milli, room->cpu_milli);
+    sum->mem_mb = take_away(sum->mem_mb, room->mem_mb);
+    sum->gpu = take_away(sum->gpu, room->gpu);
+}
+
+bool
+BwRoom_Fits(const BwRoom *need, const BwRoom *free)
+{
+    return need->cpu_milli <= free->cpu_milli &&
+           need->mem_mb <= free->mem_mb && need->gpu <= free->gpu;
+}
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -17,6 +17,7 @@
 #include <utlist.h>
 
 #include "brasswing.h"
+#include "room.h"
 #include "supervisor.h"
 
 #define SESSION_RENEWALS 3     /* in the time of a session */
@@ -43,36 +44,6 @@
     return seat->state != BW_SEAT_QUEUED;
 }
 
-static uint64_t
-take_away(uint64_t from, uint64_t amount)
-{
-    return from > amount ? from - amount : 0;
-}
-
-static void
-add_room(BwRoom *sum, const BwRoom *room)
-{
-    sum->cpu_milli += room->cpu_milli;
-    sum->mem_mb += room->mem_mb;
-    sum->gpu += room->gpu;
-}
-
-static void
-remove_room(BwRoom *sum, const BwRoom *room)
-{
-    sum->cpu_milli = take_away(sum->cpu_milli, room->cpu_milli);
-    sum->mem_mb = take_away(sum->mem_mb, room->mem_mb);
-    sum->gpu = take_away(sum->gpu, room->gpu);
-}
-
-static bool
-fits(const BwRoom *used, const BwRoom *room, const BwRoom *capacity)
-{
-    return used->cpu_milli + room->cpu_milli <= capacity->cpu_milli &&
-           used->mem_mb + room->mem_mb <= capacity->mem_mb &&
-           used->gpu + room->gpu <= capacity->gpu;
-}
-
 /* Whether the worker has answered lately enough to be given work. */
 static bool
 is_responsive(const BwSupervisor *s, uint64_t now_us)
@@ -139,9 +110,9 @@
 
     load.place_seen = peer->place_seen;
     load.free = s->capacity;
-    remove_room(&load.free, &s->used);
-    remove_room(&load.free, &s->queued);
+    BwRoom_Remove(&load.free, &s->used);
     load.queued = s->queued_count;
+    load.queued_urgent = s->queued_urgent;
     load.release_us = release_us(s, now_us);
     load.slow_permille = slow_permille(s, now_us);
     load.failed_permille = s->failed_permille;
@@ -206,6 +177,13 @@
 
 /* -------------------------------------------------------------- seats */
 
+static void
+note_unqueued(BwSupervisor *s, const BwSeat *seat)
+{
+    s->queued_count--;
+    s->queued_urgent -= seat->priority == 0;
+}
+
 static void
 unlink_seat(BwSupervisor *s, BwSeat *seat)
 {
@@ -213,11 +191,10 @@
 
     if (seat->state == BW_SEAT_QUEUED) {
         DL_DELETE(s->queue, seat);
-        remove_room(&s->queued, &seat->room);
-        s->queued_count--;
+        note_unqueued(s, seat);
     }
     else {
-        remove_room(&s->used, &seat->room);
+        BwRoom_Remove(&s->used, &seat->room);
     }
     HASH_DELETE(hh, s->seats, seat);
     HASH_DELETE(by_number, s->numbers, seat);
@@ -360,12 +337,14 @@
         return;
     DL_FOREACH_SAFE(s->queue, seat, next)
     {
-        if (!fits(&s->used, &seat->room, &s->capacity))
+        BwRoom room = s->capacity;
+
+        BwRoom_Remove(&room, &s->used);
+        if (!BwRoom_Fits(&seat->room, &room))
             continue;
         DL_DELETE(s->queue, seat);
-        remove_room(&s->queued, &seat->room);
-        s->queued_count--;
-        add_room(&s->used, &seat->room);
+        note_unqueued(s, seat);
+        BwRoom_Add(&s->used, &seat->room);
         seat->state = BW_SEAT_STARTING;
         s->port->log(s->ctx, "start", seat, "room");
         send_start(s, now_us, seat);
@@ -843,8 +822,6 @@
             const BwSupervisorPeer *peer, const BwPlace *place,
             uint32_t spread)
 {
-    BwRoom none = {0};
-
     if (s->is_leaving || s->is_worker_leaving || !is_usable(s, now_us))
         return BW_DECLINE_LEAVING;
     if (now_us >= peer->valid_until_us)
@@ -852,7 +829,7 @@
     if (!BwSpan_Equal(place->service, BwSpan_FromString(s->service)))
         return BW_DECLINE_NO_SERVICE;
     if (!has_label(s, place->requirement) ||
-        !fits(&none, &place->room, &s->capacity) ||
+        !BwRoom_Fits(&place->room, &s->capacity) ||
         (place->spread_max > 0 && spread >= place->spread_max))
         return BW_DECLINE_UNSUITED;
     if (HASH_COUNT(s->seats) >= BW_SUPERVISOR_TASKS_MAX)
@@ -903,8 +880,8 @@
     HASH_ADD(hh, s->seats, key, sizeof(seat->key), seat);
     HASH_ADD(by_number, s->numbers, number, sizeof(seat->number), seat);
     DL_INSERT_INORDER(s->queue, seat, compare_seats);
-    add_room(&s->queued, &seat->room);
     s->queued_count++;
+    s->queued_urgent += seat->priority == 0;
     peer->seat_count++;
     return 0;
 }
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -158,8 +158,8 @@
     BwSeat *numbers; /* hash by number */
     BwSeat *queue;   /* list by priority and due time */
     BwSupervisorPeer *peers;
-    BwRoom queued;
     uint32_t queued_count;
+    uint32_t queued_urgent; /* of priority 0 */
     uint32_t pace_permille; /* run times of the last few tasks */
     uint32_t failed_permille;
     uint32_t orphan_count; /* seats whose dispatcher is gone */
--- a/packages/ports/messages.h
+++ b/packages/ports/messages.h
@@ -467,6 +467,7 @@
     uint64_t place_seen;
     BwRoom free;
     uint32_t queued;        /* tasks that wait there */
+    uint32_t queued_urgent; /* of them of priority 0 */
     uint64_t release_us;    /* until one of those that run ends, on average */
     uint32_t slow_permille; /* run time against the expected one if it is far
                                above, else 1000 */
