Give no work to a worker that refuses every call

A refused look counted as an answer: the worker stayed usable, its lease was taken as renewed without end, and its tasks were never reported lost. A refusal now leaves the time that an answer was due by as it is, so that the worker is taken as silent. A silent worker is looked at without waiting, so that it is usable again as soon as it answers.

The new test /supervisor/unhealthy failed before: the dispatcher was not told that the worker is unusable within 1.5 s.

--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -679,7 +679,8 @@
     if (s->holds_in_flight > 0)
         s->holds_in_flight--;
     take_clock(s, now_us, answer);
-    if (answer->verdict != BW_WORKER_NO_ANSWER)
+    if (answer->verdict != BW_WORKER_NO_ANSWER &&
+        answer->verdict != BW_WORKER_UNHEALTHY)
         s->due_us = s->holds_in_flight == 0
                         ? 0
                         : now_us + s->limits.hold_us + s->limits.answer_us;
@@ -988,6 +989,7 @@
 {
     uint64_t age_us = now_us - s->hold_sent_us;
     bool is_idle = HASH_COUNT(s->seats) == 0;
+    uint64_t wait_us = is_idle ? IDLE_HOLD_US : s->limits.hold_us;
 
     if (s->phase == BW_WORKER_NONE)
         return;
@@ -997,8 +999,12 @@
             send_hold(s, now_us, 0);
         return;
     }
-    if (s->holds_in_flight == 0)
-        send_hold(s, now_us, is_idle ? IDLE_HOLD_US : s->limits.hold_us);
+    if (!is_responsive(s, now_us))
+        wait_us = 0;
+    if (s->holds_in_flight == 0) {
+        if (s->due_us == 0 || age_us >= CLEARING_HOLD_US)
+            send_hold(s, now_us, wait_us);
+    }
     else if (!is_idle && s->holds_in_flight < HOLDS_MAX &&
              age_us > s->limits.hold_us + s->limits.answer_us / 2)
         send_hold(s, now_us, s->limits.hold_us);
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -1374,6 +1374,32 @@
     finish_world(&w);
 }
 
+/* It refuses everything, and is not given work. */
+static void
+test_unhealthy(void)
+{
+    World w;
+    uint32_t peer = open_world(&w), first;
+
+    first = place(&w, peer, &(Order){.job = "a"});
+    run(&w, 300000);
+    w.worker.is_unhealthy = true;
+    run(&w, 10000);
+    assert_kind(&w, first, 0);
+    run(&w, 1500000);
+    g_assert_true(find_peer(&w, peer)->is_leaving);
+    assert_kind(&w, first, BW_OUTCOME_LOST);
+    assert_declined(&w, place(&w, peer, &(Order){.job = "b"}),
+                    BW_DECLINE_LEAVING);
+    w.worker.is_unhealthy = false;
+    run(&w, 300000);
+    g_assert_false(find_peer(&w, peer)->is_leaving);
+    first = place(&w, peer, &(Order){.job = "a", .run_us = 100000});
+    run(&w, 500000);
+    assert_kind(&w, first, BW_OUTCOME_DONE);
+    finish_world(&w);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1397,5 +1423,6 @@
     g_test_add_func("/supervisor/suits", test_suits);
     g_test_add_func("/supervisor/priority", test_priority);
     g_test_add_func("/supervisor/deadline", test_deadline);
+    g_test_add_func("/supervisor/unhealthy", test_unhealthy);
     return g_test_run();
 }
