Decline what is queued for a worker that was lost

When the lease of a silent worker ran out, its running tasks were reported lost, and those in the queue waited on for their deadline. They are declined now, so that the dispatcher places them elsewhere.

The new test /supervisor/silent_queue failed before: two queued tasks had no outcome 200 ms after twice the lease.

--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -1016,6 +1016,8 @@
     if (now_us >= s->lease_end_us && s->lease_end_us != 0) {
         s->lease_end_us = 0;
         lose_all(s, now_us, "the lease ran out");
+        if (!is_responsive(s, now_us))
+            decline_queue(s, now_us, BW_DECLINE_LEAVING);
     }
     tick_seats(s, now_us);
     tick_sessions(s, now_us);
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -1400,6 +1400,24 @@
     finish_world(&w);
 }
 
+/* What is queued does not wait for a worker that is lost. */
+static void
+test_silent_queue(void)
+{
+    World w;
+    uint32_t peer = open_world(&w), first;
+
+    first = place(&w, peer, &(Order){.job = "a", .count = 6});
+    run(&w, 300000);
+    w.worker.is_silent = true;
+    run(&w, 2 * LEASE_US + 200000);
+    assert_kind(&w, first + 3, BW_OUTCOME_LOST);
+    assert_kind(&w, first + 4, BW_OUTCOME_NOT_RUN);
+    assert_kind(&w, first + 5, BW_OUTCOME_NOT_RUN);
+    assert_empty(&w);
+    finish_world(&w);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1424,5 +1442,6 @@
     g_test_add_func("/supervisor/priority", test_priority);
     g_test_add_func("/supervisor/deadline", test_deadline);
     g_test_add_func("/supervisor/unhealthy", test_unhealthy);
+    g_test_add_func("/supervisor/silent_queue", test_silent_queue);
     return g_test_run();
 }
