Take another worker for granted only when the known one is gone

A late announcement of an instance before the former one made the supervisor turn to that instance and back; on the way it reported every task lost while it still ran, and took the capacity and clock of the dead instance. While tasks are there, another instance's announcement now makes the supervisor look at the known one, which either answers or proves to be replaced; the next announcement then counts. Nothing is left to lose when it turns.

An answer to an order to a former instance set the clock by which leases are counted, and one that names another incarnation dropped the new one; both are ignored now. The end of an instance that is not the known one no longer sets the sequence that announcements must exceed.

New tests: /supervisor/stale_beat failed before with LOST for a task that the worker listed, /supervisor/late_answer with the foreign clock, /supervisor/stale_end with a drain that went unseen.

--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -386,6 +386,7 @@
     s->holds_in_flight = 0;
     s->due_us = 0;
     s->first_hold = s->hold_number + 1;
+    s->first_number = s->next_number + 1;
     send_hold(s, now_us, 0);
 }
 
@@ -403,18 +404,23 @@
 {
     bool was_leaving = s->is_worker_leaving;
     char instance[BW_NAME_BYTES_MAX];
+    bool is_same;
 
     set_text(instance, sizeof(instance), beat->instance);
-    if (strcmp(instance, s->former) == 0)
+    is_same = strcmp(instance, s->instance) == 0;
+    if (strcmp(instance, s->former) == 0 || (beat->is_gone && !is_same))
         return;
-    if (strcmp(instance, s->instance) == 0 &&
-        beat->sequence < s->beat_sequence && !beat->is_gone)
+    if (is_same && beat->sequence < s->beat_sequence && !beat->is_gone)
         return;
+    if (!is_same && HASH_COUNT(s->seats) > 0) {
+        if (s->holds_in_flight < HOLDS_MAX)
+            send_hold(s, now_us, 0);
+        return;
+    }
     s->beat_us = now_us;
     s->beat_sequence = beat->sequence;
     if (beat->is_gone) {
-        if (strcmp(instance, s->instance) == 0)
-            s->is_worker_leaving = true;
+        s->is_worker_leaving = true;
     }
     else {
         s->is_worker_leaving = beat->is_leaving;
@@ -425,8 +431,9 @@
         s->label_count = beat->label_count;
         for (uint32_t i = 0; i < beat->label_count; i++)
             set_text(s->labels[i], BW_NAME_BYTES_MAX, beat->labels[i]);
-        if (strcmp(instance, s->instance) != 0) {
-            strcpy(s->former, s->instance);
+        if (!is_same || s->phase == BW_WORKER_NONE) {
+            if (!is_same)
+                strcpy(s->former, s->instance);
             strcpy(s->instance, instance);
             s->clock_ms = beat->clock_ms;
             s->clock_read_us = now_us;
@@ -455,25 +462,20 @@
             answer->clock_ms > s->fence ? answer->clock_ms : s->fence + 1;
 }
 
-/* The worker at the address is not the one that is meant. */
+/* The worker at the address is not the one that is meant: the next
+   announcement says which one it is. */
 static void
 on_other_instance(BwSupervisor *s, uint64_t now_us)
 {
-    if (s->phase == BW_WORKER_CLEARING && s->former[0] != '\0') {
-        char name[BW_NAME_BYTES_MAX];
+    bool was_ready = s->phase == BW_WORKER_READY;
 
-        strcpy(name, s->instance);
-        strcpy(s->instance, s->former);
-        strcpy(s->former, name);
-        clear_worker(s, now_us);
+    s->phase = BW_WORKER_NONE;
+    s->former[0] = '\0';
+    if (!was_ready)
         return;
-    }
-    if (s->phase == BW_WORKER_READY) {
-        s->phase = BW_WORKER_NONE;
-        lose_all(s, now_us, "the worker was replaced");
-        decline_queue(s, now_us, BW_DECLINE_LEAVING);
-        tell_all(s, now_us);
-    }
+    lose_all(s, now_us, "the worker was replaced");
+    decline_queue(s, now_us, BW_DECLINE_LEAVING);
+    tell_all(s, now_us);
 }
 
 static BwSeat *
@@ -529,6 +531,8 @@
 {
     BwSeat *seat = find_number(s, number);
 
+    if (number < s->first_number)
+        return;
     take_clock(s, now_us, answer);
     if (answer->verdict == BW_WORKER_OTHER) {
         on_other_instance(s, now_us);
@@ -562,6 +566,8 @@
 {
     BwSeat *seat = find_number(s, number);
 
+    if (number < s->first_number)
+        return;
     take_clock(s, now_us, answer);
     if (answer->verdict == BW_WORKER_OTHER) {
         on_other_instance(s, now_us);
@@ -657,7 +663,6 @@
 static void
 take_cleared(BwSupervisor *s, uint64_t now_us, const BwWorkerAnswer *answer)
 {
-    lose_all(s, now_us, "the worker was replaced or taken over");
     for (uint32_t i = 0; i < answer->running_count; i++)
         stop_stranger(s, &answer->running[i]);
     for (uint32_t i = 0; i < answer->ended_count; i++) {
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -1418,6 +1418,88 @@
     finish_world(&w);
 }
 
+/* Answers of the former instance come after the new one is known. */
+static void
+test_late_answer(void)
+{
+    World w;
+    uint32_t peer = open_world(&w), task;
+    BwWorkerAnswer answer = {.verdict = BW_WORKER_OK, .clock_ms = 900000000};
+
+    task = place(&w, peer, &(Order){.job = "a"});
+    run(&w, 50000);
+    begin_life(&w);
+    run(&w, 1000000);
+    assert_kind(&w, task, BW_OUTCOME_LOST);
+    g_assert_cmpint(w.supervisor.phase, ==, BW_WORKER_READY);
+    BwSupervisor_OnStarted(&w.supervisor, w.now_us, 1, &answer);
+    g_assert_cmpuint(w.supervisor.clock_ms, <, 900000000);
+    answer.verdict = BW_WORKER_OTHER;
+    BwSupervisor_OnStarted(&w.supervisor, w.now_us, 1, &answer);
+    BwSupervisor_OnStopped(&w.supervisor, w.now_us, 1, &answer);
+    g_assert_cmpint(w.supervisor.phase, ==, BW_WORKER_READY);
+    finish_world(&w);
+}
+
+/* A beat that was delayed while the worker was replaced twice. */
+static void
+test_stale_beat(void)
+{
+    World w;
+    uint32_t peer;
+    Beat stale;
+    uint32_t task;
+
+    init_world(&w, NULL);
+    stale = make_beat(&w);
+    stale.capacity_cpu = 9000;
+    begin_life(&w);
+    peer = open_peer(&w);
+    run(&w, 500000);
+    begin_life(&w);
+    run(&w, 1000000);
+    task = place(&w, peer, &(Order){.job = "a", .run_us = 1000000});
+    run(&w, 100000);
+    deliver_beat(&w, &stale);
+    g_assert_false(find_peer(&w, peer)->is_leaving);
+    run(&w, 500000);
+    assert_kind(&w, task, 0);
+    g_assert_cmpuint(w.worker.running->len, ==, 1);
+    g_assert_cmpuint(w.supervisor.capacity.cpu_milli, ==, CAPACITY_CPU);
+    run(&w, 500000);
+    assert_kind(&w, task, BW_OUTCOME_DONE);
+    deliver_beat(&w, &stale);
+    run(&w, 500000);
+    g_assert_false(find_peer(&w, peer)->is_leaving);
+    g_assert_cmpuint(w.supervisor.capacity.cpu_milli, ==, CAPACITY_CPU);
+    finish_world(&w);
+}
+
+/* The end of a worker before the former one becomes known late. */
+static void
+test_stale_end(void)
+{
+    World w;
+    uint32_t peer;
+    Beat gone;
+
+    init_world(&w, NULL);
+    gone = make_beat(&w);
+    gone.sequence = 1000;
+    gone.is_gone = true;
+    begin_life(&w);
+    peer = open_peer(&w);
+    run(&w, 500000);
+    begin_life(&w);
+    run(&w, 1000000);
+    deliver_beat(&w, &gone);
+    g_assert_false(find_peer(&w, peer)->is_leaving);
+    w.worker.is_leaving = true;
+    run(&w, 500000);
+    g_assert_true(find_peer(&w, peer)->is_leaving);
+    finish_world(&w);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1443,5 +1525,8 @@
     g_test_add_func("/supervisor/deadline", test_deadline);
     g_test_add_func("/supervisor/unhealthy", test_unhealthy);
     g_test_add_func("/supervisor/silent_queue", test_silent_queue);
+    g_test_add_func("/supervisor/late_answer", test_late_answer);
+    g_test_add_func("/supervisor/stale_beat", test_stale_beat);
+    g_test_add_func("/supervisor/stale_end", test_stale_end);
     return g_test_run();
 }
