Let no older announcement undo a worker's end

The message by which a worker says that it ends carries no sequence, so a delayed announcement from before it was taken for newer, and the worker was given tasks again.

The new test /supervisor/gone failed before: the task was queued.

--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -421,6 +421,7 @@
     s->beat_sequence = beat->sequence;
     if (beat->is_gone) {
         s->is_worker_leaving = true;
+        s->beat_sequence = UINT64_MAX;
     }
     else {
         s->is_worker_leaving = beat->is_leaving;
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -1500,6 +1500,24 @@
     finish_world(&w);
 }
 
+/* A beat from before the worker said that it ends. */
+static void
+test_gone(void)
+{
+    World w;
+    uint32_t peer = open_world(&w);
+    Beat beat = make_beat(&w);
+    Beat gone = {.instance = beat.instance, .is_gone = true};
+
+    w.is_beating = false;
+    deliver_beat(&w, &gone);
+    g_assert_true(find_peer(&w, peer)->is_leaving);
+    deliver_beat(&w, &beat);
+    assert_declined(&w, place(&w, peer, &(Order){.job = "a"}),
+                    BW_DECLINE_LEAVING);
+    finish_world(&w);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1528,5 +1546,6 @@
     g_test_add_func("/supervisor/late_answer", test_late_answer);
     g_test_add_func("/supervisor/stale_beat", test_stale_beat);
     g_test_add_func("/supervisor/stale_end", test_stale_end);
+    g_test_add_func("/supervisor/gone", test_gone);
     return g_test_run();
 }
