Play random failures against the account of a room

200 fixed seeds of 3000 steps: calls that are lost, unanswered, late by seconds or overtaken, a worker that falls silent, refuses, drains, crashes and comes back with another capacity and clock, delayed announcements, dispatchers that go or fall mute, a supervisor that restarts. After each step the worker's true state is held against what was told; at the end everything is accounted for and a task still runs through.

--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -15,6 +15,7 @@
 #define STEP_US 5000
 #define SESSION_US 500000
 #define LEASE_US 400000
+#define LONG_LEASE_US 4000000 /* orders that come late are still in time */
 #define HOLD_US 120000
 #define ANSWER_US 120000
 #define STOP_US 50000 /* the worker ends a stopped task within */
@@ -34,10 +35,9 @@
 
 typedef enum Fate {
     FATE_ANSWERED,
-    FATE_LOST,     /* the order does not arrive */
-    FATE_UNSAID,   /* it is carried out and the answer is lost */
-    FATE_LATE,     /* it is carried out seconds later, without an answer */
-    FATE_OVERTAKEN /* its answer takes long */
+    FATE_LOST,   /* the order does not arrive */
+    FATE_UNSAID, /* it is carried out and the answer is lost */
+    FATE_LATE,   /* it is carried out seconds later, without an answer */
 } Fate;
 
 /* A task as the worker knows it. */
@@ -161,6 +161,9 @@
     GArray *order; /* placements in the order of their first start */
     uint32_t starts;
     uint32_t losses; /* of 1000 calls, of each sort */
+    uint64_t latency_us;
+    uint64_t late_us; /* of an order that is carried out late */
+    BwSupervisorLimits limits;
     uint64_t next_beat_us;
     uint64_t next_ref;
     bool is_beating;
@@ -356,7 +359,8 @@
     uint64_t takes_us = 1000;
 
     if (w->rand != NULL)
-        takes_us = (uint64_t)g_rand_int_range(w->rand, 1000, 60000);
+        takes_us =
+            (uint64_t)g_rand_int_range(w->rand, 1000, (gint32)w->latency_us);
     call->state = CALL_ANSWERED;
     call->answers_us = w->now_us + takes_us;
     call->answer.verdict = verdict;
@@ -429,7 +433,8 @@
     call->arrives_us = w->now_us + 1000;
     call->given_up_us = w->now_us + ANSWER_US;
     if (w->rand != NULL)
-        call->arrives_us += (uint64_t)g_rand_int_range(w->rand, 0, 50000);
+        call->arrives_us +=
+            (uint64_t)g_rand_int_range(w->rand, 0, (gint32)w->latency_us);
     call->is_unsaid = fate == FATE_UNSAID || fate == FATE_LATE;
     if (fate == FATE_LOST)
         call->arrives_us = UINT64_MAX;
@@ -438,7 +443,7 @@
             w->now_us + (w->rand != NULL
                              ? (uint64_t)g_rand_int_range(w->rand, LATE_MIN_US,
                                                           LATE_MAX_US)
-                             : LATE_MIN_US);
+                             : w->late_us);
     g_ptr_array_add(w->calls, call);
     return call;
 }
@@ -843,8 +848,6 @@
 
 static const BwSupervisorPort port = {on_send, on_start, on_stop, on_hold,
                                       on_log};
-static const BwSupervisorLimits limits = {SESSION_US, LEASE_US, HOLD_US,
-                                          ANSWER_US};
 
 static void
 run(World *w, uint64_t span_us)
@@ -875,7 +878,7 @@
         peer->is_up = false;
     }
     BwSupervisor_Finish(&w->supervisor);
-    BwSupervisor_Init(&w->supervisor, &limits, &port, w);
+    BwSupervisor_Init(&w->supervisor, &w->limits, &port, w);
     w->life++;
 }
 
@@ -885,6 +888,9 @@
     memset(w, 0, sizeof(*w));
     w->rand = rand;
     w->now_us = START_US;
+    w->latency_us = 50000;
+    w->late_us = LATE_MIN_US;
+    w->limits = (BwSupervisorLimits){SESSION_US, LEASE_US, HOLD_US, ANSWER_US};
     w->calls = g_ptr_array_new_with_free_func(free_call);
     w->beats = g_array_new(FALSE, TRUE, sizeof(Beat));
     w->replies = g_array_new(FALSE, TRUE, sizeof(Reply));
@@ -898,7 +904,7 @@
     w->worker.capacity_cpu = CAPACITY_CPU;
     w->is_beating = true;
     begin_life(w);
-    BwSupervisor_Init(&w->supervisor, &limits, &port, w);
+    BwSupervisor_Init(&w->supervisor, &w->limits, &port, w);
 }
 
 static void
@@ -1162,17 +1168,20 @@
 test_restart(void)
 {
     World w;
+    Beat beat;
     uint32_t peer = open_world(&w), task;
 
     place(&w, peer, &(Order){.job = "a", .count = 3});
     run(&w, 100000);
     w.fate[CALL_START] = FATE_LATE;
+    w.late_us = 250000;
     place(&w, peer, &(Order){.job = "a", .first = 3});
     run(&w, 10000);
     restart_supervisor(&w);
     peer = open_peer(&w);
     g_assert_false(find_peer(&w, peer)->is_clear);
-    run(&w, 5000);
+    beat = make_beat(&w);
+    deliver_beat(&w, &beat);
     g_assert_cmpuint(w.worker.running->len, ==, 3);
     while (!find_peer(&w, peer)->is_clear) {
         g_assert_cmpuint(w.supervisor.counters.started, ==, 0);
@@ -1180,6 +1189,7 @@
     }
     g_assert_cmpuint(w.worker.running->len, ==, 0);
     run(&w, 500000);
+    g_assert_cmpuint(w.starts, ==, 3);
     task = place(&w, peer, &(Order){.job = "a", .count = 4});
     run(&w, 4000000);
     assert_kind(&w, task, 0);
@@ -1518,6 +1528,204 @@
     finish_world(&w);
 }
 
+/* ------------------------------------------------------------- random */
+
+#define SEEDS 200
+#define RANDOM_STEPS 3000
+#define PEERS 3
+
+static bool
+happens(World *w, gint of_10000)
+{
+    return g_rand_int_range(w->rand, 0, 10000) < of_10000;
+}
+
+static uint64_t
+between(World *w, uint64_t low, uint64_t high)
+{
+    return low +
+           (uint64_t)g_rand_double_range(w->rand, 0, (double)(high - low));
+}
+
+static uint32_t
+any_peer(World *w)
+{
+    uint32_t id;
+
+    do {
+        id = (uint32_t)between(w, 0, w->peers->len) + 1;
+    } while (!find_peer(w, id)->is_up);
+    return id;
+}
+
+static void
+place_any(World *w, uint32_t peer)
+{
+    static const char *const jobs[] = {"a", "b", "c", "d", "e", "f",
+                                       "g", "h", "i", "j", "k", "l"};
+    Order order = {0};
+
+    order.job = jobs[between(w, 0, G_N_ELEMENTS(jobs))];
+    order.step = (uint32_t)between(w, 0, 2);
+    order.first = (uint32_t)between(w, 0, 4);
+    order.count = (uint32_t)between(w, 1, 4);
+    order.cpu = (uint32_t)between(w, 200, 2500);
+    order.run_us = between(w, 10000, 250000);
+    if (happens(w, 1000))
+        order.run_us = between(w, 1000000, 5000000);
+    if (happens(w, 1000))
+        order.end = BW_END_FAILED;
+    order.priority = (uint32_t)between(w, 0, 3);
+    if (happens(w, 2000))
+        order.spread_max = (uint32_t)between(w, 1, 4);
+    order.due_us = between(w, 0, 1000000);
+    order.deadline_us = between(w, 50000, 3000000);
+    place(w, peer, &order);
+}
+
+static void
+replace_worker(World *w)
+{
+    Beat beat = make_beat(w);
+
+    if (w->worker.is_leaving) {
+        beat.is_gone = true;
+        beat.due_us += between(w, 0, 3000000);
+        g_array_append_val(w->beats, beat);
+    }
+    begin_life(w);
+    w->next_beat_us = w->now_us + between(w, 0, 500000);
+}
+
+static void
+disturb(World *w)
+{
+    Worker *worker = &w->worker;
+
+    if (happens(w, worker->is_silent ? 100 : 10))
+        worker->is_silent = !worker->is_silent;
+    if (happens(w, worker->is_unhealthy ? 100 : 5))
+        worker->is_unhealthy = !worker->is_unhealthy;
+    if (happens(w, worker->is_leaving ? 50 : 3)) {
+        if (worker->is_leaving)
+            replace_worker(w);
+        else
+            worker->is_leaving = true;
+    }
+    if (happens(w, 5))
+        replace_worker(w);
+    if (happens(w, 5)) {
+        restart_supervisor(w);
+        for (uint32_t i = 0; i < PEERS; i++)
+            open_peer(w);
+    }
+}
+
+static void
+act(World *w)
+{
+    uint32_t peer = any_peer(w);
+
+    if (happens(w, 800))
+        place_any(w, peer);
+    if (happens(w, 100) && w->next_ref > 0)
+        stop_job(w, peer, w->next_ref - between(w, 0, MIN(w->next_ref, 5)));
+    if (happens(w, find_peer(w, peer)->is_mute ? 200 : 20))
+        find_peer(w, peer)->is_mute = !find_peer(w, peer)->is_mute;
+    if (happens(w, 20)) {
+        close_peer(w, peer);
+        open_peer(w);
+    }
+}
+
+/* Nothing runs long after its dispatcher was last heard. */
+static void
+check_sessions(World *w)
+{
+    for (guint i = 0; i < w->worker.running->len; i++) {
+        const Task *task = &g_array_index(w->worker.running, Task, i);
+        const Peer *peer =
+            find_peer(w, find_placement(w, task->placement)->peer);
+        uint64_t until_us = peer->valid_until_us;
+
+        if (!peer->is_up)
+            until_us = MIN(until_us, peer->ended_us);
+        g_assert_cmpuint(w->now_us, <=,
+                         until_us + SESSION_US + w->limits.lease_us + STOP_US);
+    }
+}
+
+/* All is well again: everything comes to its end. */
+static void
+settle(World *w)
+{
+    uint32_t peer, task;
+
+    w->losses = 0;
+    w->worker.is_silent = false;
+    w->worker.is_unhealthy = false;
+    if (w->worker.is_leaving)
+        replace_worker(w);
+    for (guint i = 0; i < w->peers->len; i++)
+        g_array_index(w->peers, Peer, i).is_mute = false;
+    run(w, LATE_MAX_US + 1000000);
+    assert_empty(w);
+    for (guint i = 0; i < w->placements->len; i++) {
+        const Placement *placement = find_placement(w, i);
+
+        if (find_peer(w, placement->peer)->is_up && !placement->is_stopped)
+            g_assert_cmpuint(placement->outcomes, ==, 1);
+    }
+    peer = w->peers->len;
+    g_assert_true(find_peer(w, peer)->is_clear);
+    task = place(w, peer, &(Order){.job = "last", .run_us = 100000});
+    run(w, 1000000);
+    assert_kind(w, task, BW_OUTCOME_DONE);
+}
+
+static void
+run_random(uint32_t seed)
+{
+    World w;
+    gint calm;
+    uint32_t kinds[BW_OUTCOME_NOT_RUN + 1] = {0};
+
+    init_world(&w, g_rand_new_with_seed(seed));
+    if (seed % 2 == 0)
+        w.supervisor.limits.lease_us = w.limits.lease_us = LONG_LEASE_US;
+    if (seed % 3 == 0)
+        w.latency_us = 2000;
+    calm = g_rand_int_range(w.rand, 1, 5);
+    w.losses = (uint32_t)g_rand_int_range(w.rand, 0, 30);
+    for (uint32_t i = 0; i < PEERS; i++)
+        open_peer(&w);
+    for (uint32_t i = 0; i < RANDOM_STEPS; i++) {
+        run(&w, STEP_US);
+        check_sessions(&w);
+        act(&w);
+        if (g_rand_int_range(w.rand, 0, calm) == 0)
+            disturb(&w);
+    }
+    settle(&w);
+    for (guint i = 0; i < w.placements->len; i++)
+        kinds[find_placement(&w, i)->kind]++;
+    g_test_message("seed %u: %u starts, %u done, %u failed, %u lost, "
+                   "%u not run, %u untold",
+                   seed, w.starts, kinds[BW_OUTCOME_DONE],
+                   kinds[BW_OUTCOME_FAILED], kinds[BW_OUTCOME_LOST],
+                   kinds[BW_OUTCOME_NOT_RUN], kinds[0]);
+    g_assert_cmpuint(kinds[BW_OUTCOME_DONE], >, 1);
+    g_rand_free(w.rand);
+    finish_world(&w);
+}
+
+static void
+test_random(void)
+{
+    for (uint32_t seed = 1; seed <= SEEDS; seed++)
+        run_random(seed);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1547,5 +1755,6 @@
     g_test_add_func("/supervisor/stale_beat", test_stale_beat);
     g_test_add_func("/supervisor/stale_end", test_stale_end);
     g_test_add_func("/supervisor/gone", test_gone);
+    g_test_add_func("/supervisor/random", test_random);
     return g_test_run();
 }
