Start nothing past its session or deadline, or on a worker that leaves

Sessions and deadlines were looked at by the tick alone: room that came free with an answer before it was given to queued tasks whose time was over, and a start that the worker refused for its run or fence was sent again without a look at them or at a drain.

--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -303,6 +303,17 @@
     send_stop(s, now_us, seat);
 }
 
+/* Whether the task's session and its deadline are still to end. */
+static bool
+is_in_time(const BwSupervisor *s, uint64_t now_us, const BwSeat *seat)
+{
+    const BwSupervisorPeer *peer;
+
+    HASH_FIND(hh, s->peers, &seat->peer, sizeof(seat->peer), peer);
+    return peer != NULL && now_us < peer->valid_until_us &&
+           now_us < seat->deadline_us;
+}
+
 /* Starts what fits, in the order of the queue; a smaller task may pass a
    larger one. */
 static void
@@ -314,7 +325,8 @@
         return;
     DL_FOREACH_SAFE(s->queue, seat, next)
     {
-        if (!fits(&s->used, &seat->room, &s->capacity))
+        if (!fits(&s->used, &seat->room, &s->capacity) ||
+            !is_in_time(s, now_us, seat))
             continue;
         DL_DELETE(s->queue, seat);
         remove_room(&s->queued, &seat->room);
@@ -509,7 +521,8 @@
                  BwWorkerVerdict verdict)
 {
     if ((verdict == BW_WORKER_FENCED || verdict == BW_WORKER_OLD_RUN) &&
-        ++seat->tries < TRIES_MAX && seat->state == BW_SEAT_STARTING) {
+        ++seat->tries < TRIES_MAX && seat->state == BW_SEAT_STARTING &&
+        is_usable(s, now_us) && is_in_time(s, now_us, seat)) {
         if (verdict == BW_WORKER_OLD_RUN)
             seat->run += RUN_STEP << seat->tries;
         send_start(s, now_us, seat);
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -124,6 +124,7 @@
     uint32_t kind; /* BwOutcomeKind; 0: none yet */
     uint32_t reason;
     uint32_t outcomes;
+    uint64_t deadline_us;
     bool is_stopped;
     bool is_cleared; /* the supervisor said that it is not there */
 } Placement;
@@ -411,6 +412,18 @@
     }
 }
 
+static Peer *
+find_peer(World *w, uint32_t id)
+{
+    return &g_array_index(w->peers, Peer, id - 1);
+}
+
+static Placement *
+find_placement(World *w, uint32_t number)
+{
+    return &g_array_index(w->placements, Placement, number);
+}
+
 /* ---------------------------------------------------------- the calls */
 
 static Call *
@@ -462,11 +475,20 @@
 static void
 on_start(void *ctx, uint64_t number, const BwTaskOrder *order)
 {
-    Call *call = make_call(ctx, CALL_START, number, order->instance);
+    World *w = ctx;
+    Call *call = make_call(w, CALL_START, number, order->instance);
+    const Placement *placement;
 
     fill_task(call, order);
     g_assert_cmpuint(order->spec.size_bytes, ==, sizeof(call->spec));
     memcpy(&call->spec, order->spec.base, sizeof(call->spec));
+    placement = find_placement(w, call->spec.placement);
+    g_assert_cmpint(w->supervisor.phase, ==, BW_WORKER_READY);
+    g_assert_false(w->supervisor.is_worker_leaving);
+    g_assert_false(w->supervisor.is_leaving);
+    g_assert_cmpuint(w->now_us, <,
+                     find_peer(w, placement->peer)->valid_until_us);
+    g_assert_cmpuint(w->now_us, <, placement->deadline_us);
 }
 
 static void
@@ -584,18 +606,6 @@
 
 /* -------------------------------------------------------- dispatchers */
 
-static Peer *
-find_peer(World *w, uint32_t id)
-{
-    return &g_array_index(w->peers, Peer, id - 1);
-}
-
-static Placement *
-find_placement(World *w, uint32_t number)
-{
-    return &g_array_index(w->placements, Placement, number);
-}
-
 static void
 on_outcome(World *w, uint32_t peer, const BwOutcome *outcome)
 {
@@ -740,6 +750,10 @@
                      order->run_us != 0 ? order->run_us : FOREVER_US,
                      order->end};
 
+        if (order->deadline_us != 0)
+            placement.deadline_us = w->now_us + order->deadline_us;
+        else
+            placement.deadline_us = w->now_us + FOREVER_US;
         g_array_append_val(w->placements, placement);
         out->number = ++peer->place_number;
         out->ref = ref;
@@ -754,8 +768,7 @@
         out->spread_max = order->spread_max;
         out->expected_us = order->run_us;
         out->due_in_us = order->due_us;
-        out->deadline_in_us =
-            order->deadline_us != 0 ? order->deadline_us : FOREVER_US;
+        out->deadline_in_us = placement.deadline_us - w->now_us;
         out->tasks = &task;
         out->task_count = 1;
         BwSupervisor_OnMessage(&w->supervisor, w->now_us, id, &message);
