Start a task again on the same worker however often it ran there

A worker refuses a run that is not above the last one of that task, and the number was raised by a fixed step a few times: the fifth start of a task on one worker was refused for good. The first step now passes all runs that this process has started.

/supervisor/old_run, now with eight runs instead of four, failed before with NOT_RUN at the fifth.

--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -27,6 +27,7 @@
 #define HOLDS_MAX 3
 #define TRIES_MAX 4
 #define RUN_STEP 16
+#define RUNS_PER_SEAT 512 /* more than the steps of all tries */
 #define PACE_SHIFT 4
 #define LEASE_DRIFT_PERMILLE 1030
 #define LEASE_MARGIN_US 20000
@@ -516,6 +517,19 @@
     return seat;
 }
 
+/* Seats are numbered upwards, so the first step passes every run of the task
+   that this process has started; a predecessor's may be higher. */
+static void
+raise_run(BwSeat *seat)
+{
+    uint64_t run = seat->number * RUNS_PER_SEAT;
+
+    if (seat->run < run && run < UINT32_MAX / 2)
+        seat->run = (uint32_t)run;
+    else
+        seat->run += RUN_STEP << seat->tries;
+}
+
 static void
 on_refused_start(BwSupervisor *s, uint64_t now_us, BwSeat *seat,
                  BwWorkerVerdict verdict)
@@ -524,7 +538,7 @@
         ++seat->tries < TRIES_MAX && seat->state == BW_SEAT_STARTING &&
         is_usable(s, now_us) && is_in_time(s, now_us, seat)) {
         if (verdict == BW_WORKER_OLD_RUN)
-            seat->run += RUN_STEP << seat->tries;
+            raise_run(seat);
         send_start(s, now_us, seat);
         return;
     }
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -1291,14 +1291,14 @@
     World w;
     uint32_t peer = open_world(&w);
 
-    for (uint32_t i = 0; i < 4; i++) {
+    for (uint32_t i = 0; i < 8; i++) {
         uint32_t task =
             place(&w, peer, &(Order){.job = "a", .run_us = 100000});
 
         run(&w, 300000);
         assert_kind(&w, task, BW_OUTCOME_DONE);
     }
-    g_assert_cmpuint(w.starts, ==, 4);
+    g_assert_cmpuint(w.starts, ==, 8);
     finish_world(&w);
 }
 
