--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -1541,6 +1541,73 @@
     finish_world(&w);
 }
 
+/* More ends at once than one answer lists. */
+static void
+test_many(void)
+{
+    World w;
+    uint32_t peer = open_world(&w);
+    uint32_t first =
+        place(&w, peer,
+              &(Order){.job = "a", .count = 700, .cpu = 5, .run_us = 300000});
+
+    run(&w, 100000);
+    g_assert_cmpuint(w.worker.running->len, ==, 700);
+    run(&w, 500000);
+    for (uint32_t i = 0; i < 700; i++)
+        assert_kind(&w, first + i, BW_OUTCOME_DONE);
+    assert_empty(&w);
+    finish_world(&w);
+}
+
+static void
+test_busy(void)
+{
+    World w;
+    uint32_t peer = open_world(&w);
+    uint32_t first = place(&w, peer,
+                           &(Order){.job = "a",
+                                    .count = BW_SUPERVISOR_TASKS_MAX + 1,
+                                    .cpu = 4000});
+
+    assert_kind(&w, first + BW_SUPERVISOR_TASKS_MAX - 1, 0);
+    assert_declined(&w, first + BW_SUPERVISOR_TASKS_MAX, BW_DECLINE_BUSY);
+    finish_world(&w);
+}
+
+/* What an answer says of a task that the worker did not start. */
+static void
+test_refused(void)
+{
+    static const struct {
+        BwWorkerVerdict verdict;
+        uint32_t kind;
+        uint32_t reason;
+    } cases[] = {
+        {BW_WORKER_LATE, BW_OUTCOME_NOT_RUN, BW_DECLINE_LATE},
+        {BW_WORKER_NO_ROOM, BW_OUTCOME_NOT_RUN, BW_DECLINE_REFUSED},
+        {BW_WORKER_UNHEALTHY, BW_OUTCOME_NOT_RUN, BW_DECLINE_REFUSED},
+        {BW_WORKER_BAD, BW_OUTCOME_FAILED, BW_DECLINE_REFUSED},
+    };
+
+    for (uint32_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        World w;
+        BwWorkerAnswer answer = {.verdict = cases[i].verdict};
+        uint32_t peer = open_world(&w), task;
+
+        w.fate[CALL_START] = FATE_LOST;
+        task = place(&w, peer, &(Order){.job = "a"});
+        g_assert_cmpuint(w.supervisor.used.cpu_milli, ==, 1000);
+        BwSupervisor_OnStarted(&w.supervisor, w.now_us,
+                               w.supervisor.numbers->number, &answer);
+        assert_kind(&w, task, cases[i].kind);
+        g_assert_cmpuint(find_placement(&w, task)->reason, ==,
+                         cases[i].reason);
+        assert_empty(&w);
+        finish_world(&w);
+    }
+}
+
 /* ------------------------------------------------------------- random */
 
 #define SEEDS 200
@@ -1768,6 +1835,9 @@
     g_test_add_func("/supervisor/stale_beat", test_stale_beat);
     g_test_add_func("/supervisor/stale_end", test_stale_end);
     g_test_add_func("/supervisor/gone", test_gone);
+    g_test_add_func("/supervisor/many", test_many);
+    g_test_add_func("/supervisor/busy", test_busy);
+    g_test_add_func("/supervisor/refused", test_refused);
     g_test_add_func("/supervisor/random", test_random);
     return g_test_run();
 }
