Test repeated ends, foreign runs and late looks at a worker

Cases that the random schedules don't tell apart: an end that a second answer lists again, a listed run that nobody here ordered, the answer to a look at a former instance. All pass as they are; each fails without its check.

--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -116,7 +116,7 @@
 } BwSupervisorCounters;
 
 typedef enum BwWorkerPhase {
-    BW_WORKER_NONE,     /* none has announced itself */
+    BW_WORKER_NONE,     /* none has announced itself, or it is gone */
     BW_WORKER_CLEARING, /* what it ran before is being stopped */
     BW_WORKER_READY,
 } BwWorkerPhase;
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -1460,6 +1460,7 @@
     answer.verdict = BW_WORKER_OTHER;
     BwSupervisor_OnStarted(&w.supervisor, w.now_us, 1, &answer);
     BwSupervisor_OnStopped(&w.supervisor, w.now_us, 1, &answer);
+    BwSupervisor_OnHeld(&w.supervisor, w.now_us, 1, START_US, &answer);
     g_assert_cmpint(w.supervisor.phase, ==, BW_WORKER_READY);
     finish_world(&w);
 }
@@ -1575,6 +1576,60 @@
     finish_world(&w);
 }
 
+/* Two answers list the same end; the task was placed again in between. */
+static void
+test_end_again(void)
+{
+    World w;
+    uint32_t peer = open_world(&w), task;
+    BwListedTask end = {.job = BwSpan_FromString("a"),
+                        .run = 1,
+                        .number = 1,
+                        .end = BW_END_FAILED};
+    BwWorkerAnswer answer = {.verdict = BW_WORKER_OK,
+                             .clock_ms = 1000,
+                             .ended = &end,
+                             .ended_count = 1};
+
+    task = place(&w, peer,
+                 &(Order){.job = "a", .run_us = 50000, .end = BW_END_FAILED});
+    while (find_placement(&w, task)->kind == 0)
+        run(&w, STEP_US);
+    g_assert_cmpuint(w.supervisor.seen, ==, 1);
+    task = place(&w, peer, &(Order){.job = "a"});
+    answer.clock_ms = worker_clock(&w);
+    BwSupervisor_OnHeld(&w.supervisor, w.now_us, w.supervisor.hold_number,
+                        w.now_us, &answer);
+    assert_kind(&w, task, 0);
+    run(&w, 200000);
+    g_assert_cmpuint(w.worker.running->len, ==, 1);
+    finish_world(&w);
+}
+
+/* The worker lists a run that is not the one that was ordered. */
+static void
+test_other_run(void)
+{
+    World w;
+    uint32_t peer = open_world(&w);
+    BwListedTask other = {.job = BwSpan_FromString("a"), .run = 7};
+    BwWorkerAnswer answer = {
+        .verdict = BW_WORKER_OK, .running = &other, .running_count = 1};
+    const Call *call;
+
+    w.fate[CALL_START] = FATE_LOST;
+    place(&w, peer, &(Order){.job = "a"});
+    BwSupervisor_OnHeld(&w.supervisor, w.now_us, w.supervisor.hold_number,
+                        w.now_us, &answer);
+    call = g_ptr_array_index(w.calls, w.calls->len - 1);
+    if (call->kind == CALL_HOLD)
+        call = g_ptr_array_index(w.calls, w.calls->len - 2);
+    g_assert_cmpint(call->kind, ==, CALL_STOP);
+    g_assert_cmpuint(call->task.run, ==, 7);
+    g_assert_cmpint(w.supervisor.seats->state, ==, BW_SEAT_STARTING);
+    finish_world(&w);
+}
+
 /* What an answer says of a task that the worker did not start. */
 static void
 test_refused(void)
@@ -1838,6 +1893,8 @@
     g_test_add_func("/supervisor/many", test_many);
     g_test_add_func("/supervisor/busy", test_busy);
     g_test_add_func("/supervisor/refused", test_refused);
+    g_test_add_func("/supervisor/end_again", test_end_again);
+    g_test_add_func("/supervisor/other_run", test_other_run);
     g_test_add_func("/supervisor/random", test_random);
     return g_test_run();
 }
