--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -25,9 +25,9 @@
 #define CLOCK_STALE_US 1500000 /* of the worker */
 #define STOP_SETTLES_US 60000  /* a stop takes effect within */
 #define HOLDS_MAX 3
+#define RUNS_PER_SEAT 512 /* more than the steps of all tries */
 #define TRIES_MAX 4
 #define RUN_STEP 16
-#define RUNS_PER_SEAT 512 /* more than the steps of all tries */
 #define PACE_SHIFT 4
 #define LEASE_DRIFT_PERMILLE 1030
 #define LEASE_MARGIN_US 20000
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -957,7 +957,7 @@
     g_assert_true(BwSupervisor_IsIdle(s));
     g_assert_cmpuint(s->used.cpu_milli, ==, 0);
     g_assert_cmpuint(s->queued.cpu_milli, ==, 0);
-    g_assert_cmpuint(s->queued_core_us, ==, 0);
+    g_assert_null(s->queue);
     g_assert_cmpuint(s->orphan_count, ==, 0);
     g_assert_cmpuint(w->worker.running->len, ==, 0);
 }
@@ -1225,7 +1225,7 @@
         assert_kind(&w, first + i, BW_OUTCOME_LOST);
     assert_kind(&w, first + 4, BW_OUTCOME_NOT_RUN);
     g_assert_false(find_peer(&w, peer)->is_leaving);
-    first = place(&w, peer, &(Order){.job = "a", .count = 3});
+    place(&w, peer, &(Order){.job = "a", .count = 3});
     run(&w, 100000);
     g_assert_cmpuint(w.worker.running->len, ==, 2);
     finish_world(&w);
