--- /dev/null
+++ b/tests/supervisor_world.c
@@ -0,0 +1,796 @@
+/* supervisor_world.c -- a supervisor beside a modelled worker and dispatchers
+
+   Time goes by in steps of 5 ms.  A call is carried out when it arrives, also
+   when the supervisor has given it up by then. */
+
+#include <string.h>
+
+#include "supervisor_world.h"
+
+/* ------------------------------------------------------------- worker */
+
+uint64_t
+World_Clock(const World *w)
+{
+    return w->worker.clock_base_ms + (w->now_us - w->worker.born_us) *
+                                         (1000 - w->worker.slow_permille) /
+                                         1000000;
+}
+
+static bool
+is_same_task(const Task *left, const Task *right)
+{
+    return strcmp(left->job, right->job) == 0 && left->step == right->step &&
+           left->index == right->index;
+}
+
+static char *
+task_name(const Task *task)
+{
+    return g_strdup_printf("%s.%u.%u", task->job, task->step, task->index);
+}
+
+static uint32_t
+highest_stopped(const World *w, const Task *task)
+{
+    char *name = task_name(task);
+    gpointer run = g_hash_table_lookup(w->worker.stopped, name);
+
+    g_free(name);
+    return GPOINTER_TO_UINT(run);
+}
+
+static void
+note_stopped(World *w, const Task *task)
+{
+    if (task->run > highest_stopped(w, task))
+        g_hash_table_replace(w->worker.stopped, task_name(task),
+                             GUINT_TO_POINTER(task->run));
+}
+
+static void
+check_worker(const World *w)
+{
+    const GArray *running = w->worker.running;
+    uint64_t cpu = 0;
+
+    for (guint i = 0; i < running->len; i++) {
+        const Task *task = &g_array_index(running, Task, i);
+        const Placement *placement =
+            &g_array_index(w->placements, Placement, task->placement);
+
+        cpu += task->cpu;
+        g_assert_cmpuint(placement->kind, ==, 0);
+        g_assert_false(placement->is_cleared);
+        for (guint j = 0; j < i; j++)
+            g_assert_false(
+                is_same_task(task, &g_array_index(running, Task, j)));
+    }
+    g_assert_cmpuint(cpu, <=, w->worker.capacity_cpu);
+}
+
+static void
+end_task(World *w, guint at, BwEndKind end)
+{
+    Task task = g_array_index(w->worker.running, Task, at);
+
+    g_array_remove_index(w->worker.running, at);
+    task.end = end;
+    task.number = ++w->worker.end_count;
+    note_stopped(w, &task);
+    g_array_append_val(w->worker.ended, task);
+}
+
+static void
+run_worker(World *w)
+{
+    GArray *running = w->worker.running;
+    bool is_lapsed = World_Clock(w) >= w->worker.deadline_ms;
+
+    for (guint i = running->len; i-- > 0;) {
+        const Task *task = &g_array_index(running, Task, i);
+
+        if (w->now_us >= task->ends_us)
+            end_task(w, i, task->end);
+        else if (is_lapsed)
+            end_task(w, i, BW_END_LAPSED);
+    }
+}
+
+void
+World_BeginLife(World *w)
+{
+    Worker *worker = &w->worker;
+
+    g_array_set_size(worker->running, 0);
+    g_array_set_size(worker->ended, 0);
+    g_hash_table_remove_all(worker->stopped);
+    worker->instance++;
+    worker->born_us = w->now_us;
+    worker->clock_base_ms =
+        w->rand != NULL ? (uint64_t)g_rand_int_range(w->rand, 1, 1000000)
+                        : 50000;
+    worker->slow_permille =
+        w->rand != NULL ? (uint64_t)g_rand_int_range(w->rand, 0, 21) : 0;
+    worker->fence = 0;
+    worker->deadline_ms = 0;
+    worker->end_count = 0;
+    worker->sequence = 0;
+    worker->is_leaving = false;
+    worker->is_unhealthy = false;
+    if (w->rand != NULL)
+        worker->capacity_cpu =
+            (uint64_t)g_rand_int_range(w->rand, 2, 6) * 1000;
+}
+
+static void
+take_deadline(World *w, uint64_t lease_ms)
+{
+    if (lease_ms > w->worker.deadline_ms)
+        w->worker.deadline_ms = lease_ms;
+}
+
+static BwWorkerVerdict
+carry_out_start(World *w, const Call *call)
+{
+    Task task = call->task;
+
+    if (call->lease_ms <= World_Clock(w))
+        return BW_WORKER_LATE;
+    take_deadline(w, call->lease_ms);
+    for (guint i = 0; i < w->worker.running->len; i++) {
+        const Task *other = &g_array_index(w->worker.running, Task, i);
+
+        if (is_same_task(&task, other) && task.run == other->run)
+            return BW_WORKER_OK;
+        if (is_same_task(&task, other) && task.run < other->run)
+            return BW_WORKER_OLD_RUN;
+    }
+    if (task.run <= highest_stopped(w, &task))
+        return BW_WORKER_OLD_RUN;
+    task.placement = call->spec.placement;
+    task.cpu = call->spec.cpu;
+    task.ends_us = w->now_us + call->spec.run_us;
+    task.end = call->spec.end;
+    g_array_append_val(w->worker.running, task);
+    g_array_append_val(w->order, task.placement);
+    w->starts++;
+    check_worker(w);
+    return BW_WORKER_OK;
+}
+
+static BwWorkerVerdict
+carry_out_stop(World *w, const Call *call)
+{
+    uint64_t takes_us = w->rand != NULL
+                            ? (uint64_t)g_rand_int_range(w->rand, 0, STOP_US)
+                            : STOP_US / 2;
+
+    note_stopped(w, &call->task);
+    for (guint i = 0; i < w->worker.running->len; i++) {
+        Task *task = &g_array_index(w->worker.running, Task, i);
+
+        if (!is_same_task(&call->task, task) || call->task.run != task->run)
+            continue;
+        if (w->now_us + takes_us < task->ends_us) {
+            task->ends_us = w->now_us + takes_us;
+            task->end = BW_END_STOPPED;
+        }
+    }
+    return BW_WORKER_OK;
+}
+
+static void
+carry_out_hold(World *w, const Call *call)
+{
+    GArray *ended = w->worker.ended;
+
+    take_deadline(w, call->lease_ms);
+    while (ended->len > 0 &&
+           g_array_index(ended, Task, 0).number <= call->hold.seen)
+        g_array_remove_index(ended, 0);
+}
+
+static void
+answer_call(World *w, Call *call, BwWorkerVerdict verdict)
+{
+    uint64_t takes_us = 1000;
+
+    if (w->rand != NULL)
+        takes_us =
+            (uint64_t)g_rand_int_range(w->rand, 1000, (gint32)w->latency_us);
+    call->state = CALL_ANSWERED;
+    call->answers_us = w->now_us + takes_us;
+    call->answer.verdict = verdict;
+    if (verdict != BW_WORKER_UNHEALTHY && verdict != BW_WORKER_OTHER)
+        call->answer.clock_ms = World_Clock(w);
+    if (call->kind != CALL_HOLD || verdict != BW_WORKER_OK)
+        return;
+    call->running = g_array_new(FALSE, TRUE, sizeof(Task));
+    call->ended = g_array_new(FALSE, TRUE, sizeof(Task));
+    g_array_append_vals(call->running, w->worker.running->data,
+                        w->worker.running->len);
+    g_array_append_vals(call->ended, w->worker.ended->data,
+                        MIN(w->worker.ended->len, ENDS_MAX));
+}
+
+static void
+arrive(World *w, Call *call)
+{
+    char instance[16];
+
+    g_snprintf(instance, sizeof(instance), "i-%u", w->worker.instance);
+    if (w->worker.is_silent) {
+        call->state = CALL_ANSWERED;
+        call->is_unsaid = true;
+    }
+    else if (strcmp(call->instance, instance) != 0) {
+        answer_call(w, call, BW_WORKER_OTHER);
+    }
+    else if (w->worker.is_unhealthy) {
+        answer_call(w, call, BW_WORKER_UNHEALTHY);
+    }
+    else if (call->fence < w->worker.fence) {
+        answer_call(w, call, BW_WORKER_FENCED);
+    }
+    else {
+        w->worker.fence = call->fence;
+        if (call->kind == CALL_START) {
+            answer_call(w, call, carry_out_start(w, call));
+        }
+        else if (call->kind == CALL_STOP) {
+            answer_call(w, call, carry_out_stop(w, call));
+        }
+        else {
+            carry_out_hold(w, call);
+            call->state = CALL_WAITING;
+            call->answers_us = w->now_us + (uint64_t)call->hold.wait_ms * 1000;
+        }
+    }
+}
+
+Peer *
+World_FindPeer(World *w, uint32_t id)
+{
+    return &g_array_index(w->peers, Peer, id - 1);
+}
+
+Placement *
+World_FindPlacement(World *w, uint32_t number)
+{
+    return &g_array_index(w->placements, Placement, number);
+}
+
+/* ---------------------------------------------------------- the calls */
+
+static Call *
+make_call(World *w, CallKind kind, uint64_t number, BwSpan instance)
+{
+    Call *call = g_new0(Call, 1);
+    Fate fate = w->fate[kind];
+    uint32_t dice = 1000;
+
+    w->fate[kind] = FATE_ANSWERED;
+    if (w->rand != NULL)
+        dice = (uint32_t)g_rand_int_range(w->rand, 0, 1000);
+    if (dice < w->losses * 3)
+        fate = (Fate)(FATE_LOST + dice / w->losses);
+    call->kind = kind;
+    call->life = w->life;
+    call->number = number;
+    memcpy(call->instance, instance.base, instance.size_bytes);
+    call->sent_us = w->now_us;
+    call->arrives_us = w->now_us + 1000;
+    call->given_up_us = w->now_us + ANSWER_US;
+    if (w->rand != NULL)
+        call->arrives_us +=
+            (uint64_t)g_rand_int_range(w->rand, 0, (gint32)w->latency_us);
+    call->is_unsaid = fate == FATE_UNSAID || fate == FATE_LATE;
+    if (fate == FATE_LOST)
+        call->arrives_us = UINT64_MAX;
+    else if (fate == FATE_LATE)
+        call->arrives_us =
+            w->now_us + (w->rand != NULL
+                             ? (uint64_t)g_rand_int_range(w->rand, LATE_MIN_US,
+                                                          LATE_MAX_US)
+                             : w->late_us);
+    g_ptr_array_add(w->calls, call);
+    return call;
+}
+
+static void
+fill_task(Call *call, const BwTaskOrder *order)
+{
+    memcpy(call->task.job, order->job.base, order->job.size_bytes);
+    call->task.step = order->step;
+    call->task.index = order->index;
+    call->task.run = order->run;
+    call->fence = order->fence;
+    call->lease_ms = order->lease_ms;
+}
+
+static void
+on_start(void *ctx, uint64_t number, const BwTaskOrder *order)
+{
+    World *w = ctx;
+    Call *call = make_call(w, CALL_START, number, order->instance);
+    const Placement *placement;
+
+    fill_task(call, order);
+    g_assert_cmpuint(order->spec.size_bytes, ==, sizeof(call->spec));
+    memcpy(&call->spec, order->spec.base, sizeof(call->spec));
+    placement = World_FindPlacement(w, call->spec.placement);
+    g_assert_cmpint(w->supervisor.phase, ==, BW_WORKER_READY);
+    g_assert_false(w->supervisor.is_worker_leaving);
+    g_assert_false(w->supervisor.is_leaving);
+    g_assert_cmpuint(w->now_us, <,
+                     World_FindPeer(w, placement->peer)->valid_until_us);
+    g_assert_cmpuint(w->now_us, <, placement->deadline_us);
+}
+
+static void
+on_stop(void *ctx, uint64_t number, const BwTaskOrder *order)
+{
+    fill_task(make_call(ctx, CALL_STOP, number, order->instance), order);
+}
+
+static void
+on_hold(void *ctx, uint64_t number, const BwHoldOrder *order)
+{
+    Call *call = make_call(ctx, CALL_HOLD, number, order->instance);
+
+    call->hold = *order;
+    call->fence = order->fence;
+    call->lease_ms = order->lease_ms;
+    call->given_up_us += (uint64_t)order->wait_ms * 1000;
+}
+
+static BwListedTask *
+list_tasks(const GArray *tasks)
+{
+    BwListedTask *list;
+
+    if (tasks == NULL)
+        return NULL;
+    list = g_new0(BwListedTask, tasks->len + 1);
+    for (guint i = 0; i < tasks->len; i++) {
+        const Task *task = &g_array_index(tasks, Task, i);
+
+        list[i].job = BwSpan_FromString(task->job);
+        list[i].step = task->step;
+        list[i].index = task->index;
+        list[i].run = task->run;
+        list[i].number = task->number;
+        list[i].end = task->end;
+    }
+    return list;
+}
+
+static void
+deliver_answer(World *w, Call *call, BwWorkerAnswer *answer)
+{
+    if (call->life != w->life)
+        return;
+    answer->running = list_tasks(call->running);
+    answer->ended = list_tasks(call->ended);
+    if (answer->running != NULL) {
+        answer->running_count = call->running->len;
+        answer->ended_count = call->ended->len;
+    }
+    if (call->kind == CALL_START)
+        BwSupervisor_OnStarted(&w->supervisor, w->now_us, call->number,
+                               answer);
+    else if (call->kind == CALL_STOP)
+        BwSupervisor_OnStopped(&w->supervisor, w->now_us, call->number,
+                               answer);
+    else
+        BwSupervisor_OnHeld(&w->supervisor, w->now_us, call->number,
+                            call->sent_us, answer);
+    g_free(answer->running);
+    g_free(answer->ended);
+}
+
+static void
+free_call(gpointer data)
+{
+    Call *call = data;
+
+    if (call->running != NULL) {
+        g_array_free(call->running, TRUE);
+        g_array_free(call->ended, TRUE);
+    }
+    g_free(call);
+}
+
+/* Returns whether nothing is left of the call. */
+static bool
+run_call(World *w, Call *call)
+{
+    BwWorkerAnswer none = {.verdict = BW_WORKER_NO_ANSWER};
+
+    if (call->state == CALL_ARRIVING && w->now_us >= call->arrives_us)
+        arrive(w, call);
+    if (call->state == CALL_WAITING && w->worker.is_silent)
+        call->is_unsaid = true;
+    if (call->state == CALL_WAITING &&
+        (w->now_us >= call->answers_us || w->worker.ended->len > 0))
+        answer_call(w, call, BW_WORKER_OK);
+    if (!call->is_given_up && w->now_us >= call->given_up_us) {
+        call->is_given_up = true;
+        deliver_answer(w, call, &none);
+    }
+    if (call->state == CALL_ANSWERED && !call->is_given_up &&
+        !call->is_unsaid && w->now_us >= call->answers_us) {
+        call->is_given_up = true;
+        deliver_answer(w, call, &call->answer);
+    }
+    return call->is_given_up &&
+           (call->state == CALL_ANSWERED || call->arrives_us == UINT64_MAX);
+}
+
+static void
+run_calls(World *w)
+{
+    for (guint i = 0; i < w->calls->len;) {
+        Call *call = g_ptr_array_index(w->calls, i);
+
+        if (run_call(w, call))
+            g_ptr_array_remove_index(w->calls, i);
+        else
+            i++;
+    }
+}
+
+/* -------------------------------------------------------- dispatchers */
+
+static void
+take_outcome(World *w, uint32_t peer, uint64_t ref, const BwTaskOutcome *task)
+{
+    for (guint i = 0; i < w->placements->len; i++) {
+        Placement *placement = World_FindPlacement(w, i);
+
+        if (placement->peer != peer || placement->ref != ref ||
+            placement->index != task->index)
+            continue;
+        g_assert_cmpuint(placement->outcomes, ==, 0);
+        placement->outcomes++;
+        placement->kind = task->kind;
+        placement->reason = task->reason;
+        check_worker(w);
+        return;
+    }
+    g_assert_not_reached();
+}
+
+static void
+on_outcome(World *w, uint32_t peer, const BwOutcome *outcome)
+{
+    for (uint32_t i = 0; i < outcome->task_count; i++)
+        take_outcome(w, peer, outcome->ref, &outcome->tasks[i]);
+}
+
+/* Nothing of a connection that ended runs or will run. */
+static void
+on_clear(World *w)
+{
+    for (guint i = 0; i < w->placements->len; i++) {
+        Placement *placement = World_FindPlacement(w, i);
+
+        if (!World_FindPeer(w, placement->peer)->is_up)
+            placement->is_cleared = true;
+    }
+    check_worker(w);
+}
+
+static void
+on_send(void *ctx, uint32_t id, const BwMessage *message)
+{
+    World *w = ctx;
+    Peer *peer = World_FindPeer(w, id);
+    Reply reply = {w->now_us, id, 0};
+
+    g_assert_true(peer->is_up);
+    switch (message->kind) {
+    case BW_MSG_OUTCOME:
+        on_outcome(w, id, &message->u.outcome);
+        break;
+    case BW_MSG_WORKER:
+        peer->is_clear = message->u.worker.is_clear != 0;
+        peer->is_leaving = message->u.worker.is_leaving != 0;
+        if (peer->is_clear)
+            on_clear(w);
+        break;
+    case BW_MSG_SESSION:
+        if (peer->is_mute)
+            break;
+        reply.asked_us = message->u.session.asked_us;
+        if (w->rand != NULL)
+            reply.due_us += (uint64_t)g_rand_int_range(w->rand, 0, 100000);
+        g_array_append_val(w->replies, reply);
+        break;
+    default:
+        g_assert_not_reached();
+    }
+}
+
+static void
+run_replies(World *w)
+{
+    for (guint i = 0; i < w->replies->len;) {
+        Reply reply = g_array_index(w->replies, Reply, i);
+        BwMessage message = {.kind = BW_MSG_SESSION};
+        Peer *peer = World_FindPeer(w, reply.peer);
+
+        if (w->now_us < reply.due_us) {
+            i++;
+            continue;
+        }
+        g_array_remove_index_fast(w->replies, i);
+        if (!peer->is_up)
+            continue;
+        message.u.session.asked_us = reply.asked_us;
+        peer->valid_until_us =
+            MAX(peer->valid_until_us, reply.asked_us + SESSION_US);
+        BwSupervisor_OnMessage(&w->supervisor, w->now_us, reply.peer,
+                               &message);
+    }
+}
+
+uint32_t
+World_OpenPeer(World *w)
+{
+    Peer peer = {.id = w->peers->len + 1, .is_up = true};
+
+    g_array_append_val(w->peers, peer);
+    BwSupervisor_PeerUp(&w->supervisor, w->now_us, peer.id);
+    return peer.id;
+}
+
+void
+World_ClosePeer(World *w, uint32_t id)
+{
+    Peer *peer = World_FindPeer(w, id);
+
+    peer->is_up = false;
+    peer->ended_us = w->now_us;
+    BwSupervisor_PeerDown(&w->supervisor, w->now_us, id);
+}
+
+uint32_t
+World_Place(World *w, uint32_t id, const Order *order)
+{
+    Peer *peer = World_FindPeer(w, id);
+    BwMessage message = {.kind = BW_MSG_PLACE};
+    BwPlace *out = &message.u.place;
+    uint32_t first = w->placements->len;
+    uint64_t ref = ++w->next_ref;
+
+    for (uint32_t i = 0; i < MAX(order->count, 1); i++) {
+        BwTaskIndex task = {.index = order->first + i};
+        Placement placement = {
+            .peer = id, .ref = ref, .index = order->first + i};
+        Spec spec = {w->placements->len, order->cpu != 0 ? order->cpu : 1000,
+                     order->run_us != 0 ? order->run_us : FOREVER_US,
+                     order->end};
+
+        if (order->deadline_us != 0)
+            placement.deadline_us = w->now_us + order->deadline_us;
+        else
+            placement.deadline_us = w->now_us + FOREVER_US;
+        g_array_append_val(w->placements, placement);
+        out->number = ++peer->place_number;
+        out->ref = ref;
+        out->job = BwSpan_FromString(order->job);
+        out->spec = (BwSpan){(const char *)&spec, sizeof(spec)};
+        out->service = BwSpan_FromString("svc");
+        out->requirement =
+            BwSpan_FromString(order->label != NULL ? order->label : "");
+        out->room.cpu_milli = spec.cpu;
+        out->step = order->step;
+        out->priority = order->priority;
+        out->spread_max = order->spread_max;
+        out->expected_us = order->run_us;
+        out->due_in_us = order->due_us;
+        out->deadline_in_us = placement.deadline_us - w->now_us;
+        out->tasks = &task;
+        out->task_count = 1;
+        BwSupervisor_OnMessage(&w->supervisor, w->now_us, id, &message);
+    }
+    return first;
+}
+
+void
+World_StopJob(World *w, uint32_t id, uint64_t ref)
+{
+    BwMessage message = {.kind = BW_MSG_STOP};
+
+    message.u.stop.ref = ref;
+    for (guint i = 0; i < w->placements->len; i++) {
+        Placement *placement = World_FindPlacement(w, i);
+
+        if (placement->peer == id && placement->ref == ref)
+            placement->is_stopped = true;
+    }
+    BwSupervisor_OnMessage(&w->supervisor, w->now_us, id, &message);
+}
+
+/* -------------------------------------------------------------- beats */
+
+void
+World_DeliverBeat(World *w, const Beat *from)
+{
+    char instance[16];
+    BwWorkerBeat beat = {0};
+
+    g_snprintf(instance, sizeof(instance), "i-%u", from->instance);
+    beat.instance = BwSpan_FromString(instance);
+    beat.service = BwSpan_FromString("svc");
+    beat.domain = BwSpan_FromString("zone");
+    beat.labels[0] = BwSpan_FromString("rack");
+    beat.label_count = 1;
+    beat.capacity.cpu_milli = from->capacity_cpu;
+    beat.has_capacity = !from->is_gone;
+    beat.clock_ms = from->is_gone ? 0 : from->clock_ms;
+    beat.sequence = from->sequence;
+    beat.is_leaving = from->is_leaving;
+    beat.is_gone = from->is_gone;
+    BwSupervisor_OnBeat(&w->supervisor, w->now_us, &beat);
+}
+
+Beat
+World_MakeBeat(World *w)
+{
+    return (Beat){.due_us = w->now_us,
+                  .instance = w->worker.instance,
+                  .sequence = ++w->worker.sequence,
+                  .clock_ms = World_Clock(w),
+                  .capacity_cpu = w->worker.capacity_cpu,
+                  .is_leaving = w->worker.is_leaving};
+}
+
+static void
+run_beats(World *w)
+{
+    if (w->is_beating && w->now_us >= w->next_beat_us) {
+        Beat beat = World_MakeBeat(w);
+
+        w->next_beat_us = w->now_us + 200000;
+        if (w->rand != NULL && g_rand_int_range(w->rand, 0, 10) == 0)
+            beat.due_us += (uint64_t)g_rand_int_range(w->rand, 0, 4000000);
+        g_array_append_val(w->beats, beat);
+    }
+    for (guint i = 0; i < w->beats->len;) {
+        Beat beat = g_array_index(w->beats, Beat, i);
+
+        if (w->now_us < beat.due_us) {
+            i++;
+            continue;
+        }
+        g_array_remove_index_fast(w->beats, i);
+        World_DeliverBeat(w, &beat);
+    }
+}
+
+/* -------------------------------------------------------------- world */
+
+static void
+on_log(void *ctx, const char *event, const BwSeat *seat, const char *reason)
+{
+    (void)ctx;
+    (void)event;
+    (void)seat;
+    (void)reason;
+}
+
+static const BwSupervisorPort port = {on_send, on_start, on_stop, on_hold,
+                                      on_log};
+
+void
+World_Run(World *w, uint64_t span_us)
+{
+    uint64_t until_us = w->now_us + span_us;
+
+    while (w->now_us < until_us) {
+        w->now_us += STEP_US;
+        run_worker(w);
+        run_calls(w);
+        run_replies(w);
+        run_beats(w);
+        BwSupervisor_Tick(&w->supervisor, w->now_us);
+        check_worker(w);
+    }
+}
+
+void
+World_RestartSupervisor(World *w)
+{
+    for (guint i = 0; i < w->peers->len; i++) {
+        Peer *peer = &g_array_index(w->peers, Peer, i);
+
+        if (peer->is_up)
+            peer->ended_us = w->now_us;
+        peer->is_up = false;
+    }
+    BwSupervisor_Finish(&w->supervisor);
+    BwSupervisor_Init(&w->supervisor, &w->limits, &port, w);
+    w->life++;
+}
+
+void
+World_Init(World *w, GRand *rand)
+{
+    memset(w, 0, sizeof(*w));
+    w->rand = rand;
+    w->now_us = START_US;
+    w->latency_us = 50000;
+    w->late_us = LATE_MIN_US;
+    w->limits = (BwSupervisorLimits){SESSION_US, LEASE_US, HOLD_US, ANSWER_US};
+    w->calls = g_ptr_array_new_with_free_func(free_call);
+    w->beats = g_array_new(FALSE, TRUE, sizeof(Beat));
+    w->replies = g_array_new(FALSE, TRUE, sizeof(Reply));
+    w->placements = g_array_new(FALSE, TRUE, sizeof(Placement));
+    w->peers = g_array_new(FALSE, TRUE, sizeof(Peer));
+    w->order = g_array_new(FALSE, TRUE, sizeof(uint32_t));
+    w->worker.running = g_array_new(FALSE, TRUE, sizeof(Task));
+    w->worker.ended = g_array_new(FALSE, TRUE, sizeof(Task));
+    w->worker.stopped =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    w->worker.capacity_cpu = CAPACITY_CPU;
+    w->is_beating = true;
+    World_BeginLife(w);
+    BwSupervisor_Init(&w->supervisor, &w->limits, &port, w);
+}
+
+void
+World_Finish(World *w)
+{
+    BwSupervisor_Finish(&w->supervisor);
+    g_ptr_array_free(w->calls, TRUE);
+    g_array_free(w->beats, TRUE);
+    g_array_free(w->replies, TRUE);
+    g_array_free(w->placements, TRUE);
+    g_array_free(w->peers, TRUE);
+    g_array_free(w->order, TRUE);
+    g_array_free(w->worker.running, TRUE);
+    g_array_free(w->worker.ended, TRUE);
+    g_hash_table_destroy(w->worker.stopped);
+}
+
+uint32_t
+World_Open(World *w)
+{
+    uint32_t peer;
+
+    World_Init(w, NULL);
+    peer = World_OpenPeer(w);
+    World_Run(w, 200000);
+    g_assert_cmpint(w->supervisor.phase, ==, BW_WORKER_READY);
+    g_assert_true(World_FindPeer(w, peer)->is_clear);
+    return peer;
+}
+
+void
+World_AssertEmpty(const World *w)
+{
+    const BwSupervisor *s = &w->supervisor;
+
+    g_assert_true(BwSupervisor_IsIdle(s));
+    g_assert_cmpuint(s->used.cpu_milli, ==, 0);
+    g_assert_cmpuint(s->queued.cpu_milli, ==, 0);
+    g_assert_null(s->queue);
+    g_assert_cmpuint(s->orphan_count, ==, 0);
+    g_assert_cmpuint(w->worker.running->len, ==, 0);
+}
+
+void
+World_AssertKind(World *w, uint32_t placement, uint32_t kind)
+{
+    g_assert_cmpuint(World_FindPlacement(w, placement)->kind, ==, kind);
+}
+
+void
+World_AssertDeclined(World *w, uint32_t placement, uint32_t reason)
+{
+    World_AssertKind(w, placement, BW_OUTCOME_NOT_RUN);
+    g_assert_cmpuint(World_FindPlacement(w, placement)->reason, ==, reason);
+}
