--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -26,6 +26,7 @@
 #define CLOCK_STALE_US 1500000 /* of the worker */
 #define STOP_SETTLES_US 60000  /* a stop takes effect within */
 #define HOLDS_MAX 3
+#define RUNS_PER_SEAT 512 /* more than the steps of all tries */
 #define TRIES_MAX 4
 #define RUN_STEP 16
 #define PACE_SHIFT 3
@@ -326,6 +327,17 @@
     send_stop(s, now_us, seat);
 }
 
+/* Whether the task's session and its deadline are still to end. */
+static bool
+is_in_time(const BwSupervisor *s, uint64_t now_us, const BwSeat *seat)
+{
+    const BwSupervisorPeer *peer;
+
+    HASH_FIND(hh, s->peers, &seat->peer, sizeof(seat->peer), peer);
+    return peer != NULL && now_us < peer->valid_until_us &&
+           now_us < seat->deadline_us;
+}
+
 /* Starts what fits, in the order of the queue; a smaller task may pass a
    larger one. */
 static void
@@ -340,7 +352,7 @@
         BwRoom room = s->capacity;
 
         BwRoom_Remove(&room, &s->used);
-        if (!BwRoom_Fits(&seat->room, &room))
+        if (!BwRoom_Fits(&seat->room, &room) || !is_in_time(s, now_us, seat))
             continue;
         DL_DELETE(s->queue, seat);
         note_unqueued(s, seat);
@@ -411,6 +423,7 @@
     s->holds_in_flight = 0;
     s->due_us = 0;
     s->first_hold = s->hold_number + 1;
+    s->first_number = s->next_number + 1;
     send_hold(s, now_us, 0);
 }
 
@@ -428,18 +441,24 @@
 {
     bool was_leaving = s->is_worker_leaving;
     char instance[BW_NAME_BYTES_MAX];
+    bool is_same;
 
     set_text(instance, sizeof(instance), beat->instance);
-    if (strcmp(instance, s->former) == 0)
+    is_same = strcmp(instance, s->instance) == 0;
+    if (strcmp(instance, s->former) == 0 || (beat->is_gone && !is_same))
         return;
-    if (strcmp(instance, s->instance) == 0 &&
-        beat->sequence < s->beat_sequence && !beat->is_gone)
+    if (is_same && beat->sequence < s->beat_sequence && !beat->is_gone)
         return;
+    if (!is_same && HASH_COUNT(s->seats) > 0) {
+        if (s->holds_in_flight < HOLDS_MAX)
+            send_hold(s, now_us, 0);
+        return;
+    }
     s->beat_us = now_us;
     s->beat_sequence = beat->sequence;
     if (beat->is_gone) {
-        if (strcmp(instance, s->instance) == 0)
-            s->is_worker_leaving = true;
+        s->is_worker_leaving = true;
+        s->beat_sequence = UINT64_MAX;
     }
     else {
         s->is_worker_leaving = beat->is_leaving;
@@ -450,8 +469,9 @@
         s->label_count = beat->label_count;
         for (uint32_t i = 0; i < beat->label_count; i++)
             set_text(s->labels[i], BW_NAME_BYTES_MAX, beat->labels[i]);
-        if (strcmp(instance, s->instance) != 0) {
-            strcpy(s->former, s->instance);
+        if (!is_same || s->phase == BW_WORKER_NONE) {
+            if (!is_same)
+                strcpy(s->former, s->instance);
             strcpy(s->instance, instance);
             s->clock_ms = beat->clock_ms;
             s->clock_read_us = now_us;
@@ -480,25 +500,20 @@
             answer->clock_ms > s->fence ? answer->clock_ms : s->fence + 1;
 }
 
-/* The worker at the address is not the one that is meant. */
+/* The worker at the address is not the one that is meant: the next
+   announcement says which one it is. */
 static void
 on_other_instance(BwSupervisor *s, uint64_t now_us)
 {
-    if (s->phase == BW_WORKER_CLEARING && s->former[0] != '\0') {
-        char name[BW_NAME_BYTES_MAX];
+    bool was_ready = s->phase == BW_WORKER_READY;
 
-        strcpy(name, s->instance);
-        strcpy(s->instance, s->former);
-        strcpy(s->former, name);
-        clear_worker(s, now_us);
+    s->phase = BW_WORKER_NONE;
+    s->former[0] = '\0';
+    if (!was_ready)
         return;
-    }
-    if (s->phase == BW_WORKER_READY) {
-        s->phase = BW_WORKER_NONE;
-        lose_all(s, now_us, "the worker was replaced");
-        decline_queue(s, now_us, BW_DECLINE_LEAVING);
-        tell_all(s, now_us);
-    }
+    lose_all(s, now_us, "the worker was replaced");
+    decline_queue(s, now_us, BW_DECLINE_LEAVING);
+    tell_all(s, now_us);
 }
 
 static BwSeat *
@@ -526,14 +541,28 @@
     return seat;
 }
 
+/* Seats are numbered upwards, so the first step passes every run of the task
+   that this process has started; a predecessor's may be higher. */
+static void
+raise_run(BwSeat *seat)
+{
+    uint64_t run = seat->number * RUNS_PER_SEAT;
+
+    if (seat->run < run && run < UINT32_MAX / 2)
+        seat->run = (uint32_t)run;
+    else
+        seat->run += RUN_STEP << seat->tries;
+}
+
 static void
 on_refused_start(BwSupervisor *s, uint64_t now_us, BwSeat *seat,
                  BwWorkerVerdict verdict)
 {
     if ((verdict == BW_WORKER_FENCED || verdict == BW_WORKER_OLD_RUN) &&
-        ++seat->tries < TRIES_MAX && seat->state == BW_SEAT_STARTING) {
+        ++seat->tries < TRIES_MAX && seat->state == BW_SEAT_STARTING &&
+        is_usable(s, now_us) && is_in_time(s, now_us, seat)) {
         if (verdict == BW_WORKER_OLD_RUN)
-            seat->run += RUN_STEP << seat->tries;
+            raise_run(seat);
         send_start(s, now_us, seat);
         return;
     }
@@ -553,6 +582,8 @@
 {
     BwSeat *seat = find_number(s, number);
 
+    if (number < s->first_number)
+        return;
     take_clock(s, now_us, answer);
     if (answer->verdict == BW_WORKER_OTHER) {
         on_other_instance(s, now_us);
@@ -586,6 +617,8 @@
 {
     BwSeat *seat = find_number(s, number);
 
+    if (number < s->first_number)
+        return;
     take_clock(s, now_us, answer);
     if (answer->verdict == BW_WORKER_OTHER) {
         on_other_instance(s, now_us);
@@ -681,7 +714,6 @@
 static void
 take_cleared(BwSupervisor *s, uint64_t now_us, const BwWorkerAnswer *answer)
 {
-    lose_all(s, now_us, "the worker was replaced or taken over");
     for (uint32_t i = 0; i < answer->running_count; i++)
         stop_stranger(s, &answer->running[i]);
     for (uint32_t i = 0; i < answer->ended_count; i++) {
@@ -703,7 +735,8 @@
     if (s->holds_in_flight > 0)
         s->holds_in_flight--;
     take_clock(s, now_us, answer);
-    if (answer->verdict != BW_WORKER_NO_ANSWER)
+    if (answer->verdict != BW_WORKER_NO_ANSWER &&
+        answer->verdict != BW_WORKER_UNHEALTHY)
         s->due_us = s->holds_in_flight == 0
                         ? 0
                         : now_us + s->limits.hold_us + s->limits.answer_us;
@@ -1046,6 +1079,7 @@
 {
     uint64_t age_us = now_us - s->hold_sent_us;
     bool is_idle = HASH_COUNT(s->seats) == 0;
+    uint64_t wait_us = is_idle ? IDLE_HOLD_US : s->limits.hold_us;
 
     if (s->phase == BW_WORKER_NONE)
         return;
@@ -1055,8 +1089,12 @@
             send_hold(s, now_us, 0);
         return;
     }
-    if (s->holds_in_flight == 0)
-        send_hold(s, now_us, is_idle ? IDLE_HOLD_US : s->limits.hold_us);
+    if (!is_responsive(s, now_us))
+        wait_us = 0;
+    if (s->holds_in_flight == 0) {
+        if (s->due_us == 0 || age_us >= CLEARING_HOLD_US)
+            send_hold(s, now_us, wait_us);
+    }
     else if (!is_idle && s->holds_in_flight < HOLDS_MAX &&
              age_us > s->limits.hold_us + s->limits.answer_us / 2)
         send_hold(s, now_us, s->limits.hold_us);
@@ -1068,6 +1106,8 @@
     if (now_us >= s->lease_end_us && s->lease_end_us != 0) {
         s->lease_end_us = 0;
         lose_all(s, now_us, "the lease ran out");
+        if (!is_responsive(s, now_us))
+            decline_queue(s, now_us, BW_DECLINE_LEAVING);
     }
     tick_seats(s, now_us);
     tick_sessions(s, now_us);
--- /dev/null
+++ b/tests/test_supervisor.c
@@ -0,0 +1,937 @@
+/* test_supervisor.c -- the account of a worker's room, and what runs there
+
+   Directed cases, then random schedules of failures with fixed seeds; see
+   supervisor_world.h for what is checked all along. */
+
+#include "supervisor_world.h"
+
+/* ----------------------------------------------------------- directed */
+
+static void
+test_room(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w);
+    uint32_t first = World_Place(&w, peer, &(Order){.job = "a", .count = 6});
+
+    World_Run(&w, 100000);
+    g_assert_cmpuint(w.worker.running->len, ==, 4);
+    g_assert_cmpuint(w.supervisor.used.cpu_milli, ==, 4000);
+    World_StopJob(&w, peer, World_FindPlacement(&w, first)->ref);
+    g_assert_cmpuint(w.supervisor.used.cpu_milli, ==, 4000);
+    World_Run(&w, 10000);
+    g_assert_cmpuint(w.worker.running->len, ==, 4);
+    g_assert_cmpuint(w.supervisor.used.cpu_milli, ==, 4000);
+    World_Run(&w, 300000);
+    World_AssertEmpty(&w);
+    World_Finish(&w);
+}
+
+static void
+test_done(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w);
+    uint32_t done = World_Place(
+        &w, peer, &(Order){.job = "a", .count = 5, .run_us = 200000});
+    uint32_t failed = World_Place(
+        &w, peer, &(Order){.job = "b", .run_us = 50000, .end = BW_END_FAILED});
+
+    World_Run(&w, 800000);
+    for (uint32_t i = 0; i < 5; i++)
+        World_AssertKind(&w, done + i, BW_OUTCOME_DONE);
+    World_AssertKind(&w, failed, BW_OUTCOME_FAILED);
+    World_AssertEmpty(&w);
+    World_Finish(&w);
+}
+
+/* The order is carried out seconds later, and meets the stop. */
+static void
+test_start_unanswered(void)
+{
+    const Fate fates[] = {FATE_LOST, FATE_UNSAID, FATE_LATE};
+
+    for (uint32_t i = 0; i < G_N_ELEMENTS(fates); i++) {
+        World w;
+        uint32_t peer = World_Open(&w), task, next;
+
+        w.fate[CALL_START] = fates[i];
+        w.fate[CALL_STOP] = FATE_LOST;
+        task = World_Place(&w, peer, &(Order){.job = "a", .cpu = 4000});
+        next = World_Place(&w, peer, &(Order){.job = "b", .cpu = 4000});
+        World_Run(&w, 100000);
+        World_AssertKind(&w, task, 0);
+        g_assert_cmpuint(w.supervisor.used.cpu_milli, ==, 4000);
+        World_Run(&w, 800000);
+        World_AssertKind(&w, task, BW_OUTCOME_LOST);
+        g_assert_cmpuint(w.worker.running->len, ==, 1);
+        World_Run(&w, 3000000);
+        World_AssertKind(&w, next, 0);
+        World_Finish(&w);
+    }
+}
+
+static void
+test_peer_down(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), other = World_OpenPeer(&w);
+    uint32_t kept;
+
+    World_Run(&w, 100000);
+    World_Place(&w, peer, &(Order){.job = "a", .count = 6});
+    kept = World_Place(&w, other, &(Order){.job = "b"});
+    World_Run(&w, 100000);
+    World_ClosePeer(&w, peer);
+    World_Run(&w, 5000);
+    g_assert_cmpuint(w.supervisor.orphan_count, ==, 4);
+    World_Run(&w, 200000);
+    g_assert_cmpuint(w.worker.running->len, ==, 1);
+    World_AssertKind(&w, kept, 0);
+    g_assert_cmpuint(w.supervisor.orphan_count, ==, 0);
+    World_Finish(&w);
+}
+
+static void
+test_clear_again(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), again;
+
+    World_Place(&w, peer, &(Order){.job = "a", .count = 2});
+    World_Run(&w, 100000);
+    World_ClosePeer(&w, peer);
+    again = World_OpenPeer(&w);
+    g_assert_false(World_FindPeer(&w, again)->is_clear);
+    World_Run(&w, 300000);
+    g_assert_true(World_FindPeer(&w, again)->is_clear);
+    World_AssertEmpty(&w);
+    World_Finish(&w);
+}
+
+static void
+test_session_lapses(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), first;
+
+    first = World_Place(&w, peer, &(Order){.job = "a", .count = 6});
+    World_Run(&w, 100000);
+    World_FindPeer(&w, peer)->is_mute = true;
+    World_Run(&w, SESSION_US + 200000);
+    World_AssertEmpty(&w);
+    for (uint32_t i = 0; i < 6; i++)
+        World_AssertKind(&w, first + i, BW_OUTCOME_LOST);
+    World_AssertDeclined(&w, World_Place(&w, peer, &(Order){.job = "b"}),
+                         BW_DECLINE_NO_SESSION);
+    World_FindPeer(&w, peer)->is_mute = false;
+    World_Run(&w, SESSION_US);
+    World_AssertKind(&w, World_Place(&w, peer, &(Order){.job = "b"}), 0);
+    World_Finish(&w);
+}
+
+static void
+test_no_session(void)
+{
+    World w;
+    uint32_t peer;
+
+    World_Open(&w);
+    peer = World_OpenPeer(&w);
+    World_AssertDeclined(&w, World_Place(&w, peer, &(Order){.job = "a"}),
+                         BW_DECLINE_NO_SESSION);
+    World_Finish(&w);
+}
+
+/* The worker falls silent: its lease ends, and only then is anything
+   reported. */
+static void
+test_lease_lapses(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), first, again;
+
+    first = World_Place(&w, peer, &(Order){.job = "a", .count = 4});
+    World_Run(&w, 300000);
+    w.worker.slow_permille = 20;
+    World_Run(&w, 300000);
+    w.worker.is_silent = true;
+    for (uint32_t i = 0; w.worker.running->len > 0; i++) {
+        g_assert_cmpuint(i, <, 2 * LEASE_US / STEP_US);
+        World_AssertKind(&w, first, 0);
+        World_Run(&w, STEP_US);
+    }
+    g_assert_true(World_FindPeer(&w, peer)->is_leaving);
+    World_AssertDeclined(&w, World_Place(&w, peer, &(Order){.job = "b"}),
+                         BW_DECLINE_LEAVING);
+    World_Run(&w, LEASE_US);
+    for (uint32_t i = 0; i < 4; i++)
+        World_AssertKind(&w, first + i, BW_OUTCOME_LOST);
+    g_assert_cmpuint(w.supervisor.used.cpu_milli, ==, 0);
+    w.worker.is_silent = false;
+    World_Run(&w, 2000000);
+    g_assert_false(World_FindPeer(&w, peer)->is_leaving);
+    again = World_Place(&w, peer, &(Order){.job = "a", .count = 4});
+    World_Run(&w, 300000);
+    g_assert_cmpuint(w.worker.running->len, ==, 4);
+    World_AssertKind(&w, again, 0);
+    World_Finish(&w);
+}
+
+/* The account of the lease covers a slow clock that was read long ago. */
+static void
+test_slow_clock(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w);
+    uint64_t clock_us;
+
+    w.worker.clock_base_ms = World_Clock(&w);
+    w.worker.born_us = w.now_us;
+    w.worker.slow_permille = 20;
+    /* An answer has just come; the next hold waits, and none is known of its
+       end. */
+    do {
+        clock_us = w.supervisor.clock_read_us;
+        World_Run(&w, STEP_US);
+    } while (w.supervisor.clock_read_us == clock_us);
+    World_Run(&w, 1000000);
+    g_assert_cmpuint(w.now_us - w.supervisor.clock_read_us, >=, 990000);
+    w.fate[CALL_START] = FATE_UNSAID;
+    World_Place(&w, peer, &(Order){.job = "a"});
+    World_Run(&w, 10000);
+    g_assert_cmpuint(w.worker.running->len, ==, 1);
+    w.worker.is_silent = true;
+    World_Run(&w, 2 * LEASE_US);
+    World_AssertEmpty(&w);
+    World_Finish(&w);
+}
+
+static void
+test_restart(void)
+{
+    World w;
+    Beat beat;
+    uint32_t peer = World_Open(&w), task;
+
+    World_Place(&w, peer, &(Order){.job = "a", .count = 3});
+    World_Run(&w, 100000);
+    w.fate[CALL_START] = FATE_LATE;
+    w.late_us = 250000;
+    World_Place(&w, peer, &(Order){.job = "a", .first = 3});
+    World_Run(&w, 10000);
+    World_RestartSupervisor(&w);
+    peer = World_OpenPeer(&w);
+    g_assert_false(World_FindPeer(&w, peer)->is_clear);
+    beat = World_MakeBeat(&w);
+    World_DeliverBeat(&w, &beat);
+    g_assert_cmpuint(w.worker.running->len, ==, 3);
+    while (!World_FindPeer(&w, peer)->is_clear) {
+        g_assert_cmpuint(w.supervisor.counters.started, ==, 0);
+        World_Run(&w, STEP_US);
+    }
+    g_assert_cmpuint(w.worker.running->len, ==, 0);
+    World_Run(&w, 500000);
+    g_assert_cmpuint(w.starts, ==, 3);
+    task = World_Place(&w, peer, &(Order){.job = "a", .count = 4});
+    World_Run(&w, 4000000);
+    World_AssertKind(&w, task, 0);
+    g_assert_cmpuint(w.worker.running->len, ==, 4);
+    World_Finish(&w);
+}
+
+static void
+test_new_instance(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), first;
+
+    first = World_Place(&w, peer, &(Order){.job = "a", .count = 5});
+    World_Run(&w, 100000);
+    w.worker.capacity_cpu = 2000;
+    World_BeginLife(&w);
+    World_Run(&w, 1000000);
+    for (uint32_t i = 0; i < 4; i++)
+        World_AssertKind(&w, first + i, BW_OUTCOME_LOST);
+    World_AssertKind(&w, first + 4, BW_OUTCOME_NOT_RUN);
+    g_assert_false(World_FindPeer(&w, peer)->is_leaving);
+    World_Place(&w, peer, &(Order){.job = "a", .count = 3});
+    World_Run(&w, 100000);
+    g_assert_cmpuint(w.worker.running->len, ==, 2);
+    World_Finish(&w);
+}
+
+static void
+test_drain(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), first;
+
+    first = World_Place(&w, peer, &(Order){.job = "a", .count = 5});
+    World_Run(&w, 100000);
+    w.worker.is_leaving = true;
+    World_Run(&w, 300000);
+    g_assert_true(World_FindPeer(&w, peer)->is_leaving);
+    World_AssertDeclined(&w, first + 4, BW_DECLINE_LEAVING);
+    World_AssertDeclined(&w, World_Place(&w, peer, &(Order){.job = "b"}),
+                         BW_DECLINE_LEAVING);
+    g_assert_cmpuint(w.worker.running->len, ==, 4);
+    World_AssertKind(&w, first, 0);
+    World_Finish(&w);
+}
+
+static void
+test_leave(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), first;
+
+    first = World_Place(&w, peer,
+                        &(Order){.job = "a", .count = 5, .run_us = 500000});
+    World_Run(&w, 100000);
+    BwSupervisor_Leave(&w.supervisor, w.now_us);
+    World_AssertDeclined(&w, first + 4, BW_DECLINE_LEAVING);
+    World_AssertDeclined(&w, World_Place(&w, peer, &(Order){.job = "b"}),
+                         BW_DECLINE_LEAVING);
+    g_assert_false(BwSupervisor_IsIdle(&w.supervisor));
+    World_Run(&w, 700000);
+    World_AssertKind(&w, first, BW_OUTCOME_DONE);
+    World_AssertEmpty(&w);
+    World_Finish(&w);
+}
+
+static void
+test_fence(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), task;
+
+    w.worker.fence = World_Clock(&w);
+    g_assert_cmpuint(w.worker.fence, >, w.supervisor.fence);
+    task = World_Place(&w, peer, &(Order){.job = "a", .run_us = 100000});
+    World_Run(&w, 500000);
+    World_AssertKind(&w, task, BW_OUTCOME_DONE);
+    g_assert_cmpuint(w.worker.fence, ==, w.supervisor.fence);
+    World_Finish(&w);
+}
+
+static void
+test_old_run(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w);
+
+    for (uint32_t i = 0; i < 8; i++) {
+        uint32_t task =
+            World_Place(&w, peer, &(Order){.job = "a", .run_us = 100000});
+
+        World_Run(&w, 300000);
+        World_AssertKind(&w, task, BW_OUTCOME_DONE);
+    }
+    g_assert_cmpuint(w.starts, ==, 8);
+    World_Finish(&w);
+}
+
+static void
+test_duplicate(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), other = World_OpenPeer(&w), task;
+
+    World_Run(&w, 100000);
+    task = World_Place(&w, peer, &(Order){.job = "a"});
+    World_AssertDeclined(&w, World_Place(&w, other, &(Order){.job = "a"}),
+                         BW_DECLINE_DUPLICATE);
+    World_Run(&w, 100000);
+    World_StopJob(&w, peer, World_FindPlacement(&w, task)->ref);
+    World_AssertDeclined(&w, World_Place(&w, other, &(Order){.job = "a"}),
+                         BW_DECLINE_DUPLICATE);
+    World_Run(&w, 200000);
+    task = World_Place(&w, other, &(Order){.job = "a"});
+    World_Run(&w, 100000);
+    World_AssertKind(&w, task, 0);
+    g_assert_cmpuint(w.worker.running->len, ==, 1);
+    World_Finish(&w);
+}
+
+static void
+test_suits(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), first;
+
+    World_AssertDeclined(
+        &w, World_Place(&w, peer, &(Order){.job = "a", .label = "gpu"}),
+        BW_DECLINE_UNSUITED);
+    World_AssertKind(
+        &w, World_Place(&w, peer, &(Order){.job = "b", .label = "rack"}), 0);
+    World_AssertDeclined(
+        &w, World_Place(&w, peer, &(Order){.job = "c", .cpu = 4001}),
+        BW_DECLINE_UNSUITED);
+    first = World_Place(&w, peer,
+                        &(Order){.job = "d", .count = 3, .spread_max = 2});
+    World_AssertKind(&w, first + 1, 0);
+    World_AssertDeclined(&w, first + 2, BW_DECLINE_UNSUITED);
+    first = World_Place(&w, peer,
+                        &(Order){.job = "d", .step = 1, .spread_max = 2});
+    World_AssertKind(&w, first, 0);
+    World_Finish(&w);
+}
+
+static void
+test_priority(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w);
+    uint32_t late, soon, first;
+
+    World_Place(&w, peer, &(Order){.job = "a", .cpu = 4000, .run_us = 200000});
+    World_Run(&w, 50000);
+    late = World_Place(&w, peer,
+                       &(Order){.job = "b",
+                                .cpu = 4000,
+                                .run_us = 50000,
+                                .priority = 2,
+                                .due_us = 900000});
+    soon = World_Place(&w, peer,
+                       &(Order){.job = "c",
+                                .cpu = 4000,
+                                .run_us = 50000,
+                                .priority = 2,
+                                .due_us = 800000});
+    first = World_Place(&w, peer,
+                        &(Order){.job = "d",
+                                 .cpu = 4000,
+                                 .run_us = 50000,
+                                 .priority = 1,
+                                 .due_us = 990000});
+    World_Run(&w, 1000000);
+    g_assert_cmpuint(w.order->len, ==, 4);
+    g_assert_cmpuint(g_array_index(w.order, uint32_t, 1), ==, first);
+    g_assert_cmpuint(g_array_index(w.order, uint32_t, 2), ==, soon);
+    g_assert_cmpuint(g_array_index(w.order, uint32_t, 3), ==, late);
+    World_Finish(&w);
+}
+
+static void
+test_deadline(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), first, second;
+
+    first = World_Place(
+        &w, peer, &(Order){.job = "a", .cpu = 4000, .deadline_us = 300000});
+    second = World_Place(
+        &w, peer, &(Order){.job = "b", .cpu = 4000, .deadline_us = 200000});
+    World_Run(&w, 205000);
+    World_AssertDeclined(&w, second, BW_DECLINE_LATE);
+    World_AssertKind(&w, first, 0);
+    World_Run(&w, 400000);
+    World_AssertKind(&w, first, BW_OUTCOME_LOST);
+    World_AssertEmpty(&w);
+    World_Finish(&w);
+}
+
+/* It refuses everything, and is not given work. */
+static void
+test_unhealthy(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), first;
+
+    first = World_Place(&w, peer, &(Order){.job = "a"});
+    World_Run(&w, 300000);
+    w.worker.is_unhealthy = true;
+    World_Run(&w, 10000);
+    World_AssertKind(&w, first, 0);
+    World_Run(&w, 1500000);
+    g_assert_true(World_FindPeer(&w, peer)->is_leaving);
+    World_AssertKind(&w, first, BW_OUTCOME_LOST);
+    World_AssertDeclined(&w, World_Place(&w, peer, &(Order){.job = "b"}),
+                         BW_DECLINE_LEAVING);
+    w.worker.is_unhealthy = false;
+    World_Run(&w, 300000);
+    g_assert_false(World_FindPeer(&w, peer)->is_leaving);
+    first = World_Place(&w, peer, &(Order){.job = "a", .run_us = 100000});
+    World_Run(&w, 500000);
+    World_AssertKind(&w, first, BW_OUTCOME_DONE);
+    World_Finish(&w);
+}
+
+/* What is queued does not wait for a worker that is lost. */
+static void
+test_silent_queue(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), first;
+
+    first = World_Place(&w, peer, &(Order){.job = "a", .count = 6});
+    World_Run(&w, 300000);
+    w.worker.is_silent = true;
+    World_Run(&w, 2 * LEASE_US + 200000);
+    World_AssertKind(&w, first + 3, BW_OUTCOME_LOST);
+    World_AssertKind(&w, first + 4, BW_OUTCOME_NOT_RUN);
+    World_AssertKind(&w, first + 5, BW_OUTCOME_NOT_RUN);
+    World_AssertEmpty(&w);
+    World_Finish(&w);
+}
+
+/* Answers of the former instance come after the new one is known. */
+static void
+test_late_answer(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), task;
+    BwWorkerAnswer answer = {.verdict = BW_WORKER_OK, .clock_ms = 900000000};
+
+    task = World_Place(&w, peer, &(Order){.job = "a"});
+    World_Run(&w, 50000);
+    World_BeginLife(&w);
+    World_Run(&w, 1000000);
+    World_AssertKind(&w, task, BW_OUTCOME_LOST);
+    g_assert_cmpint(w.supervisor.phase, ==, BW_WORKER_READY);
+    BwSupervisor_OnStarted(&w.supervisor, w.now_us, 1, &answer);
+    g_assert_cmpuint(w.supervisor.clock_ms, <, 900000000);
+    answer.verdict = BW_WORKER_OTHER;
+    BwSupervisor_OnStarted(&w.supervisor, w.now_us, 1, &answer);
+    BwSupervisor_OnStopped(&w.supervisor, w.now_us, 1, &answer);
+    BwSupervisor_OnHeld(&w.supervisor, w.now_us, 1, START_US, &answer);
+    g_assert_cmpint(w.supervisor.phase, ==, BW_WORKER_READY);
+    World_Finish(&w);
+}
+
+/* A beat that was delayed while the worker was replaced twice. */
+static void
+test_stale_beat(void)
+{
+    World w;
+    uint32_t peer;
+    Beat stale;
+    uint32_t task;
+
+    World_Init(&w, NULL);
+    stale = World_MakeBeat(&w);
+    stale.capacity_cpu = 9000;
+    World_BeginLife(&w);
+    peer = World_OpenPeer(&w);
+    World_Run(&w, 500000);
+    World_BeginLife(&w);
+    World_Run(&w, 1000000);
+    task = World_Place(&w, peer, &(Order){.job = "a", .run_us = 1000000});
+    World_Run(&w, 100000);
+    World_DeliverBeat(&w, &stale);
+    g_assert_false(World_FindPeer(&w, peer)->is_leaving);
+    World_Run(&w, 500000);
+    World_AssertKind(&w, task, 0);
+    g_assert_cmpuint(w.worker.running->len, ==, 1);
+    g_assert_cmpuint(w.supervisor.capacity.cpu_milli, ==, CAPACITY_CPU);
+    World_Run(&w, 500000);
+    World_AssertKind(&w, task, BW_OUTCOME_DONE);
+    World_DeliverBeat(&w, &stale);
+    World_Run(&w, 500000);
+    g_assert_false(World_FindPeer(&w, peer)->is_leaving);
+    g_assert_cmpuint(w.supervisor.capacity.cpu_milli, ==, CAPACITY_CPU);
+    World_Finish(&w);
+}
+
+/* The end of a worker before the former one becomes known late. */
+static void
+test_stale_end(void)
+{
+    World w;
+    uint32_t peer;
+    Beat gone;
+
+    World_Init(&w, NULL);
+    gone = World_MakeBeat(&w);
+    gone.sequence = 1000;
+    gone.is_gone = true;
+    World_BeginLife(&w);
+    peer = World_OpenPeer(&w);
+    World_Run(&w, 500000);
+    World_BeginLife(&w);
+    World_Run(&w, 1000000);
+    World_DeliverBeat(&w, &gone);
+    g_assert_false(World_FindPeer(&w, peer)->is_leaving);
+    w.worker.is_leaving = true;
+    World_Run(&w, 500000);
+    g_assert_true(World_FindPeer(&w, peer)->is_leaving);
+    World_Finish(&w);
+}
+
+/* A beat from before the worker said that it ends. */
+static void
+test_gone(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w);
+    Beat beat = World_MakeBeat(&w);
+    Beat gone = {.instance = beat.instance, .is_gone = true};
+
+    w.is_beating = false;
+    World_DeliverBeat(&w, &gone);
+    g_assert_true(World_FindPeer(&w, peer)->is_leaving);
+    World_DeliverBeat(&w, &beat);
+    World_AssertDeclined(&w, World_Place(&w, peer, &(Order){.job = "a"}),
+                         BW_DECLINE_LEAVING);
+    World_Finish(&w);
+}
+
+/* More ends at once than one answer lists. */
+static void
+test_many(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w);
+    uint32_t first = World_Place(
+        &w, peer,
+        &(Order){.job = "a", .count = 700, .cpu = 5, .run_us = 300000});
+
+    World_Run(&w, 100000);
+    g_assert_cmpuint(w.worker.running->len, ==, 700);
+    World_Run(&w, 500000);
+    for (uint32_t i = 0; i < 700; i++)
+        World_AssertKind(&w, first + i, BW_OUTCOME_DONE);
+    World_AssertEmpty(&w);
+    World_Finish(&w);
+}
+
+static void
+test_busy(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w);
+    uint32_t first = World_Place(&w, peer,
+                                 &(Order){.job = "a",
+                                          .count = BW_SUPERVISOR_TASKS_MAX + 1,
+                                          .cpu = 4000});
+
+    World_AssertKind(&w, first + BW_SUPERVISOR_TASKS_MAX - 1, 0);
+    World_AssertDeclined(&w, first + BW_SUPERVISOR_TASKS_MAX, BW_DECLINE_BUSY);
+    World_Finish(&w);
+}
+
+/* Two answers list the same end; the task was placed again in between. */
+static void
+test_end_again(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), task;
+    BwListedTask end = {.job = BwSpan_FromString("a"),
+                        .run = 1,
+                        .number = 1,
+                        .end = BW_END_FAILED};
+    BwWorkerAnswer answer = {.verdict = BW_WORKER_OK,
+                             .clock_ms = 1000,
+                             .ended = &end,
+                             .ended_count = 1};
+
+    task = World_Place(
+        &w, peer, &(Order){.job = "a", .run_us = 50000, .end = BW_END_FAILED});
+    while (World_FindPlacement(&w, task)->kind == 0)
+        World_Run(&w, STEP_US);
+    g_assert_cmpuint(w.supervisor.seen, ==, 1);
+    task = World_Place(&w, peer, &(Order){.job = "a"});
+    answer.clock_ms = World_Clock(&w);
+    BwSupervisor_OnHeld(&w.supervisor, w.now_us, w.supervisor.hold_number,
+                        w.now_us, &answer);
+    World_AssertKind(&w, task, 0);
+    World_Run(&w, 200000);
+    g_assert_cmpuint(w.worker.running->len, ==, 1);
+    World_Finish(&w);
+}
+
+/* The worker lists a run that is not the one that was ordered. */
+static void
+test_other_run(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w);
+    BwListedTask other = {.job = BwSpan_FromString("a"), .run = 7};
+    BwWorkerAnswer answer = {
+        .verdict = BW_WORKER_OK, .running = &other, .running_count = 1};
+    const Call *call;
+
+    w.fate[CALL_START] = FATE_LOST;
+    World_Place(&w, peer, &(Order){.job = "a"});
+    BwSupervisor_OnHeld(&w.supervisor, w.now_us, w.supervisor.hold_number,
+                        w.now_us, &answer);
+    call = g_ptr_array_index(w.calls, w.calls->len - 1);
+    if (call->kind == CALL_HOLD)
+        call = g_ptr_array_index(w.calls, w.calls->len - 2);
+    g_assert_cmpint(call->kind, ==, CALL_STOP);
+    g_assert_cmpuint(call->task.run, ==, 7);
+    g_assert_cmpint(w.supervisor.seats->state, ==, BW_SEAT_STARTING);
+    World_Finish(&w);
+}
+
+/* What an answer says of a task that the worker did not start. */
+static void
+test_refused(void)
+{
+    static const struct {
+        BwWorkerVerdict verdict;
+        uint32_t kind;
+        uint32_t reason;
+    } cases[] = {
+        {BW_WORKER_LATE, BW_OUTCOME_NOT_RUN, BW_DECLINE_LATE},
+        {BW_WORKER_NO_ROOM, BW_OUTCOME_NOT_RUN, BW_DECLINE_REFUSED},
+        {BW_WORKER_UNHEALTHY, BW_OUTCOME_NOT_RUN, BW_DECLINE_REFUSED},
+        {BW_WORKER_BAD, BW_OUTCOME_FAILED, BW_DECLINE_REFUSED},
+    };
+
+    for (uint32_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        World w;
+        BwWorkerAnswer answer = {.verdict = cases[i].verdict};
+        uint32_t peer = World_Open(&w), task;
+
+        w.fate[CALL_START] = FATE_LOST;
+        task = World_Place(&w, peer, &(Order){.job = "a"});
+        g_assert_cmpuint(w.supervisor.used.cpu_milli, ==, 1000);
+        BwSupervisor_OnStarted(&w.supervisor, w.now_us,
+                               w.supervisor.numbers->number, &answer);
+        World_AssertKind(&w, task, cases[i].kind);
+        g_assert_cmpuint(World_FindPlacement(&w, task)->reason, ==,
+                         cases[i].reason);
+        World_AssertEmpty(&w);
+        World_Finish(&w);
+    }
+}
+
+/* ------------------------------------------------------------- random */
+
+#define SEEDS 200
+#define RANDOM_STEPS 3000
+#define PEERS 3
+
+static bool
+happens(World *w, gint of_10000)
+{
+    return g_rand_int_range(w->rand, 0, 10000) < of_10000;
+}
+
+static uint64_t
+between(World *w, uint64_t low, uint64_t high)
+{
+    return low +
+           (uint64_t)g_rand_double_range(w->rand, 0, (double)(high - low));
+}
+
+static uint32_t
+any_peer(World *w)
+{
+    uint32_t id;
+
+    do {
+        id = (uint32_t)between(w, 0, w->peers->len) + 1;
+    } while (!World_FindPeer(w, id)->is_up);
+    return id;
+}
+
+static void
+place_any(World *w, uint32_t peer)
+{
+    static const char *const jobs[] = {"a", "b", "c", "d", "e", "f",
+                                       "g", "h", "i", "j", "k", "l"};
+    Order order = {0};
+
+    order.job = jobs[between(w, 0, G_N_ELEMENTS(jobs))];
+    order.step = (uint32_t)between(w, 0, 2);
+    order.first = (uint32_t)between(w, 0, 4);
+    order.count = (uint32_t)between(w, 1, 4);
+    order.cpu = (uint32_t)between(w, 200, 2500);
+    order.run_us = between(w, 10000, 250000);
+    if (happens(w, 1000))
+        order.run_us = between(w, 1000000, 5000000);
+    if (happens(w, 1000))
+        order.end = BW_END_FAILED;
+    order.priority = (uint32_t)between(w, 0, 3);
+    if (happens(w, 2000))
+        order.spread_max = (uint32_t)between(w, 1, 4);
+    order.due_us = between(w, 0, 1000000);
+    order.deadline_us = between(w, 50000, 3000000);
+    World_Place(w, peer, &order);
+}
+
+static void
+replace_worker(World *w)
+{
+    Beat beat = World_MakeBeat(w);
+
+    if (w->worker.is_leaving) {
+        beat.is_gone = true;
+        beat.due_us += between(w, 0, 3000000);
+        g_array_append_val(w->beats, beat);
+    }
+    World_BeginLife(w);
+    w->next_beat_us = w->now_us + between(w, 0, 500000);
+}
+
+static void
+disturb(World *w)
+{
+    Worker *worker = &w->worker;
+
+    if (happens(w, worker->is_silent ? 100 : 10))
+        worker->is_silent = !worker->is_silent;
+    if (happens(w, worker->is_unhealthy ? 100 : 5))
+        worker->is_unhealthy = !worker->is_unhealthy;
+    if (happens(w, worker->is_leaving ? 50 : 3)) {
+        if (worker->is_leaving)
+            replace_worker(w);
+        else
+            worker->is_leaving = true;
+    }
+    if (happens(w, 5))
+        replace_worker(w);
+    if (happens(w, 5)) {
+        World_RestartSupervisor(w);
+        for (uint32_t i = 0; i < PEERS; i++)
+            World_OpenPeer(w);
+    }
+}
+
+static void
+act(World *w)
+{
+    uint32_t peer = any_peer(w);
+
+    if (happens(w, 800))
+        place_any(w, peer);
+    if (happens(w, 100) && w->next_ref > 0)
+        World_StopJob(w, peer,
+                      w->next_ref - between(w, 0, MIN(w->next_ref, 5)));
+    if (happens(w, World_FindPeer(w, peer)->is_mute ? 200 : 20))
+        World_FindPeer(w, peer)->is_mute = !World_FindPeer(w, peer)->is_mute;
+    if (happens(w, 20)) {
+        World_ClosePeer(w, peer);
+        World_OpenPeer(w);
+    }
+}
+
+/* Nothing runs long after its dispatcher was last heard. */
+static void
+check_sessions(World *w)
+{
+    for (guint i = 0; i < w->worker.running->len; i++) {
+        const Task *task = &g_array_index(w->worker.running, Task, i);
+        const Peer *peer =
+            World_FindPeer(w, World_FindPlacement(w, task->placement)->peer);
+        uint64_t until_us = peer->valid_until_us;
+
+        if (!peer->is_up)
+            until_us = MIN(until_us, peer->ended_us);
+        g_assert_cmpuint(w->now_us, <=,
+                         until_us + SESSION_US + w->limits.lease_us + STOP_US);
+    }
+}
+
+/* All is well again: everything comes to its end. */
+static void
+settle(World *w)
+{
+    uint32_t peer, task;
+
+    w->losses = 0;
+    w->worker.is_silent = false;
+    w->worker.is_unhealthy = false;
+    if (w->worker.is_leaving)
+        replace_worker(w);
+    for (guint i = 0; i < w->peers->len; i++)
+        g_array_index(w->peers, Peer, i).is_mute = false;
+    World_Run(w, LATE_MAX_US + 1000000);
+    World_AssertEmpty(w);
+    for (guint i = 0; i < w->placements->len; i++) {
+        const Placement *placement = World_FindPlacement(w, i);
+
+        if (World_FindPeer(w, placement->peer)->is_up &&
+            !placement->is_stopped)
+            g_assert_cmpuint(placement->outcomes, ==, 1);
+    }
+    peer = w->peers->len;
+    g_assert_true(World_FindPeer(w, peer)->is_clear);
+    task = World_Place(w, peer, &(Order){.job = "last", .run_us = 100000});
+    World_Run(w, 1000000);
+    World_AssertKind(w, task, BW_OUTCOME_DONE);
+}
+
+static void
+run_random(uint32_t seed)
+{
+    World w;
+    gint calm;
+    uint32_t kinds[BW_OUTCOME_NOT_RUN + 1] = {0};
+
+    World_Init(&w, g_rand_new_with_seed(seed));
+    if (seed % 2 == 0)
+        w.supervisor.limits.lease_us = w.limits.lease_us = LONG_LEASE_US;
+    if (seed % 3 == 0)
+        w.latency_us = 2000;
+    calm = g_rand_int_range(w.rand, 1, 5);
+    w.losses = (uint32_t)g_rand_int_range(w.rand, 0, 30);
+    for (uint32_t i = 0; i < PEERS; i++)
+        World_OpenPeer(&w);
+    for (uint32_t i = 0; i < RANDOM_STEPS; i++) {
+        World_Run(&w, STEP_US);
+        check_sessions(&w);
+        act(&w);
+        if (g_rand_int_range(w.rand, 0, calm) == 0)
+            disturb(&w);
+    }
+    settle(&w);
+    for (guint i = 0; i < w.placements->len; i++)
+        kinds[World_FindPlacement(&w, i)->kind]++;
+    g_test_message("seed %u: %u starts, %u done, %u failed, %u lost, "
+                   "%u not run, %u untold",
+                   seed, w.starts, kinds[BW_OUTCOME_DONE],
+                   kinds[BW_OUTCOME_FAILED], kinds[BW_OUTCOME_LOST],
+                   kinds[BW_OUTCOME_NOT_RUN], kinds[0]);
+    g_assert_cmpuint(kinds[BW_OUTCOME_DONE], >, 1);
+    g_rand_free(w.rand);
+    World_Finish(&w);
+}
+
+static void
+test_random(void)
+{
+    for (uint32_t seed = 1; seed <= SEEDS; seed++)
+        run_random(seed);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/supervisor/room", test_room);
+    g_test_add_func("/supervisor/done", test_done);
+    g_test_add_func("/supervisor/start_unanswered", test_start_unanswered);
+    g_test_add_func("/supervisor/peer_down", test_peer_down);
+    g_test_add_func("/supervisor/clear_again", test_clear_again);
+    g_test_add_func("/supervisor/session_lapses", test_session_lapses);
+    g_test_add_func("/supervisor/no_session", test_no_session);
+    g_test_add_func("/supervisor/lease_lapses", test_lease_lapses);
+    g_test_add_func("/supervisor/slow_clock", test_slow_clock);
+    g_test_add_func("/supervisor/restart", test_restart);
+    g_test_add_func("/supervisor/new_instance", test_new_instance);
+    g_test_add_func("/supervisor/drain", test_drain);
+    g_test_add_func("/supervisor/leave", test_leave);
+    g_test_add_func("/supervisor/fence", test_fence);
+    g_test_add_func("/supervisor/old_run", test_old_run);
+    g_test_add_func("/supervisor/duplicate", test_duplicate);
+    g_test_add_func("/supervisor/suits", test_suits);
+    g_test_add_func("/supervisor/priority", test_priority);
+    g_test_add_func("/supervisor/deadline", test_deadline);
+    g_test_add_func("/supervisor/unhealthy", test_unhealthy);
+    g_test_add_func("/supervisor/silent_queue", test_silent_queue);
+    g_test_add_func("/supervisor/late_answer", test_late_answer);
+    g_test_add_func("/supervisor/stale_beat", test_stale_beat);
+    g_test_add_func("/supervisor/stale_end", test_stale_end);
+    g_test_add_func("/supervisor/gone", test_gone);
+    g_test_add_func("/supervisor/many", test_many);
+    g_test_add_func("/supervisor/busy", test_busy);
+    g_test_add_func("/supervisor/refused", test_refused);
+    g_test_add_func("/supervisor/end_again", test_end_again);
+    g_test_add_func("/supervisor/other_run", test_other_run);
+    g_test_add_func("/supervisor/random", test_random);
+    return g_test_run();
+}
