Test how long a task waits for room

PLACE says how long its tasks wait for room; the cases place with as much patience as they need, the random schedules with any, and /supervisor/patience checks the bound. A start that the worker calls bad is not run, as it is now.

--- a/tests/supervisor_world.c
+++ b/tests/supervisor_world.c
@@ -591,6 +591,9 @@
         out->spread_max = order->spread_max;
         out->expected_us = order->run_us;
         out->due_in_us = order->due_us;
+        out->wait_us = order->wait_us != 0 ? order->wait_us : FOREVER_US;
+        if (order->is_impatient)
+            out->wait_us = 0;
         out->deadline_in_us = placement.deadline_us - w->now_us;
         out->tasks = &task;
         out->task_count = 1;
--- a/tests/supervisor_world.h
+++ b/tests/supervisor_world.h
@@ -184,6 +184,8 @@
     const char *label;
     uint64_t deadline_us;
     uint64_t due_us;
+    uint64_t wait_us; /* for room */
+    bool is_impatient;
 } Order;
 
 uint64_t
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -432,6 +432,29 @@
     World_Finish(&w);
 }
 
+/* It has no room, now or by the time it is given. */
+static void
+test_patience(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), fits, now, soon;
+
+    fits = World_Place(
+        &w, peer, &(Order){.job = "a", .cpu = 3000, .is_impatient = true});
+    now = World_Place(&w, peer,
+                      &(Order){.job = "b", .cpu = 3000, .is_impatient = true});
+    soon = World_Place(&w, peer,
+                       &(Order){.job = "c", .cpu = 3000, .wait_us = 100000});
+    World_AssertKind(&w, fits, 0);
+    World_AssertDeclined(&w, now, BW_DECLINE_BUSY);
+    World_Run(&w, 95000);
+    World_AssertKind(&w, soon, 0);
+    World_Run(&w, 5000);
+    World_AssertDeclined(&w, soon, BW_DECLINE_BUSY);
+    World_AssertKind(&w, fits, 0);
+    World_Finish(&w);
+}
+
 /* It refuses everything, and is not given work. */
 static void
 test_unhealthy(void)
@@ -677,7 +700,7 @@
         {BW_WORKER_LATE, BW_OUTCOME_NOT_RUN, BW_DECLINE_LATE},
         {BW_WORKER_NO_ROOM, BW_OUTCOME_NOT_RUN, BW_DECLINE_REFUSED},
         {BW_WORKER_UNHEALTHY, BW_OUTCOME_NOT_RUN, BW_DECLINE_REFUSED},
-        {BW_WORKER_BAD, BW_OUTCOME_FAILED, BW_DECLINE_REFUSED},
+        {BW_WORKER_BAD, BW_OUTCOME_NOT_RUN, BW_DECLINE_REFUSED},
     };
 
     for (uint32_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -750,6 +773,9 @@
         order.spread_max = (uint32_t)between(w, 1, 4);
     order.due_us = between(w, 0, 1000000);
     order.deadline_us = between(w, 50000, 3000000);
+    order.is_impatient = happens(w, 2000);
+    if (happens(w, 3000))
+        order.wait_us = between(w, 1000, 500000);
     World_Place(w, peer, &order);
 }
 
@@ -932,6 +958,7 @@
     g_test_add_func("/supervisor/refused", test_refused);
     g_test_add_func("/supervisor/end_again", test_end_again);
     g_test_add_func("/supervisor/other_run", test_other_run);
+    g_test_add_func("/supervisor/patience", test_patience);
     g_test_add_func("/supervisor/random", test_random);
     return g_test_run();
 }
