Take back only the tasks of the PLACE itself

A PLACE that waits for nothing also took back queued tasks of an earlier one for the same step whose time had run out since the last tick, and wrote them behind the end of its list of outcomes, which has room for its own. It takes back its own seats alone now; the tick sees to the others.

The new test /supervisor/take_back failed before: aborted by malloc, and heap-buffer-overflow in take_back with the address sanitizer.

--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -919,18 +919,17 @@
     return 0;
 }
 
-/* Takes back the tasks of a PLACE that found no room.  Returns how many. */
+/* Takes back the tasks from seat number `first` on that found no room.
+   Returns how many. */
 static uint32_t
-take_back(BwSupervisor *s, uint64_t now_us, const BwPlace *place,
-          uint32_t peer, BwTaskOutcome *declined)
+take_back(BwSupervisor *s, uint64_t first, BwTaskOutcome *declined)
 {
     BwSeat *seat, *next;
     uint32_t count = 0;
 
     DL_FOREACH_SAFE(s->queue, seat, next)
     {
-        if (seat->peer != peer || seat->ref != place->ref ||
-            seat->key.step != place->step || seat->patience_us > now_us)
+        if (seat->number < first)
             continue;
         declined[count].index = seat->key.index;
         declined[count].kind = BW_OUTCOME_NOT_RUN;
@@ -947,6 +946,7 @@
 {
     BwSeatText *text = malloc(sizeof(*text) + place->spec.size_bytes);
     BwTaskOutcome *declined = calloc(place->task_count + 1, sizeof(*declined));
+    uint64_t first = s->next_number + 1;
     uint32_t spread = 0, count = 0;
 
     peer->place_seen = place->number;
@@ -972,7 +972,7 @@
     }
     start_queued(s, now_us);
     if (place->wait_us == 0 && count < place->task_count)
-        count += take_back(s, now_us, place, peer->peer, declined + count);
+        count += take_back(s, first, declined + count);
     s->counters.declined += count;
     report(s, now_us, peer->peer, place->ref, declined, count);
     if (--text->references == 0)
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -455,6 +455,30 @@
     World_Finish(&w);
 }
 
+/* A PLACE takes back its own tasks alone; those of an earlier one that waited
+   long enough are the tick's. */
+static void
+test_take_back(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), first, last;
+
+    World_Place(&w, peer, &(Order){.job = "a", .cpu = 4000});
+    first = World_Place(&w, peer,
+                        &(Order){.job = "b", .count = 8, .wait_us = 1000});
+    w.now_us += 2000;
+    w.next_ref--;
+    last = World_Place(&w, peer,
+                       &(Order){.job = "b", .first = 8, .is_impatient = true});
+    World_AssertDeclined(&w, last, BW_DECLINE_BUSY);
+    for (uint32_t i = 0; i < 8; i++)
+        World_AssertKind(&w, first + i, 0);
+    World_Run(&w, 5000);
+    for (uint32_t i = 0; i < 8; i++)
+        World_AssertDeclined(&w, first + i, BW_DECLINE_BUSY);
+    World_Finish(&w);
+}
+
 /* It refuses everything, and is not given work. */
 static void
 test_unhealthy(void)
@@ -959,6 +983,7 @@
     g_test_add_func("/supervisor/end_again", test_end_again);
     g_test_add_func("/supervisor/other_run", test_other_run);
     g_test_add_func("/supervisor/patience", test_patience);
+    g_test_add_func("/supervisor/take_back", test_take_back);
     g_test_add_func("/supervisor/random", test_random);
     return g_test_run();
 }
