Check the counts of the queue in the supervisor's test

Change: the test checks both for zero where it checked the room. Seen: test_supervisor all cases pass.

--- a/tests/supervisor_world.c
+++ b/tests/supervisor_world.c
@@ -779,7 +779,8 @@
 
     g_assert_true(BwSupervisor_IsIdle(s));
     g_assert_cmpuint(s->used.cpu_milli, ==, 0);
-    g_assert_cmpuint(s->queued.cpu_milli, ==, 0);
+    g_assert_cmpuint(s->queued_count, ==, 0);
+    g_assert_cmpuint(s->queued_urgent, ==, 0);
     g_assert_null(s->queue);
     g_assert_cmpuint(s->orphan_count, ==, 0);
     g_assert_cmpuint(w->worker.running->len, ==, 0);
