--- a/packages/adapters/counters.c
+++ b/packages/adapters/counters.c
@@ -9,6 +9,20 @@
 
 #define LINE_BYTES_MAX 320
 
+uint32_t
+BwCounters_Add(BwCounter *counters, uint32_t count, uint32_t room,
+               const char *name, const char *help, BwCounterKind kind,
+               uint64_t value)
+{
+    if (count == room)
+        return count;
+    counters[count].name = name;
+    counters[count].help = help;
+    counters[count].kind = kind;
+    counters[count].value = value;
+    return count + 1;
+}
+
 char *
 BwCounters_Write(const BwCounter *counters, uint32_t count)
 {
--- a/packages/adapters/counters.h
+++ b/packages/adapters/counters.h
@@ -14,6 +14,12 @@
     uint64_t value;
 } BwCounter;
 
+/* Appends a counter unless the list is full; returns the new count. */
+uint32_t
+BwCounters_Add(BwCounter *counters, uint32_t count, uint32_t room,
+               const char *name, const char *help, BwCounterKind kind,
+               uint64_t value);
+
 /* Writes the text; free() it.  Returns NULL when memory is short. */
 char *
 BwCounters_Write(const BwCounter *counters, uint32_t count);
--- a/packages/daemon/agent.c
+++ b/packages/daemon/agent.c
@@ -729,8 +729,8 @@
     uint32_t count = 0;
 
     for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
-        count = BwDaemon_AddCounter(counters, count, room, rows[i].name,
-                                    rows[i].help, rows[i].kind, rows[i].value);
+        count = BwCounters_Add(counters, count, room, rows[i].name,
+                               rows[i].help, rows[i].kind, rows[i].value);
     return count;
 }
 
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -94,10 +94,4 @@
 void
 BwDaemon_LogDecision(const BwDaemon *daemon, const BwDecision *decision);
 
-/* Appends a counter to an array with room for `room`. */
-uint32_t
-BwDaemon_AddCounter(BwCounter *counters, uint32_t count, uint32_t room,
-                    const char *name, const char *help, BwCounterKind kind,
-                    uint64_t value);
-
 #endif
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -500,7 +500,7 @@
     uint32_t n = 0;
 
 #define ADD(name, help, value)                                                \
-    n = BwDaemon_AddCounter(list, n, room, name, help, BW_COUNTER, value)
+    n = BwCounters_Add(list, n, room, name, help, BW_COUNTER, value)
     ADD("brasswing_submitted_total", "Bound jobs taken", c->submitted);
     ADD("brasswing_completed_total", "Bound jobs completed", c->completed);
     ADD("brasswing_failed_total", "Bound jobs failed", c->failed);
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -598,24 +598,22 @@
     const EntryCounters *c = &entry->counters;
     uint32_t n = 0;
 
-    n = BwDaemon_AddCounter(counters, n, room, "brasswing_requests_total",
-                            "Callers' requests", BW_COUNTER, c->requests);
-    n = BwDaemon_AddCounter(counters, n, room, "brasswing_tasks_total",
-                            "Tasks in submitted jobs", BW_COUNTER, c->tasks);
-    n = BwDaemon_AddCounter(counters, n, room, "brasswing_answered_total",
-                            "Requests answered whole", BW_COUNTER,
-                            c->complete);
-    n = BwDaemon_AddCounter(counters, n, room, "brasswing_failed_total",
-                            "Requests answered with an error", BW_COUNTER,
-                            c->failed);
-    n = BwDaemon_AddCounter(counters, n, room, "brasswing_resent_total",
-                            "Requests sent to another home", BW_COUNTER,
-                            c->resent);
-    n = BwDaemon_AddCounter(counters, n, room, "brasswing_aborted_total",
-                            "Callers that went away", BW_COUNTER, c->aborted);
-    return BwDaemon_AddCounter(counters, n, room, "brasswing_waiting",
-                               "Requests without an answer yet", BW_GAUGE,
-                               HASH_COUNT(entry->pending));
+    n = BwCounters_Add(counters, n, room, "brasswing_requests_total",
+                       "Callers' requests", BW_COUNTER, c->requests);
+    n = BwCounters_Add(counters, n, room, "brasswing_tasks_total",
+                       "Tasks in submitted jobs", BW_COUNTER, c->tasks);
+    n = BwCounters_Add(counters, n, room, "brasswing_answered_total",
+                       "Requests answered whole", BW_COUNTER, c->complete);
+    n = BwCounters_Add(counters, n, room, "brasswing_failed_total",
+                       "Requests answered with an error", BW_COUNTER,
+                       c->failed);
+    n = BwCounters_Add(counters, n, room, "brasswing_resent_total",
+                       "Requests sent to another home", BW_COUNTER, c->resent);
+    n = BwCounters_Add(counters, n, room, "brasswing_aborted_total",
+                       "Callers that went away", BW_COUNTER, c->aborted);
+    return BwCounters_Add(counters, n, room, "brasswing_waiting",
+                          "Requests without an answer yet", BW_GAUGE,
+                          HASH_COUNT(entry->pending));
 }
 
 static json_t *
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -87,20 +87,6 @@
            BW_LOG_TEXT("reason", decision->reason));
 }
 
-uint32_t
-BwDaemon_AddCounter(BwCounter *counters, uint32_t count, uint32_t room,
-                    const char *name, const char *help, BwCounterKind kind,
-                    uint64_t value)
-{
-    if (count == room)
-        return count;
-    counters[count].name = name;
-    counters[count].help = help;
-    counters[count].kind = kind;
-    counters[count].value = value;
-    return count + 1;
-}
-
 static void
 serve_metrics(BwDaemon *daemon, BwExchange *exchange)
 {
@@ -110,7 +96,7 @@
     char *text;
 
 #define ADD(name, help, kind, value)                                          \
-    n = BwDaemon_AddCounter(counters, n, COUNTERS_MAX, name, help, kind, value)
+    n = BwCounters_Add(counters, n, COUNTERS_MAX, name, help, kind, value)
     ADD("brasswing_messages_sent_total", "Messages to other processes",
         BW_COUNTER, links->messages_sent);
     ADD("brasswing_messages_received_total", "Messages from other processes",
--- a/packages/daemon/node.c
+++ b/packages/daemon/node.c
@@ -43,7 +43,7 @@
         return false;
     n = node->ops->counters(node, counters, COUNTERS_MAX);
 #define ADD(name, help, kind, value)                                          \
-    n = BwDaemon_AddCounter(counters, n, COUNTERS_MAX, name, help, kind, value)
+    n = BwCounters_Add(counters, n, COUNTERS_MAX, name, help, kind, value)
     ADD("brasswing_messages_sent_total", "Messages to other processes",
         BW_COUNTER, links->messages_sent);
     ADD("brasswing_bytes_sent_total", "Bytes to other processes", BW_COUNTER,
--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -269,7 +269,7 @@
     uint32_t n = 0;
 
 #define ADD(name, help, value)                                                \
-    n = BwDaemon_AddCounter(list, n, room, name, help, BW_COUNTER, value)
+    n = BwCounters_Add(list, n, room, name, help, BW_COUNTER, value)
     ADD("brasswing_started_total", "Starts ordered", c->started);
     ADD("brasswing_done_total", "Tasks done", c->done);
     ADD("brasswing_task_failed_total", "Tasks failed", c->failed);
