--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -647,9 +647,7 @@
 
     if (job == NULL)
         return NULL;
-    memcpy(job->name, name.base,
-           name.size_bytes < sizeof(job->name) ? name.size_bytes
-                                               : sizeof(job->name) - 1);
+    BwSpan_ToString(name, job->name, sizeof(job->name));
     strcpy(job->service, route->service);
     strcpy(job->route, route->name);
     job->priority = route->priority;
@@ -804,12 +802,10 @@
 BwDispatcher_PeerUp(BwDispatcher *d, uint64_t now_us, uint32_t peer,
                     BwSpan name)
 {
-    char text[BW_NAME_BYTES_MAX] = {0};
+    char text[BW_NAME_BYTES_MAX];
     BwView *view;
 
-    memcpy(text, name.base,
-           name.size_bytes < sizeof(text) ? name.size_bytes
-                                          : sizeof(text) - 1);
+    BwSpan_ToString(name, text, sizeof(text));
     HASH_FIND_STR(d->views, text, view);
     if (view == NULL) {
         view = calloc(1, sizeof(*view));
@@ -839,35 +835,27 @@
         lose_link(d, now_us, view);
 }
 
-static void
-copy_span(char *out, size_t room, BwSpan span)
-{
-    size_t size = span.size_bytes < room - 1 ? span.size_bytes : room - 1;
-
-    memcpy(out, span.base, size);
-    out[size] = '\0';
-}
-
 static void
 on_worker(BwDispatcher *d, uint64_t now_us, BwView *view,
           const BwWorkerState *state)
 {
     char instance[BW_NAME_BYTES_MAX];
 
-    copy_span(instance, sizeof(instance), state->instance);
+    BwSpan_ToString(state->instance, instance, sizeof(instance));
     if (strcmp(instance, view->instance) != 0) {
         view->failed_in_row = 0;
         view->ejected_until_us = 0;
     }
     strcpy(view->instance, instance);
-    copy_span(view->service, sizeof(view->service), state->service);
-    copy_span(view->domain, sizeof(view->domain), state->domain);
+    BwSpan_ToString(state->service, view->service, sizeof(view->service));
+    BwSpan_ToString(state->domain, view->domain, sizeof(view->domain));
     view->capacity = state->capacity;
     view->is_usable = state->is_leaving == 0;
     view->label_count = state->label_count < BW_LABELS_MAX ? state->label_count
                                                            : BW_LABELS_MAX;
     for (uint32_t i = 0; i < view->label_count; i++)
-        copy_span(view->labels[i], BW_NAME_BYTES_MAX, state->labels[i].name);
+        BwSpan_ToString(state->labels[i].name, view->labels[i],
+                        BW_NAME_BYTES_MAX);
     if (state->is_clear != 0)
         release_unknown(d, now_us, view);
 }
--- a/packages/core/routes.c
+++ b/packages/core/routes.c
@@ -3,17 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "brasswing.h"
 #include "routes.h"
 
-static void
-copy_text(char *out, size_t room, BwSpan span)
-{
-    size_t size = span.size_bytes < room - 1 ? span.size_bytes : room - 1;
-
-    memcpy(out, span.base, size);
-    out[size] = '\0';
-}
-
 /* Returns the length of the key, or 0 when a part is too long. */
 static uint32_t
 make_key(char *key, BwSpan host, const char *prefix, uint32_t prefix_bytes)
@@ -35,8 +27,8 @@
 
     if (route == NULL)
         return false;
-    copy_text(route->name, sizeof(route->name), row->name);
-    copy_text(route->service, sizeof(route->service), row->service);
+    BwSpan_ToString(row->name, route->name, sizeof(route->name));
+    BwSpan_ToString(row->service, route->service, sizeof(route->service));
     route->priority = row->priority;
     route->attempts_max = row->attempts_max;
     route->stretch_permille = row->stretch_permille;
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -389,22 +389,13 @@
     send_hold(s, now_us, 0);
 }
 
-static void
-set_text(char *out, size_t room, BwSpan span)
-{
-    size_t size = span.size_bytes < room - 1 ? span.size_bytes : room - 1;
-
-    memcpy(out, span.base, size);
-    out[size] = '\0';
-}
-
 void
 BwSupervisor_OnBeat(BwSupervisor *s, uint64_t now_us, const BwWorkerBeat *beat)
 {
     bool was_leaving = s->is_worker_leaving;
     char instance[BW_NAME_BYTES_MAX];
 
-    set_text(instance, sizeof(instance), beat->instance);
+    BwSpan_ToString(beat->instance, instance, sizeof(instance));
     if (strcmp(instance, s->former) == 0)
         return;
     if (strcmp(instance, s->instance) == 0 &&
@@ -418,13 +409,13 @@
     }
     else {
         s->is_worker_leaving = beat->is_leaving;
-        set_text(s->service, sizeof(s->service), beat->service);
-        set_text(s->domain, sizeof(s->domain), beat->domain);
+        BwSpan_ToString(beat->service, s->service, sizeof(s->service));
+        BwSpan_ToString(beat->domain, s->domain, sizeof(s->domain));
         if (beat->has_capacity)
             s->capacity = beat->capacity;
         s->label_count = beat->label_count;
         for (uint32_t i = 0; i < beat->label_count; i++)
-            set_text(s->labels[i], BW_NAME_BYTES_MAX, beat->labels[i]);
+            BwSpan_ToString(beat->labels[i], s->labels[i], BW_NAME_BYTES_MAX);
         if (strcmp(instance, s->instance) != 0) {
             strcpy(s->former, s->instance);
             strcpy(s->instance, instance);
@@ -492,7 +483,7 @@
     BwSeat *seat;
 
     memset(&key, 0, sizeof(key));
-    set_text(key.job, sizeof(key.job), task->job);
+    BwSpan_ToString(task->job, key.job, sizeof(key.job));
     key.step = task->step;
     key.index = task->index;
     HASH_FIND(hh, s->seats, &key, sizeof(key), seat);
@@ -822,7 +813,7 @@
 
     if (seat == NULL)
         return NULL;
-    set_text(seat->key.job, sizeof(seat->key.job), place->job);
+    BwSpan_ToString(place->job, seat->key.job, sizeof(seat->key.job));
     seat->key.step = place->step;
     seat->key.index = index;
     seat->ref = place->ref;
--- a/packages/daemon/mesh.c
+++ b/packages/daemon/mesh.c
@@ -19,15 +19,6 @@
 #define DISPATCHER_SILENCE_US 3500000
 #define MEMBER_KEPT_US 30000000
 
-static void
-copy_span(char *out, size_t room, BwSpan span)
-{
-    size_t size = span.size_bytes < room - 1 ? span.size_bytes : room - 1;
-
-    memcpy(out, span.base, size);
-    out[size] = '\0';
-}
-
 static void
 end_link(BwMeshLink *link)
 {
@@ -115,10 +106,11 @@
         return;
     }
     link->role = (BwRole)hello->role;
-    copy_span(link->name, sizeof(link->name), hello->name);
+    BwSpan_ToString(hello->name, link->name, sizeof(link->name));
     link->is_up = true;
     if (link->member != NULL) {
-        copy_span(link->member->name, sizeof(link->member->name), hello->name);
+        BwSpan_ToString(hello->name, link->member->name,
+                        sizeof(link->member->name));
         link->member->failures = 0;
         link->member->is_self = hello->incarnation == mesh->hello.incarnation;
     }
@@ -222,7 +214,7 @@
     char text[BW_HOST_BYTES_MAX];
     BwMeshMember *member;
 
-    copy_span(text, sizeof(text), host);
+    BwSpan_ToString(host, text, sizeof(text));
     DL_FOREACH(mesh->members, member)
     {
         if (member->port == port && strcmp(member->host, text) == 0)
@@ -234,7 +226,7 @@
     if (member == NULL)
         return;
     strcpy(member->host, text);
-    copy_span(member->name, sizeof(member->name), name);
+    BwSpan_ToString(name, member->name, sizeof(member->name));
     member->port = port;
     member->is_seed = is_seed;
     member->heard_us = now_us;
