Tell operators the state of dispatchers and supervisors

Cause: both served only metrics, so that nobody could see which workers a dispatcher holds for usable, or whose sessions a supervisor runs tasks under. The line `started` names the ports.

--- a/packages/cli/cli.h
+++ b/packages/cli/cli.h
@@ -95,6 +95,11 @@
 json_t *
 BwCli_ListNodes(const BwCliOptions *options, uint64_t deadline_us);
 
+/* Prints the status of a dispatcher or supervisor.  Returns false, with
+   nothing printed, for another role. */
+bool
+BwCli_PrintNode(const json_t *status);
+
 /* Writes the HTTP address of a node; false when it is not known. */
 bool
 BwCli_NodeAddress(const json_t *node, char *out, size_t size_bytes);
--- a/packages/cli/fleetview.c
+++ b/packages/cli/fleetview.c
@@ -221,13 +221,22 @@
     json_array_foreach(nodes, index, node) print_node(node);
 }
 
+/* Dispatchers and supervisors tell of themselves alone. */
+static bool
+stands_alone(const json_t *status)
+{
+    return is_role(status, "dispatcher") || is_role(status, "supervisor");
+}
+
 BwExit
 BwCli_Status(const BwCliOptions *options)
 {
     uint64_t deadline_us = BwClock_Now() + options->timeout_us;
     json_t *status =
         get_json(options, options->entry, "/v1/status", deadline_us);
-    json_t *nodes = BwCli_ListNodes(options, deadline_us);
+    json_t *nodes = stands_alone(status)
+                        ? json_array()
+                        : BwCli_ListNodes(options, deadline_us);
 
     if (status == NULL || nodes == NULL) {
         fprintf(stderr,
@@ -239,11 +248,13 @@
         return BW_EXIT_NO_ANSWER;
     }
     if (BwCli_IsJson(options)) {
-        json_object_set(status, "nodes", nodes);
+        if (!stands_alone(status))
+            json_object_set(status, "nodes", nodes);
         BwCli_PrintJson(status);
     }
     else {
-        print_status(status, nodes);
+        if (!BwCli_PrintNode(status))
+            print_status(status, nodes);
         json_decref(status);
     }
     json_decref(nodes);
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -13,6 +13,7 @@
 #include "daemon.h"
 #include "dispatcher.h"
 #include "node.h"
+#include "nodestatus.h"
 #include "storereader.h"
 
 /* Until the balancer has noticed that this process is not ready; what comes
@@ -330,17 +331,23 @@
 static const BwHttpEvents front_events = {on_request, on_abort,
                                           BwDaemon_RefuseTooLarge};
 
+static bool
+is_ready(const Role *role)
+{
+    return role->routes.revision > 0 && !role->node->is_stopping &&
+           BwDispatcher_CountUsable(&role->dispatcher) > 0;
+}
+
 static void
 on_ready_request(void *ctx, BwExchange *exchange)
 {
     Role *role = ctx;
-    bool is_ready = role->routes.revision > 0 && !role->node->is_stopping &&
-                    BwDispatcher_CountUsable(&role->dispatcher) > 0;
+    bool ready = is_ready(role);
 
-    if (BwNode_ServeMetrics(role->node, exchange))
+    if (BwNode_ServeCommon(role->node, exchange))
         return;
-    BwExchange_Reply(exchange, is_ready ? 200 : 503, "text/plain",
-                     BwSpan_FromString(is_ready ? "ready" : "not ready"), 0);
+    BwExchange_Reply(exchange, ready ? 200 : 503, "text/plain",
+                     BwSpan_FromString(ready ? "ready" : "not ready"), 0);
 }
 
 static void
@@ -433,18 +440,21 @@
     role->node = node;
     node->role = role;
     BwDispatcher_Init(&role->dispatcher, &limits, &dispatcher_port, role);
-    return BwMesh_Init(&node->mesh, node->task.loop, settings, &node->logger,
-                       node->incarnation, &mesh_events, role) &&
-           BwStoreReader_Init(&role->store, node->task.loop, settings,
-                              node->driver, &store_events, role) &&
-           BwHttpServer_Init(
-               &role->ready, node->task.loop, settings->ready.host,
-               (uint16_t)settings->ready.port, settings->limits.body_bytes,
-               &ready_events, role) &&
-           BwHttpServer_Init(&role->front, node->task.loop,
-                             settings->http.host,
-                             (uint16_t)settings->http.port,
-                             settings->limits.body_bytes, &front_events, role);
+    if (!(BwMesh_Init(&node->mesh, node->task.loop, settings, &node->logger,
+                      node->incarnation, &mesh_events, role) &&
+          BwStoreReader_Init(&role->store, node->task.loop, settings,
+                             node->driver, &store_events, role) &&
+          BwHttpServer_Init(
+              &role->ready, node->task.loop, settings->ready.host,
+              (uint16_t)settings->ready.port, settings->limits.body_bytes,
+              &ready_events, role) &&
+          BwHttpServer_Init(&role->front, node->task.loop, settings->http.host,
+                            (uint16_t)settings->http.port,
+                            settings->limits.body_bytes, &front_events, role)))
+        return false;
+    node->http_port = role->front.port;
+    node->ready_port = role->ready.port;
+    return true;
 }
 
 static void
@@ -514,6 +524,19 @@
     return n;
 }
 
+static json_t *
+status(BwNode *node, uint64_t now_us)
+{
+    Role *role = node->role;
+    json_t *out = BwNodeStatus_Dispatcher(&role->dispatcher, now_us);
+
+    json_object_set_new(out, "revision",
+                        json_integer((json_int_t)role->routes.revision));
+    json_object_set_new(out, "store_up", json_boolean(role->store.is_up));
+    json_object_set_new(out, "ready", json_boolean(is_ready(role)));
+    return out;
+}
+
 const BwNodeOps BwDispatcherRole_Ops = {
-    "dispatcher", init, tick, stop, is_stopped, finish, counters,
+    "dispatcher", init, tick, stop, is_stopped, finish, counters, status,
 };
--- a/packages/daemon/node.c
+++ b/packages/daemon/node.c
@@ -31,16 +31,14 @@
     call->body = NULL;
 }
 
-bool
-BwNode_ServeMetrics(BwNode *node, BwExchange *exchange)
+static void
+serve_metrics(BwNode *node, BwExchange *exchange)
 {
     const BwLinkCounters *links = &node->mesh.counters;
     BwCounter counters[COUNTERS_MAX];
     uint32_t n;
     char *text;
 
-    if (!BwSpan_Equal(exchange->path, BwSpan_FromString("/metrics")))
-        return false;
     n = node->ops->counters(node, counters, COUNTERS_MAX);
 #define ADD(name, help, kind, value)                                          \
     n = BwCounters_Add(counters, n, COUNTERS_MAX, name, help, kind, value)
@@ -57,6 +55,39 @@
     BwExchange_Reply(exchange, 200, "text/plain; version=0.0.4",
                      BwSpan_FromString(text != NULL ? text : ""), 0);
     free(text);
+}
+
+static void
+serve_status(BwNode *node, BwExchange *exchange)
+{
+    const BwSettings *settings = &node->settings;
+    json_t *detail = node->ops->status(node, BwClock_Now());
+    json_t *status =
+        json_pack("{s:s, s:s, s:s, s:s, s:b}", "name", settings->name, "role",
+                  node->ops->name, "region", settings->region, "domain",
+                  settings->domain, "stopping", (int)node->is_stopping);
+    char *text;
+
+    json_object_update(status, detail);
+    text = json_dumps(status, JSON_COMPACT);
+    BwExchange_Reply(exchange, 200, "application/json",
+                     BwSpan_FromString(text != NULL ? text : "{}"), 0);
+    free(text);
+    json_decref(detail);
+    json_decref(status);
+}
+
+bool
+BwNode_ServeCommon(BwNode *node, BwExchange *exchange)
+{
+    if (!BwSpan_Equal(exchange->method, BwSpan_FromString("GET")))
+        return false;
+    if (BwSpan_Equal(exchange->path, BwSpan_FromString("/metrics")))
+        serve_metrics(node, exchange);
+    else if (BwSpan_Equal(exchange->path, BwSpan_FromString("/v1/status")))
+        serve_status(node, exchange);
+    else
+        return false;
     return true;
 }
 
@@ -149,6 +180,9 @@
     }
     BW_LOG(&node->logger, BW_LOG_INFO, "started",
            BW_LOG_TEXT("role", node->ops->name),
+           BW_LOG_NUMBER("http_port", node->http_port),
+           BW_LOG_NUMBER("ready_port", node->ready_port),
+           BW_LOG_NUMBER("peer_port", node->mesh.hello.http_port),
            BW_LOG_NUMBER("incarnation", node->incarnation));
     BwTaskLoop_Run(&node->task);
     node->ops->finish(node);
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -7,6 +7,8 @@
 #ifndef BW_NODE_H
 #define BW_NODE_H
 
+#include <jansson.h>
+
 #include "clock.h"
 #include "counters.h"
 #include "driver.h"
@@ -29,6 +31,8 @@
     bool (*is_stopped)(BwNode *node, uint64_t now_us);
     void (*finish)(BwNode *node);
     uint32_t (*counters)(BwNode *node, BwCounter *counters, uint32_t room);
+    /* The role's part of GET /v1/status: members of one object. */
+    json_t *(*status)(BwNode *node, uint64_t now_us);
 } BwNodeOps;
 
 extern const BwNodeOps BwDispatcherRole_Ops;
@@ -42,6 +46,8 @@
     const BwNodeOps *ops;
     BwMesh mesh;
     uint64_t incarnation;
+    uint32_t http_port;
+    uint32_t ready_port; /* of dispatchers */
     bool is_stopping;
     uint64_t stopping_us; /* since */
     void *role;
@@ -64,8 +70,8 @@
 BwNode_Call(BwHttpClient *client, BwCallText *call, uint64_t deadline_us,
             BwHttpCallback callback, void *data);
 
-/* Answers GET /metrics.  Returns false for other paths. */
+/* Answers GET /metrics and /v1/status.  Returns false for other paths. */
 bool
-BwNode_ServeMetrics(BwNode *node, BwExchange *exchange);
+BwNode_ServeCommon(BwNode *node, BwExchange *exchange);
 
 #endif
--- /dev/null
+++ b/packages/daemon/nodestatus.c
@@ -0,0 +1,134 @@
+/* nodestatus.c -- what dispatchers and supervisors tell operators of
+   themselves */
+
+#include "nodestatus.h"
+
+static json_int_t
+age_ms(uint64_t at_us, uint64_t now_us)
+{
+    return now_us > at_us ? (json_int_t)((now_us - at_us) / 1000) : 0;
+}
+
+static json_int_t
+left_ms(uint64_t until_us, uint64_t now_us)
+{
+    return until_us > now_us ? (json_int_t)((until_us - now_us) / 1000) : 0;
+}
+
+static json_t *
+write_room(const BwRoom *room)
+{
+    return json_pack("{s:I, s:I, s:I}", "cpu_milli",
+                     (json_int_t)room->cpu_milli, "mem_mb",
+                     (json_int_t)room->mem_mb, "gpu", (json_int_t)room->gpu);
+}
+
+/* --------------------------------------------------------- dispatcher */
+
+static json_t *
+write_view(const BwView *view, uint64_t now_us)
+{
+    bool is_ejected = now_us < view->ejected_until_us;
+    json_t *out = json_pack(
+        "{s:s, s:s, s:s, s:s, s:b, s:b, s:b, s:o, s:o}", "supervisor",
+        view->name, "instance", view->instance, "service", view->service,
+        "domain", view->domain, "connected", (int)(view->peer != 0), "usable",
+        (int)(view->peer != 0 && view->is_usable && view->answered_us != 0 &&
+              !is_ejected),
+        "ejected", (int)is_ejected, "capacity", write_room(&view->capacity),
+        "free", write_room(&view->free));
+    json_t *rest = json_pack(
+        "{s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "queued_core_ms",
+        (json_int_t)(view->queued_core_us / 1000), "in_flight",
+        (json_int_t)view->in_flight_count, "pace_permille",
+        (json_int_t)view->pace_permille, "failed_permille",
+        (json_int_t)view->failed_permille, "failed_in_row",
+        (json_int_t)view->failed_in_row, "answered_ms",
+        view->answered_us != 0 ? age_ms(view->answered_us, now_us) : -1,
+        "gone_in_ms", left_ms(view->gone_us, now_us));
+
+    json_object_update(out, rest);
+    json_decref(rest);
+    return out;
+}
+
+json_t *
+BwNodeStatus_Dispatcher(const BwDispatcher *dispatcher, uint64_t now_us)
+{
+    json_t *views = json_array();
+    json_int_t waiting = 0, running = 0;
+
+    for (const BwBoundJob *job = dispatcher->jobs; job != NULL;
+         job = job->hh.next) {
+        waiting += !job->was_placed;
+        running += job->was_placed;
+    }
+    for (const BwView *view = dispatcher->views; view != NULL;
+         view = view->hh.next)
+        json_array_append_new(views, write_view(view, now_us));
+    return json_pack("{s:I, s:I, s:o}", "jobs_waiting", waiting,
+                     "jobs_running", running, "workers", views);
+}
+
+/* --------------------------------------------------------- supervisor */
+
+static json_t *
+write_worker(const BwSupervisor *s, uint64_t now_us)
+{
+    static const char *const phases[] = {"none", "clearing", "ready"};
+    json_t *labels = json_array();
+
+    for (uint32_t i = 0; i < s->label_count; i++)
+        json_array_append_new(labels, json_string(s->labels[i]));
+    return json_pack("{s:s, s:s, s:s, s:s, s:b, s:b, s:I, s:I, s:I, s:o}",
+                     "phase", phases[s->phase], "instance", s->instance,
+                     "service", s->service, "domain", s->domain, "usable",
+                     (int)s->was_usable, "leaving", (int)s->is_worker_leaving,
+                     "announced_ms",
+                     s->beat_us != 0 ? age_ms(s->beat_us, now_us) : -1,
+                     "lease_left_ms", left_ms(s->lease_end_us, now_us),
+                     "fence", (json_int_t)s->fence, "labels", labels);
+}
+
+static json_t *
+write_account(const BwSupervisor *s)
+{
+    return json_pack("{s:o, s:o, s:o, s:I, s:I, s:I}", "capacity",
+                     write_room(&s->capacity), "used", write_room(&s->used),
+                     "queued", write_room(&s->queued), "queued_core_ms",
+                     (json_int_t)(s->queued_core_us / 1000), "pace_permille",
+                     (json_int_t)s->pace_permille, "failed_permille",
+                     (json_int_t)s->failed_permille);
+}
+
+static json_t *
+write_tasks(const BwSupervisor *s)
+{
+    json_int_t counts[BW_SEAT_STOPPING + 1] = {0};
+
+    for (const BwSeat *seat = s->seats; seat != NULL; seat = seat->hh.next)
+        counts[seat->state]++;
+    return json_pack(
+        "{s:I, s:I, s:I, s:I, s:I}", "queued", counts[BW_SEAT_QUEUED],
+        "starting", counts[BW_SEAT_STARTING], "running",
+        counts[BW_SEAT_RUNNING], "stopping", counts[BW_SEAT_STOPPING],
+        "orphans", (json_int_t)s->orphan_count);
+}
+
+json_t *
+BwNodeStatus_Supervisor(const BwSupervisor *supervisor, uint64_t now_us)
+{
+    const BwSupervisorPeer *peer;
+    json_t *peers = json_array();
+
+    for (peer = supervisor->peers; peer != NULL; peer = peer->hh.next)
+        json_array_append_new(
+            peers,
+            json_pack("{s:I, s:I, s:I}", "link", (json_int_t)peer->peer,
+                      "session_left_ms", left_ms(peer->valid_until_us, now_us),
+                      "tasks", (json_int_t)peer->seat_count));
+    return json_pack("{s:o, s:o, s:o, s:o}", "worker",
+                     write_worker(supervisor, now_us), "account",
+                     write_account(supervisor), "tasks",
+                     write_tasks(supervisor), "peers", peers);
+}
--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -7,9 +7,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <utlist.h>
+
 #include "brasswing.h"
 #include "daemon.h"
 #include "node.h"
+#include "nodestatus.h"
 #include "supervisor.h"
 
 #define ANSWER_US 120000
@@ -139,7 +142,7 @@
     const char *fault = "";
     BwWorkerBeat beat;
 
-    if (BwNode_ServeMetrics(role->node, exchange))
+    if (BwNode_ServeCommon(role->node, exchange))
         return;
     if (!driver->is_beat(exchange->method, exchange->path)) {
         BwDaemon_ReplyError(exchange, BW_ERR_NO_SUCH_PATH,
@@ -214,16 +217,19 @@
     role->node = node;
     node->role = role;
     BwSupervisor_Init(&role->supervisor, &limits, &supervisor_port, role);
-    return BwMesh_Init(&node->mesh, node->task.loop, settings, &node->logger,
-                       node->incarnation, &mesh_events, role) &&
-           BwHttpClient_Init(&role->worker, node->task.loop,
-                             settings->worker.host,
-                             (uint16_t)settings->worker.port,
-                             WORKER_CONNECTIONS, WORKER_REPLY_BYTES) &&
-           BwHttpServer_Init(
-               &role->control, node->task.loop, settings->http.host,
-               (uint16_t)settings->http.port, settings->limits.body_bytes,
-               &control_events, role);
+    if (!(BwMesh_Init(&node->mesh, node->task.loop, settings, &node->logger,
+                      node->incarnation, &mesh_events, role) &&
+          BwHttpClient_Init(&role->worker, node->task.loop,
+                            settings->worker.host,
+                            (uint16_t)settings->worker.port,
+                            WORKER_CONNECTIONS, WORKER_REPLY_BYTES) &&
+          BwHttpServer_Init(&role->control, node->task.loop,
+                            settings->http.host, (uint16_t)settings->http.port,
+                            settings->limits.body_bytes, &control_events,
+                            role)))
+        return false;
+    node->http_port = role->control.port;
+    return true;
 }
 
 static void
@@ -283,6 +289,36 @@
     return n;
 }
 
+/* A connection has the name that its other side gave. */
+static void
+add_names(json_t *peers, const BwMesh *mesh)
+{
+    const BwMeshLink *link;
+    json_t *peer;
+    size_t i;
+
+    json_array_foreach(peers, i, peer)
+    {
+        json_int_t id = json_integer_value(json_object_get(peer, "link"));
+
+        DL_FOREACH(mesh->links, link)
+        {
+            if (link->id == id)
+                json_object_set_new(peer, "name", json_string(link->name));
+        }
+    }
+}
+
+static json_t *
+status(BwNode *node, uint64_t now_us)
+{
+    Role *role = node->role;
+    json_t *out = BwNodeStatus_Supervisor(&role->supervisor, now_us);
+
+    add_names(json_object_get(out, "peers"), &node->mesh);
+    return out;
+}
+
 const BwNodeOps BwSupervisorRole_Ops = {
-    "supervisor", init, tick, stop, is_stopped, finish, counters,
+    "supervisor", init, tick, stop, is_stopped, finish, counters, status,
 };
--- /dev/null
+++ b/tests/test_status.c
@@ -0,0 +1,414 @@
+/* test_status.c -- what a dispatcher and a supervisor tell operators: first
+   from the structs alone, then from real processes by the command line */
+
+#include <glib.h>
+#include <signal.h>
+#include <string.h>
+
+#include <gio/gio.h>
+#include <glib/gstdio.h>
+
+#include "brasswing.h"
+#include "nodestatus.h"
+
+#define NOW_US 5000000
+#define POLL_US 10000
+#define POLLS_MAX 1000
+
+/* --------------------------------------------------------- from structs */
+
+static void
+drop_message(void *ctx, uint32_t peer, const BwMessage *message)
+{
+    (void)ctx;
+    (void)peer;
+    (void)message;
+}
+
+static void
+drop_answer(void *ctx, void *data, BwBoundEnd end, uint32_t retry_after_ms)
+{
+    (void)ctx;
+    (void)data;
+    (void)end;
+    (void)retry_after_ms;
+}
+
+static void
+drop_decision(void *ctx, const char *event, const BwBoundJob *job,
+              const BwView *view, uint32_t count, const char *reason)
+{
+    (void)ctx;
+    (void)event;
+    (void)job;
+    (void)view;
+    (void)count;
+    (void)reason;
+}
+
+static void
+drop_order(void *ctx, uint64_t number, const BwTaskOrder *order)
+{
+    (void)ctx;
+    (void)number;
+    (void)order;
+}
+
+static void
+drop_hold(void *ctx, uint64_t number, const BwHoldOrder *order)
+{
+    (void)ctx;
+    (void)number;
+    (void)order;
+}
+
+static void
+drop_seat(void *ctx, const char *event, const BwSeat *seat, const char *reason)
+{
+    (void)ctx;
+    (void)event;
+    (void)seat;
+    (void)reason;
+}
+
+static const BwDispatcherPort dispatcher_port = {drop_message, drop_answer,
+                                                 drop_decision};
+static const BwSupervisorPort supervisor_port = {
+    drop_message, drop_order, drop_order, drop_hold, drop_seat};
+
+static json_int_t
+number_at(json_t *object, const char *key, const char *inner)
+{
+    json_t *value = json_object_get(object, key);
+
+    if (inner != NULL)
+        value = json_object_get(value, inner);
+    g_assert_true(json_is_integer(value));
+    return json_integer_value(value);
+}
+
+static void
+assert_text(json_t *object, const char *key, const char *wanted)
+{
+    g_assert_cmpstr(json_string_value(json_object_get(object, key)), ==,
+                    wanted);
+}
+
+static void
+assert_flag(json_t *object, const char *key, bool wanted)
+{
+    json_t *value = json_object_get(object, key);
+
+    g_assert_true(json_is_boolean(value));
+    g_assert_cmpint(json_is_true(value), ==, wanted);
+}
+
+static void
+tell_worker(BwDispatcher *dispatcher, uint32_t peer)
+{
+    BwWorkerLoad load = {.free = {1500, 600, 1},
+                         .queued_core_us = 70000,
+                         .pace_permille = 1250,
+                         .failed_permille = 30};
+    BwMessage state = {.kind = BW_MSG_WORKER};
+    BwMessage session = {.kind = BW_MSG_SESSION};
+
+    state.u.worker.instance = BwSpan_FromString("w1");
+    state.u.worker.service = BwSpan_FromString("render");
+    state.u.worker.domain = BwSpan_FromString("hall-1");
+    state.u.worker.capacity = (BwRoom){4000, 1024, 2};
+    state.u.worker.load = &load;
+    state.u.worker.load_count = 1;
+    BwDispatcher_OnMessage(dispatcher, NOW_US, peer, &state);
+    session.u.session.load = &load;
+    session.u.session.load_count = 1;
+    BwDispatcher_OnMessage(dispatcher, NOW_US, peer, &session);
+}
+
+/* One job runs on the first supervisor's worker; the second is gone. */
+static void
+test_dispatcher(void)
+{
+    BwDispatcherLimits limits = {500000, 400000, 16};
+    BwBoundRequest request = {.is_bound = true, .step_count = 1};
+    BwRoute route = {.name = "q", .service = "render", .target_us = 1000000};
+    BwDispatcher dispatcher;
+    json_t *status, *first, *second;
+    int job = 0;
+
+    BwDispatcher_Init(&dispatcher, &limits, &dispatcher_port, NULL);
+    BwDispatcher_PeerUp(&dispatcher, NOW_US, 7, BwSpan_FromString("s-1"));
+    BwDispatcher_PeerUp(&dispatcher, NOW_US, 8, BwSpan_FromString("s-2"));
+    tell_worker(&dispatcher, 7);
+    BwDispatcher_PeerDown(&dispatcher, NOW_US, 8);
+    request.steps[0].task_count = 2;
+    request.steps[0].room = (BwRoom){100, 10, 0};
+    request.steps[0].declared_us = 50000;
+    g_assert_cmpuint(BwDispatcher_Submit(&dispatcher, NOW_US,
+                                         BwSpan_FromString("j"), &request,
+                                         &route, NOW_US + 2000000, &job),
+                     !=, 0);
+
+    status = BwNodeStatus_Dispatcher(&dispatcher, NOW_US + 40000);
+    g_assert_cmpint(number_at(status, "jobs_waiting", NULL), ==, 0);
+    g_assert_cmpint(number_at(status, "jobs_running", NULL), ==, 1);
+    first = json_array_get(json_object_get(status, "workers"), 0);
+    second = json_array_get(json_object_get(status, "workers"), 1);
+    assert_text(first, "supervisor", "s-1");
+    assert_text(first, "instance", "w1");
+    assert_text(first, "service", "render");
+    assert_text(first, "domain", "hall-1");
+    assert_flag(first, "usable", true);
+    assert_flag(first, "ejected", false);
+    g_assert_cmpint(number_at(first, "capacity", "cpu_milli"), ==, 4000);
+    g_assert_cmpint(number_at(first, "free", "mem_mb"), ==, 600);
+    g_assert_cmpint(number_at(first, "queued_core_ms", NULL), ==, 70);
+    g_assert_cmpint(number_at(first, "in_flight", NULL), ==, 1);
+    g_assert_cmpint(number_at(first, "pace_permille", NULL), ==, 1250);
+    g_assert_cmpint(number_at(first, "failed_permille", NULL), ==, 30);
+    g_assert_cmpint(number_at(first, "answered_ms", NULL), ==, 40);
+    assert_text(second, "supervisor", "s-2");
+    assert_flag(second, "connected", false);
+    assert_flag(second, "usable", false);
+    g_assert_cmpint(number_at(second, "answered_ms", NULL), ==, -1);
+    g_assert_cmpint(number_at(second, "gone_in_ms", NULL), >, 0);
+    json_decref(status);
+    BwDispatcher_Finish(&dispatcher);
+}
+
+/* Two tasks are placed, of which one fits. */
+static void
+test_supervisor(void)
+{
+    BwSupervisorLimits limits = {500000, 400000, 120000, 120000};
+    BwWorkerBeat beat = {.has_capacity = true,
+                         .capacity = {1000, 512, 0},
+                         .clock_ms = 900,
+                         .sequence = 1};
+    BwWorkerAnswer looked = {.verdict = BW_WORKER_OK, .clock_ms = 901};
+    BwTaskIndex tasks[2] = {{0}, {1}};
+    BwMessage message = {.kind = BW_MSG_SESSION};
+    BwSupervisor supervisor;
+    json_t *status, *peer;
+
+    BwSupervisor_Init(&supervisor, &limits, &supervisor_port, NULL);
+    beat.instance = BwSpan_FromString("w1");
+    beat.service = BwSpan_FromString("render");
+    beat.domain = BwSpan_FromString("hall-1");
+    BwSupervisor_OnBeat(&supervisor, NOW_US, &beat);
+    BwSupervisor_OnHeld(&supervisor, NOW_US, 1, NOW_US, &looked);
+    BwSupervisor_PeerUp(&supervisor, NOW_US, 3);
+    message.u.session.asked_us = NOW_US;
+    BwSupervisor_OnMessage(&supervisor, NOW_US, 3, &message);
+    message = (BwMessage){.kind = BW_MSG_PLACE};
+    message.u.place.number = 1;
+    message.u.place.ref = 1;
+    message.u.place.job = BwSpan_FromString("j");
+    message.u.place.spec = BwSpan_FromString("spec");
+    message.u.place.service = BwSpan_FromString("render");
+    message.u.place.requirement = BwSpan_FromString("");
+    message.u.place.room = (BwRoom){600, 100, 0};
+    message.u.place.expected_us = 50000;
+    message.u.place.due_in_us = 1000000;
+    message.u.place.deadline_in_us = 1000000;
+    message.u.place.tasks = tasks;
+    message.u.place.task_count = 2;
+    BwSupervisor_OnMessage(&supervisor, NOW_US, 3, &message);
+
+    status = BwNodeStatus_Supervisor(&supervisor, NOW_US + 100000);
+    assert_text(json_object_get(status, "worker"), "phase", "ready");
+    assert_text(json_object_get(status, "worker"), "instance", "w1");
+    assert_flag(json_object_get(status, "worker"), "usable", true);
+    g_assert_cmpint(number_at(status, "worker", "announced_ms"), ==, 100);
+    g_assert_cmpint(number_at(status, "worker", "lease_left_ms"), >, 0);
+    g_assert_cmpint(
+        number_at(json_object_get(status, "account"), "used", "cpu_milli"), ==,
+        600);
+    g_assert_cmpint(
+        number_at(json_object_get(status, "account"), "queued", "cpu_milli"),
+        ==, 600);
+    g_assert_cmpint(number_at(status, "tasks", "queued"), ==, 1);
+    g_assert_cmpint(number_at(status, "tasks", "starting"), ==, 1);
+    peer = json_array_get(json_object_get(status, "peers"), 0);
+    g_assert_cmpint(number_at(peer, "link", NULL), ==, 3);
+    g_assert_cmpint(number_at(peer, "session_left_ms", NULL), ==, 400);
+    g_assert_cmpint(number_at(peer, "tasks", NULL), ==, 2);
+    json_decref(status);
+    BwSupervisor_Finish(&supervisor);
+}
+
+/* ------------------------------------------------------ from processes */
+
+typedef struct Node {
+    GSubprocess *process;
+    char *path;
+    uint32_t http_port;
+    uint32_t ready_port;
+    uint32_t peer_port;
+} Node;
+
+static uint32_t
+read_port(const char *line, const char *field)
+{
+    const char *place = strstr(line, field);
+
+    g_assert_nonnull(place);
+    return (uint32_t)g_ascii_strtoull(place + strlen(field), NULL, 10);
+}
+
+/* Starts a process and reads its ports from the line that tells of them. */
+static void
+start_node(Node *node, const char *dir, const char *name, const char *text)
+{
+    GError *error = NULL;
+    GDataInputStream *lines;
+    char *line;
+
+    node->path = g_strdup_printf("%s/%s.yaml", dir, name);
+    g_assert_true(g_file_set_contents(node->path, text, -1, NULL));
+    node->process =
+        g_subprocess_new(G_SUBPROCESS_FLAGS_STDERR_PIPE, &error,
+                         BW_DAEMON_PATH, "--settings", node->path, NULL);
+    g_assert_no_error(error);
+    lines =
+        g_data_input_stream_new(g_subprocess_get_stderr_pipe(node->process));
+    g_filter_input_stream_set_close_base_stream(G_FILTER_INPUT_STREAM(lines),
+                                                FALSE);
+    do {
+        line = g_data_input_stream_read_line(lines, NULL, NULL, &error);
+        g_assert_no_error(error);
+        g_assert_nonnull(line);
+        if (strstr(line, " started ") != NULL)
+            break;
+        g_free(line);
+    } while (true);
+    node->http_port = read_port(line, "http_port=");
+    node->ready_port = read_port(line, "ready_port=");
+    node->peer_port = read_port(line, "peer_port=");
+    g_free(line);
+    g_object_unref(lines);
+}
+
+static void
+end_node(Node *node)
+{
+    g_subprocess_send_signal(node->process, SIGKILL);
+    g_subprocess_wait(node->process, NULL, NULL);
+    g_object_unref(node->process);
+    g_remove(node->path);
+    g_free(node->path);
+}
+
+/* Runs `brasswing --entry PORT [--output json] status`; free the text. */
+static char *
+run_status(uint32_t port, const char *format)
+{
+    char *entry = g_strdup_printf("127.0.0.1:%u", port);
+    char *argv[] = {BW_CLI_PATH,    "--entry", entry, "--output",
+                    (char *)format, "status",  NULL};
+    char *out = NULL;
+    int code = -1;
+
+    g_assert_true(g_spawn_sync(NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL,
+                               &out, NULL, &code, NULL));
+    g_assert_cmpint(code, ==, 0);
+    g_free(entry);
+    return out;
+}
+
+static json_t *
+ask_status(uint32_t port)
+{
+    char *text = run_status(port, "json");
+    json_t *status = json_loads(text, 0, NULL);
+
+    g_assert_nonnull(status);
+    g_free(text);
+    return status;
+}
+
+/* Asks until a list of the status has a row. */
+static json_t *
+wait_row(uint32_t port, const char *list, json_t **status)
+{
+    for (uint32_t i = 0; i < POLLS_MAX; i++) {
+        *status = ask_status(port);
+        if (json_array_size(json_object_get(*status, list)) > 0)
+            return json_array_get(json_object_get(*status, list), 0);
+        json_decref(*status);
+        g_usleep(POLL_US);
+    }
+    g_error("no row in %s", list);
+}
+
+static const char common[] = "region: tunis-nord\ndomain: hall-1\n"
+                             "log: {host: 127.0.0.1, port: 1}\n"
+                             "http: {host: 127.0.0.1, port: 0}\n";
+
+static void
+check_text(uint32_t port, const char *first, const char *second)
+{
+    char *text = run_status(port, "text");
+
+    g_assert_nonnull(strstr(text, first));
+    g_assert_nonnull(strstr(text, second));
+    g_free(text);
+}
+
+static void
+test_processes(void)
+{
+    char *dir = g_dir_make_tmp("brasswing-XXXXXX", NULL);
+    char *text = g_strdup_printf("role: dispatcher\nname: d-1\n%s"
+                                 "ready: {host: 127.0.0.1, port: 0}\n"
+                                 "peer: {host: 127.0.0.1, port: 0}\n",
+                                 common);
+    Node dispatcher, supervisor;
+    json_t *status, *row;
+
+    start_node(&dispatcher, dir, "d-1", text);
+    g_free(text);
+    text = g_strdup_printf("role: supervisor\nname: s-1\n%s"
+                           "worker: {host: 127.0.0.1, port: 1}\n"
+                           "peers: [{host: 127.0.0.1, port: %u}]\n",
+                           common, dispatcher.peer_port);
+    start_node(&supervisor, dir, "s-1", text);
+    g_free(text);
+
+    row = wait_row(dispatcher.ready_port, "workers", &status);
+    assert_text(row, "supervisor", "s-1");
+    assert_flag(row, "usable", false);
+    assert_text(status, "name", "d-1");
+    assert_text(status, "role", "dispatcher");
+    assert_text(status, "region", "tunis-nord");
+    assert_text(status, "domain", "hall-1");
+    assert_flag(status, "store_up", false);
+    assert_flag(status, "stopping", false);
+    assert_flag(status, "ready", false);
+    g_assert_cmpint(number_at(status, "revision", NULL), ==, 0);
+    json_decref(status);
+
+    row = wait_row(supervisor.http_port, "peers", &status);
+    assert_text(row, "name", "d-1");
+    assert_text(status, "role", "supervisor");
+    assert_text(json_object_get(status, "worker"), "phase", "none");
+    json_decref(status);
+    check_text(dispatcher.ready_port, "dispatcher d-1, region tunis-nord",
+               "SUPERVISOR");
+    check_text(supervisor.http_port, "supervisor s-1, region tunis-nord",
+               "tasks: 0 queued");
+    end_node(&supervisor);
+    end_node(&dispatcher);
+    g_rmdir(dir);
+    g_free(dir);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/status/dispatcher", test_dispatcher);
+    g_test_add_func("/status/supervisor", test_supervisor);
+    g_test_add_func("/status/processes", test_processes);
+    return g_test_run();
+}
