--- a/packages/adapters/settings.c
+++ b/packages/adapters/settings.c
@@ -8,6 +8,9 @@
 #include "net.h"
 #include "settings.h"
 
+#define LEASE_DRIFT_PERMILLE 1030
+#define STOP_TAKES_MS 120 /* until a stop has taken effect */
+
 #define TEXT(s, k, f, need, how)                                              \
     {                                                                         \
         .key = k, .type = BW_YAML_TEXT, .is_required = need,                  \
@@ -57,10 +60,12 @@
            "give the greatest difference of two hosts' wall clocks"),
     NUMBER(BwLimits, "silence_ms", BW_YAML_U64, silence_ms, 1000, 600000,
            "give how long a silent executor is waited for"),
-    NUMBER(BwLimits, "session_ms", BW_YAML_U64, session_ms, 100, 60000,
+    NUMBER(BwLimits, "session_ms", BW_YAML_U64, session_ms, 300, 60000,
            "give how long a supervisor runs tasks of a silent dispatcher"),
-    NUMBER(BwLimits, "worker_lease_ms", BW_YAML_U64, worker_lease_ms, 100,
+    NUMBER(BwLimits, "worker_lease_ms", BW_YAML_U64, worker_lease_ms, 300,
            60000, "give how long a worker runs tasks of a silent supervisor"),
+    NUMBER(BwLimits, "resend_ms", BW_YAML_U64, resend_ms, 1000, 600000,
+           "give the least time until a caller sends a bound job again"),
     NUMBER(BwLimits, "stop_ms", BW_YAML_U64, stop_ms, 100, 600000,
            "give how long a planned stop may take"),
 };
@@ -142,6 +147,7 @@
     settings->limits.silence_ms = 10000;
     settings->limits.session_ms = 500;
     settings->limits.worker_lease_ms = 400;
+    settings->limits.resend_ms = 1300;
     settings->limits.stop_ms = 5000;
 }
 
@@ -208,6 +214,71 @@
     return text;
 }
 
+/* Addresses that only one role has. */
+static void
+check_own_address(const char *path, const char *key, bool is_of_role,
+                  const char *role, const char *remedy, BwEndpoint *endpoint,
+                  BwYamlFaults *faults)
+{
+    bool is_given = endpoint->host[0] != '\0' || endpoint->address[0] != '\0';
+
+    if (is_of_role && !is_given)
+        BwYaml_AddFault(faults, path, 1, "a %s lacks '%s'; %s", role, key,
+                        remedy);
+    else if (!is_of_role && is_given)
+        BwYaml_AddFault(faults, path, 1,
+                        "'%s' is for a %s only; remove it or correct 'role'",
+                        key, role);
+    check_address(path, key, false, endpoint, faults);
+}
+
+static bool
+is_same_address(const BwEndpoint *left, const BwEndpoint *right)
+{
+    return left->port != 0 && left->port == right->port &&
+           strcmp(left->host, right->host) == 0;
+}
+
+static void
+check_distinct(const char *path, const BwSettings *settings,
+               BwYamlFaults *faults)
+{
+    const struct {
+        const char *key;
+        const BwEndpoint *endpoint;
+    } own[] = {{"http", &settings->http},
+               {"peer", &settings->peer},
+               {"ready", &settings->ready}};
+
+    for (size_t i = 0; i < 3; i++) {
+        for (size_t j = 0; j < i; j++) {
+            if (is_same_address(own[i].endpoint, own[j].endpoint))
+                BwYaml_AddFault(faults, path, 1,
+                                "'%s' and '%s' have the same address; give "
+                                "each a port of its own",
+                                own[j].key, own[i].key);
+        }
+    }
+}
+
+/* A task of a job that is sent again must not meet its former run: what a
+   silent dispatcher started ends within session and lease. */
+static void
+check_leases(const char *path, const BwLimits *limits, BwYamlFaults *faults)
+{
+    uint64_t ends_ms = limits->session_ms + STOP_TAKES_MS +
+                       limits->worker_lease_ms * LEASE_DRIFT_PERMILLE / 1000;
+
+    if (ends_ms > limits->resend_ms)
+        BwYaml_AddFault(
+            faults, path, 1,
+            "limits: session_ms, worker_lease_ms and a stop together may take "
+            "%llu ms, over resend_ms of %llu; shorten session_ms or "
+            "worker_lease_ms",
+            (unsigned long long)ends_ms,
+            (unsigned long long)limits->resend_ms);
+}
+
 static void
 check_addresses(BwSettings *settings, const char *path, BwYamlFaults *faults)
 {
@@ -215,9 +286,13 @@
     bool is_supervisor = settings->role == BW_SETTINGS_SUPERVISOR;
 
     check_address(path, "http", true, &settings->http, faults);
-    check_address(path, "peer", is_dispatcher, &settings->peer, faults);
-    check_address(path, "ready", is_dispatcher, &settings->ready, faults);
-    check_address(path, "worker", is_supervisor, &settings->worker, faults);
+    check_address(path, "peer", false, &settings->peer, faults);
+    check_own_address(path, "ready", is_dispatcher, "dispatcher",
+                      "give the address where readiness is asked for",
+                      &settings->ready, faults);
+    check_own_address(path, "worker", is_supervisor, "supervisor",
+                      "give the address where its worker takes orders",
+                      &settings->worker, faults);
     check_address(path, "log", true, &settings->log, faults);
     for (uint32_t i = 0; i < settings->peer_count; i++)
         check_address(path, "peers", true, &settings->peers[i], faults);
@@ -225,6 +300,15 @@
         BwYaml_AddFault(faults, path, 1,
                         "an agent lacks 'peer'; give the address where other "
                         "processes connect");
+    if (is_dispatcher && settings->peer.host[0] == '\0' &&
+        settings->peer.address[0] == '\0')
+        BwYaml_AddFault(faults, path, 1,
+                        "a dispatcher lacks 'peer'; give the address where "
+                        "supervisors connect");
+    if (is_dispatcher)
+        check_distinct(path, settings, faults);
+    if (is_dispatcher || is_supervisor)
+        check_leases(path, &settings->limits, faults);
 }
 
 bool
--- a/packages/adapters/settings.h
+++ b/packages/adapters/settings.h
@@ -31,6 +31,7 @@
     uint64_t silence_ms;      /* how long a silent executor is waited for */
     uint64_t session_ms;      /* of a dispatcher at a supervisor */
     uint64_t worker_lease_ms; /* of what runs on a worker */
+    uint64_t resend_ms;       /* callers send a bound job again then */
     uint64_t stop_ms;         /* a planned stop ends within */
 } BwLimits;
 
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -392,18 +392,43 @@
     return BwTaskLoop_Start(&daemon->directory.task);
 }
 
+/* Returns false, with the faults printed, when there are any. */
+static bool
+load_settings(BwSettings *settings, const char *path)
+{
+    BwYamlFaults *faults = calloc(1, sizeof(BwYamlFaults));
+    bool is_good;
+
+    if (faults == NULL) {
+        memset(settings, 0, sizeof(*settings));
+        return false;
+    }
+    is_good = BwSettings_Load(settings, path, faults);
+    for (uint32_t i = 0; i < faults->count && i < BW_YAML_FAULTS_MAX; i++)
+        fprintf(stderr, "%s\n", faults->lines[i]);
+    free(faults);
+    return is_good;
+}
+
+static int
+check(const char *path)
+{
+    BwSettings settings;
+    bool is_good = load_settings(&settings, path);
+
+    BwSettings_Finish(&settings);
+    return is_good ? EXIT_SUCCESS : EXIT_USAGE;
+}
+
 static int
 serve(const char *path)
 {
     BwDaemon *daemon = calloc(1, sizeof(BwDaemon));
-    BwYamlFaults *faults = calloc(1, sizeof(BwYamlFaults));
     int code = EXIT_FAILURE;
 
-    if (daemon == NULL || faults == NULL)
+    if (daemon == NULL)
         goto cleanup;
-    if (!BwSettings_Load(&daemon->settings, path, faults)) {
-        for (uint32_t i = 0; i < faults->count && i < BW_YAML_FAULTS_MAX; i++)
-            fprintf(stderr, "%s\n", faults->lines[i]);
+    if (!load_settings(&daemon->settings, path)) {
         BwSettings_Finish(&daemon->settings);
         code = EXIT_USAGE;
         goto cleanup;
@@ -433,7 +458,6 @@
     free(daemon->decisions);
 cleanup:
     free(daemon);
-    free(faults);
     return code;
 }
 
@@ -442,24 +466,31 @@
 {
     static const struct option options[] = {
         {"settings", required_argument, NULL, 's'},
+        {"check", no_argument, NULL, 'c'},
         {"version", no_argument, NULL, 'V'},
         {"help", no_argument, NULL, 'h'},
         {NULL, 0, NULL, 0},
     };
     const char *path = NULL;
+    bool only_checks = false;
     int option;
 
-    while ((option = getopt_long(argc, argv, "s:Vh", options, NULL)) != -1) {
+    while ((option = getopt_long(argc, argv, "s:cVh", options, NULL)) != -1) {
         switch (option) {
         case 's':
             path = optarg;
             break;
+        case 'c':
+            only_checks = true;
+            break;
         case 'V':
             printf("brasswingd %s\n", BW_VERSION);
             return EXIT_SUCCESS;
         case 'h':
-            printf("usage: brasswingd --settings FILE\n"
+            printf("usage: brasswingd --settings FILE [--check]\n"
                    "  -s, --settings FILE  YAML settings of this process\n"
+                   "  -c, --check          print the settings' faults and "
+                   "end\n"
                    "  -V, --version        print the version\n"
                    "  -h, --help           print this text\n");
             return EXIT_SUCCESS;
@@ -468,8 +499,8 @@
         }
     }
     if (path == NULL || optind != argc) {
-        fprintf(stderr, "usage: brasswingd --settings FILE\n");
+        fprintf(stderr, "usage: brasswingd --settings FILE [--check]\n");
         return EXIT_USAGE;
     }
-    return serve(path);
+    return only_checks ? check(path) : serve(path);
 }
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -1,9 +1,12 @@
-/* test_config.c -- faults of an operators' text */
+/* test_config.c -- faults of an operators' text and of the settings */
 
 #include <glib.h>
+#include <glib/gstdio.h>
+#include <unistd.h>
 
 #include "config.h"
 #include "configlog.h"
+#include "settings.h"
 
 static BwYamlFaults faults;
 
@@ -192,6 +195,138 @@
     g_free(page);
 }
 
+/* ------------------------------------------------------------- settings */
+
+static const char dispatcher[] = "role: dispatcher\n"
+                                 "name: d\nregion: r\ndomain: h\n"
+                                 "http: {address: '127.0.0.1:1001'}\n"
+                                 "peer: {address: '127.0.0.1:1002'}\n"
+                                 "ready: {address: '127.0.0.1:1003'}\n"
+                                 "log: {address: '127.0.0.1:1004'}\n";
+static const char supervisor[] = "role: supervisor\n"
+                                 "name: s\nregion: r\ndomain: h\n"
+                                 "http: {address: '127.0.0.1:1001'}\n"
+                                 "worker: {address: '127.0.0.1:1002'}\n"
+                                 "log: {address: '127.0.0.1:1004'}\n";
+
+/* Reads the text with `from` replaced by `to`, when there is one. */
+static bool
+load_settings(BwSettings *settings, const char *text, const char *from,
+              const char *to)
+{
+    char **parts = g_strsplit(text, from != NULL ? from : "\n\n", 2);
+    char *changed = g_strjoinv(to, parts);
+    char *path;
+    int fd = g_file_open_tmp("brasswing-XXXXXX", &path, NULL);
+    bool is_good;
+
+    g_assert_cmpint(fd, >=, 0);
+    g_assert_cmpuint(g_strv_length(parts), ==, from != NULL ? 2 : 1);
+    close(fd);
+    g_assert_true(g_file_set_contents(path, changed, -1, NULL));
+    memset(&faults, 0, sizeof(faults));
+    is_good = BwSettings_Load(settings, path, &faults);
+    BwSettings_Finish(settings);
+    g_unlink(path);
+    g_free(path);
+    g_free(changed);
+    g_strfreev(parts);
+    return is_good;
+}
+
+static void
+test_node_settings(void)
+{
+    BwSettings settings;
+
+    g_assert_true(load_settings(&settings, dispatcher, NULL, ""));
+    g_assert_cmpuint(settings.role, ==, BW_SETTINGS_DISPATCHER);
+    g_assert_cmpstr(settings.ready.host, ==, "127.0.0.1");
+    g_assert_cmpuint(settings.ready.port, ==, 1003);
+    g_assert_cmpuint(settings.limits.session_ms, ==, 500);
+    g_assert_cmpuint(settings.limits.worker_lease_ms, ==, 400);
+    g_assert_true(load_settings(&settings, supervisor, NULL, ""));
+    g_assert_cmpuint(settings.role, ==, BW_SETTINGS_SUPERVISOR);
+    g_assert_cmpuint(settings.worker.port, ==, 1002);
+    g_assert_true(load_settings(
+        &settings, supervisor, "log:",
+        "limits: {session_ms: 300, worker_lease_ms: 300, stop_ms: 5700,\n"
+        "         resend_ms: 1000}\nlog:"));
+    g_assert_cmpuint(settings.limits.session_ms, ==, 300);
+    g_assert_cmpuint(settings.limits.stop_ms, ==, 5700);
+}
+
+/* One change to good settings, and the one fault that it gives. */
+static void
+test_node_faults(void)
+{
+    static const struct {
+        const char *text;
+        const char *from;
+        const char *to;
+        const char *fault;
+    } cases[] = {
+        {dispatcher, "role: dispatcher", "role: worker",
+         "role: 'worker' is not one of"},
+        {dispatcher, "ready: {address: '127.0.0.1:1003'}\n", "",
+         "a dispatcher lacks 'ready'; give the address"},
+        {dispatcher, "peer: {address: '127.0.0.1:1002'}\n", "",
+         "a dispatcher lacks 'peer'; give the address"},
+        {dispatcher, "127.0.0.1:1003", "127.0.0.1",
+         "ready.address: '127.0.0.1' is not HOST:PORT; write"},
+        {dispatcher, "127.0.0.1:1003", "127.0.0.1:70000",
+         "ready.address: '127.0.0.1:70000' is not HOST:PORT; write"},
+        {dispatcher, "127.0.0.1:1003", "ready.example:1003",
+         "ready.host: 'ready.example' is not an IP number; write"},
+        {dispatcher, "{address: '127.0.0.1:1003'}", "{host: h, port: 65536}",
+         "port: '65536' is not a number from 0 to 65535; give"},
+        {dispatcher, "1003", "1001",
+         "'http' and 'ready' have the same address; give"},
+        {dispatcher, "log:", "worker: {address: '127.0.0.1:1005'}\nlog:",
+         "'worker' is for a supervisor only; remove it"},
+        {supervisor, "worker: {address: '127.0.0.1:1002'}\n", "",
+         "a supervisor lacks 'worker'; give the address"},
+        {supervisor, "log:", "ready: {address: '127.0.0.1:1005'}\nlog:",
+         "'ready' is for a dispatcher only; remove it"},
+        {supervisor, "log:", "limits: {session_ms: 299}\nlog:",
+         "session_ms: '299' is not a number from 300 to 60000; give"},
+        {supervisor, "log:", "limits: {worker_lease_ms: 299}\nlog:",
+         "worker_lease_ms: '299' is not a number from 300 to 60000; give"},
+        {supervisor, "log:", "limits: {resend_ms: 999}\nlog:",
+         "resend_ms: '999' is not a number from 1000 to 600000; give"},
+        {supervisor, "log:", "limits: {stop_ms: 99}\nlog:",
+         "stop_ms: '99' is not a number from 100 to 600000; give"},
+        {supervisor, "log:", "limits: {worker_lease_ms: 700}\nlog:",
+         "may take 1341 ms, over resend_ms of 1300; shorten"},
+        {dispatcher, "log:", "limits: {session_ms: 800}\nlog:",
+         "may take 1332 ms, over resend_ms of 1300; shorten"},
+    };
+    BwSettings settings;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        g_assert_false(load_settings(&settings, cases[i].text, cases[i].from,
+                                     cases[i].to));
+        if (strstr(faults.lines[0], cases[i].fault) == NULL)
+            g_error("case %zu: %s", i, faults.lines[0]);
+    }
+}
+
+/* Faults in several keys are told together. */
+static void
+test_node_all_faults(void)
+{
+    BwSettings settings;
+
+    g_assert_false(
+        load_settings(&settings,
+                      "role: dispatcher\nname: d\nregion: r\ndomain: h\n"
+                      "http: {address: '127.0.0.1:1001'}\n"
+                      "log: {address: '127.0.0.1:1004'}\n"
+                      "limits: {worker_lease_ms: 1}\n",
+                      NULL, ""));
+    g_assert_cmpuint(faults.count, ==, 3);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -202,5 +337,8 @@
     g_test_add_func("/config/not-yaml", test_not_yaml);
     g_test_add_func("/config/scan", test_scan);
     g_test_add_func("/config/error-table", test_error_table);
+    g_test_add_func("/settings/nodes", test_node_settings);
+    g_test_add_func("/settings/node-faults", test_node_faults);
+    g_test_add_func("/settings/all-faults", test_node_all_faults);
     return g_test_run();
 }
--- a/tests/test_status.c
+++ b/tests/test_status.c
@@ -1,9 +1,11 @@
 /* test_status.c -- what a dispatcher and a supervisor tell operators: first
-   from the structs alone, then from real processes by the command line */
+   from the structs alone, then from real processes by the command line; and
+   the check of settings */
 
 #include <glib.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/wait.h>
 
 #include <gio/gio.h>
 #include <glib/gstdio.h>
@@ -403,6 +405,46 @@
     g_free(dir);
 }
 
+/* Runs `brasswingd --settings FILE --check`; returns its exit code. */
+static int
+run_check(const char *path, char **faults)
+{
+    char *argv[] = {BW_DAEMON_PATH, "--settings", (char *)path, "--check",
+                    NULL};
+    int status = -1;
+
+    g_assert_true(g_spawn_sync(NULL, argv, NULL, G_SPAWN_STDOUT_TO_DEV_NULL,
+                               NULL, NULL, NULL, faults, &status, NULL));
+    g_assert_true(WIFEXITED(status));
+    return WEXITSTATUS(status);
+}
+
+static void
+test_check(void)
+{
+    char *dir = g_dir_make_tmp("brasswing-XXXXXX", NULL);
+    char *path = g_build_filename(dir, "s.yaml", NULL);
+    char *text = g_strdup_printf("role: supervisor\nname: s-1\n%s"
+                                 "worker: {host: 127.0.0.1, port: 1}\n",
+                                 common);
+    char *faults;
+
+    g_assert_true(g_file_set_contents(path, text, -1, NULL));
+    g_assert_cmpint(run_check(path, &faults), ==, 0);
+    g_assert_cmpstr(faults, ==, "");
+    g_free(faults);
+    g_assert_true(g_file_set_contents(path, common, -1, NULL));
+    g_assert_cmpint(run_check(path, &faults), ==, 2);
+    g_assert_nonnull(strstr(faults, "lacks 'role'"));
+    g_assert_nonnull(strstr(faults, "lacks 'name'"));
+    g_free(faults);
+    g_remove(path);
+    g_rmdir(dir);
+    g_free(text);
+    g_free(path);
+    g_free(dir);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -410,5 +452,6 @@
     g_test_add_func("/status/dispatcher", test_dispatcher);
     g_test_add_func("/status/supervisor", test_supervisor);
     g_test_add_func("/status/processes", test_processes);
+    g_test_add_func("/settings/check", test_check);
     return g_test_run();
 }
