--- a/tests/test_status.c
+++ b/tests/test_status.c
@@ -3,14 +3,13 @@
    the check of settings */
 
 #include <glib.h>
-#include <signal.h>
 #include <string.h>
 #include <sys/wait.h>
 
-#include <gio/gio.h>
 #include <glib/gstdio.h>
 
 #include "brasswing.h"
+#include "nodeprocess.h"
 #include "nodestatus.h"
 
 #define NOW_US 5000000
@@ -241,66 +240,6 @@
 
 /* ------------------------------------------------------ from processes */
 
-typedef struct Node {
-    GSubprocess *process;
-    char *path;
-    uint32_t http_port;
-    uint32_t ready_port;
-    uint32_t peer_port;
-} Node;
-
-static uint32_t
-read_port(const char *line, const char *field)
-{
-    const char *place = strstr(line, field);
-
-    g_assert_nonnull(place);
-    return (uint32_t)g_ascii_strtoull(place + strlen(field), NULL, 10);
-}
-
-/* Starts a process and reads its ports from the line that tells of them. */
-static void
-start_node(Node *node, const char *dir, const char *name, const char *text)
-{
-    GError *error = NULL;
-    GDataInputStream *lines;
-    char *line;
-
-    node->path = g_strdup_printf("%s/%s.yaml", dir, name);
-    g_assert_true(g_file_set_contents(node->path, text, -1, NULL));
-    node->process =
-        g_subprocess_new(G_SUBPROCESS_FLAGS_STDERR_PIPE, &error,
-                         BW_DAEMON_PATH, "--settings", node->path, NULL);
-    g_assert_no_error(error);
-    lines =
-        g_data_input_stream_new(g_subprocess_get_stderr_pipe(node->process));
-    g_filter_input_stream_set_close_base_stream(G_FILTER_INPUT_STREAM(lines),
-                                                FALSE);
-    do {
-        line = g_data_input_stream_read_line(lines, NULL, NULL, &error);
-        g_assert_no_error(error);
-        g_assert_nonnull(line);
-        if (strstr(line, " started ") != NULL)
-            break;
-        g_free(line);
-    } while (true);
-    node->http_port = read_port(line, "http_port=");
-    node->ready_port = read_port(line, "ready_port=");
-    node->peer_port = read_port(line, "peer_port=");
-    g_free(line);
-    g_object_unref(lines);
-}
-
-static void
-end_node(Node *node)
-{
-    g_subprocess_send_signal(node->process, SIGKILL);
-    g_subprocess_wait(node->process, NULL, NULL);
-    g_object_unref(node->process);
-    g_remove(node->path);
-    g_free(node->path);
-}
-
 /* Runs `brasswing --entry PORT [--output json] status`; free the text. */
 static char *
 run_status(uint32_t port, const char *format)
@@ -368,13 +307,13 @@
     Node dispatcher, supervisor;
     json_t *status, *row;
 
-    start_node(&dispatcher, dir, "d-1", text);
+    Node_Start(&dispatcher, dir, "d-1", text);
     g_free(text);
     text = g_strdup_printf("role: supervisor\nname: s-1\n%s"
                            "worker: {host: 127.0.0.1, port: 1}\n"
                            "peers: [{host: 127.0.0.1, port: %u}]\n",
                            common, dispatcher.peer_port);
-    start_node(&supervisor, dir, "s-1", text);
+    Node_Start(&supervisor, dir, "s-1", text);
     g_free(text);
 
     row = wait_row(dispatcher.ready_port, "workers", &status);
@@ -399,8 +338,8 @@
                "SUPERVISOR");
     check_text(supervisor.http_port, "supervisor s-1, region tunis-nord",
                "tasks: 0 queued");
-    end_node(&supervisor);
-    end_node(&dispatcher);
+    Node_Finish(&supervisor);
+    Node_Finish(&dispatcher);
     g_rmdir(dir);
     g_free(dir);
 }
