--- a/packages/cli/nodeview.c
+++ b/packages/cli/nodeview.c
@@ -62,7 +62,7 @@
            text_of(view, "supervisor"), text_of(view, "service"),
            text_of(view, "domain"), share(cpu, unused, whole, "cpu_milli"),
            share(memory, unused, whole, "mem_mb"),
-           share(gpu, unused, whole, "gpu"), number_of(view, "queued_core_ms"),
+           share(gpu, unused, whole, "gpu"), number_of(view, "queued"),
            number_of(view, "pace_permille"),
            number_of(view, "failed_permille"), view_state(view));
 }
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -525,12 +525,12 @@
     ADD("brasswing_bounced_total", "Tasks declined there", c->bounced);
     ADD("brasswing_lost_total", "Tasks lost with their worker", c->lost);
 #undef ADD
-    n = BwDaemon_AddCounter(list, n, room, "brasswing_workers_usable",
-                            "Workers that take tasks now", BW_GAUGE,
-                            BwDispatcher_CountUsable(&role->dispatcher));
-    return BwDaemon_AddCounter(list, n, room, "brasswing_config_revision",
-                               "Configuration in force", BW_GAUGE,
-                               role->routes.revision);
+    n = BwCounters_Add(list, n, room, "brasswing_workers_usable",
+                       "Workers that take tasks now", BW_GAUGE,
+                       BwDispatcher_CountUsable(&role->dispatcher));
+    return BwCounters_Add(list, n, room, "brasswing_config_revision",
+                          "Configuration in force", BW_GAUGE,
+                          role->routes.revision);
 }
 
 static json_t *
--- a/packages/daemon/nodestatus.c
+++ b/packages/daemon/nodestatus.c
@@ -38,10 +38,11 @@
         "ejected", (int)is_ejected, "capacity", write_room(&view->capacity),
         "free", write_room(&view->free));
     json_t *rest = json_pack(
-        "{s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "queued_core_ms",
-        (json_int_t)(view->queued_core_us / 1000), "in_flight",
+        "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "queued",
+        (json_int_t)view->queued, "in_flight",
         (json_int_t)view->in_flight_count, "pace_permille",
-        (json_int_t)view->pace_permille, "failed_permille",
+        (json_int_t)view->pace_permille, "slow_permille",
+        (json_int_t)view->slow_permille, "failed_permille",
         (json_int_t)view->failed_permille, "failed_in_row",
         (json_int_t)view->failed_in_row, "answered_ms",
         view->answered_us != 0 ? age_ms(view->answered_us, now_us) : -1,
@@ -93,10 +94,10 @@
 static json_t *
 write_account(const BwSupervisor *s)
 {
-    return json_pack("{s:o, s:o, s:o, s:I, s:I, s:I}", "capacity",
+    return json_pack("{s:o, s:o, s:I, s:I, s:I, s:I}", "capacity",
                      write_room(&s->capacity), "used", write_room(&s->used),
-                     "queued", write_room(&s->queued), "queued_core_ms",
-                     (json_int_t)(s->queued_core_us / 1000), "pace_permille",
+                     "queued", (json_int_t)s->queued_count, "queued_urgent",
+                     (json_int_t)s->queued_urgent, "pace_permille",
                      (json_int_t)s->pace_permille, "failed_permille",
                      (json_int_t)s->failed_permille);
 }
