--- a/tests/test_status.c
+++ b/tests/test_status.c
@@ -212,7 +212,7 @@
     message.u.place.expected_us = 50000;
     message.u.place.due_in_us = 1000000;
     message.u.place.deadline_in_us = 1000000;
-place.wait_us = 1000000;
+    message.u.place.wait_us = 1000000;
     message.u.place.tasks = tasks;
     message.u.place.task_count = 2;
     BwSupervisor_OnMessage(&supervisor, NOW_US, 3, &message);
