--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -17,6 +17,7 @@
 #include <utlist.h>
 
 #include "brasswing.h"
+#include "room.h"
 #include "supervisor.h"
 
 #define SESSION_RENEWALS 3     /* in the time of a session */
@@ -25,6 +26,7 @@
 #define CLOCK_STALE_US 1500000 /* of the worker */
 #define STOP_SETTLES_US 60000  /* a stop takes effect within */
 #define HOLDS_MAX 3
+#define RUNS_PER_SEAT 512 /* more than the steps of all tries */
 #define TRIES_MAX 4
 #define RUN_STEP 16
 #define PACE_SHIFT 3
@@ -43,36 +45,6 @@
     return seat->state != BW_SEAT_QUEUED;
 }
 
-static uint64_t
-take_away(uint64_t from, uint64_t amount)
-{
-    return from > amount ? from - amount : 0;
-}
-
-static void
-add_room(BwRoom *sum, const BwRoom *room)
-{
-    sum->cpu_milli += room->cpu_milli;
-    sum->mem_mb += room->mem_mb;
-    sum->gpu += room->gpu;
-}
-
-static void
-remove_room(BwRoom *sum, const BwRoom *room)
-{
-    sum->cpu_milli = take_away(sum->cpu_milli, room->cpu_milli);
-    sum->mem_mb = take_away(sum->mem_mb, room->mem_mb);
-    sum->gpu = take_away(sum->gpu, room->gpu);
-}
-
-static bool
-fits(const BwRoom *used, const BwRoom *room, const BwRoom *capacity)
-{
-    return used->cpu_milli + room->cpu_milli <= capacity->cpu_milli &&
-           used->mem_mb + room->mem_mb <= capacity->mem_mb &&
-           used->gpu + room->gpu <= capacity->gpu;
-}
-
 /* Whether the worker has answered lately enough to be given work. */
 static bool
 is_responsive(const BwSupervisor *s, uint64_t now_us)
@@ -139,9 +111,9 @@
 
     load.place_seen = peer->place_seen;
     load.free = s->capacity;
-    remove_room(&load.free, &s->used);
-    remove_room(&load.free, &s->queued);
+    BwRoom_Remove(&load.free, &s->used);
     load.queued = s->queued_count;
+    load.queued_urgent = s->queued_urgent;
     load.release_us = release_us(s, now_us);
     load.slow_permille = slow_permille(s, now_us);
     load.failed_permille = s->failed_permille;
@@ -206,6 +178,13 @@
 
 /* -------------------------------------------------------------- seats */
 
+static void
+note_unqueued(BwSupervisor *s, const BwSeat *seat)
+{
+    s->queued_count--;
+    s->queued_urgent -= seat->priority == 0;
+}
+
 static void
 unlink_seat(BwSupervisor *s, BwSeat *seat)
 {
@@ -213,11 +192,10 @@
 
     if (seat->state == BW_SEAT_QUEUED) {
         DL_DELETE(s->queue, seat);
-        remove_room(&s->queued, &seat->room);
-        s->queued_count--;
+        note_unqueued(s, seat);
     }
     else {
-        remove_room(&s->used, &seat->room);
+        BwRoom_Remove(&s->used, &seat->room);
     }
     HASH_DELETE(hh, s->seats, seat);
     HASH_DELETE(by_number, s->numbers, seat);
@@ -350,6 +328,17 @@
     send_stop(s, now_us, seat);
 }
 
+/* Whether the task's session and its deadline are still to end. */
+static bool
+is_in_time(const BwSupervisor *s, uint64_t now_us, const BwSeat *seat)
+{
+    const BwSupervisorPeer *peer;
+
+    HASH_FIND(hh, s->peers, &seat->peer, sizeof(seat->peer), peer);
+    return peer != NULL && now_us < peer->valid_until_us &&
+           now_us < seat->deadline_us;
+}
+
 /* Starts what fits, in the order of the queue; a smaller task may pass a
    larger one. */
 static void
@@ -361,12 +350,14 @@
         return;
     DL_FOREACH_SAFE(s->queue, seat, next)
     {
-        if (!fits(&s->used, &seat->room, &s->capacity))
+        BwRoom room = s->capacity;
+
+        BwRoom_Remove(&room, &s->used);
+        if (!BwRoom_Fits(&seat->room, &room) || !is_in_time(s, now_us, seat))
             continue;
         DL_DELETE(s->queue, seat);
-        remove_room(&s->queued, &seat->room);
-        s->queued_count--;
-        add_room(&s->used, &seat->room);
+        note_unqueued(s, seat);
+        BwRoom_Add(&s->used, &seat->room);
         seat->state = BW_SEAT_STARTING;
         s->port->log(s->ctx, "start", seat, "room");
         send_start(s, now_us, seat);
@@ -433,47 +424,46 @@
     s->holds_in_flight = 0;
     s->due_us = 0;
     s->first_hold = s->hold_number + 1;
+    s->first_number = s->next_number + 1;
     send_hold(s, now_us, 0);
 }
 
-static void
-set_text(char *out, size_t room, BwSpan span)
-{
-    size_t size = span.size_bytes < room - 1 ? span.size_bytes : room - 1;
-
-    memcpy(out, span.base, size);
-    out[size] = '\0';
-}
-
 void
 BwSupervisor_OnBeat(BwSupervisor *s, uint64_t now_us, const BwWorkerBeat *beat)
 {
     bool was_leaving = s->is_worker_leaving;
     char instance[BW_NAME_BYTES_MAX];
+    bool is_same;
 
-    set_text(instance, sizeof(instance), beat->instance);
-    if (strcmp(instance, s->former) == 0)
+    BwSpan_ToString(beat->instance, instance, sizeof(instance));
+    is_same = strcmp(instance, s->instance) == 0;
+    if (strcmp(instance, s->former) == 0 || (beat->is_gone && !is_same))
         return;
-    if (strcmp(instance, s->instance) == 0 &&
-        beat->sequence < s->beat_sequence && !beat->is_gone)
+    if (is_same && beat->sequence < s->beat_sequence && !beat->is_gone)
         return;
+    if (!is_same && HASH_COUNT(s->seats) > 0) {
+        if (s->holds_in_flight < HOLDS_MAX)
+            send_hold(s, now_us, 0);
+        return;
+    }
     s->beat_us = now_us;
     s->beat_sequence = beat->sequence;
     if (beat->is_gone) {
-        if (strcmp(instance, s->instance) == 0)
-            s->is_worker_leaving = true;
+        s->is_worker_leaving = true;
+        s->beat_sequence = UINT64_MAX;
     }
     else {
         s->is_worker_leaving = beat->is_leaving;
-        set_text(s->service, sizeof(s->service), beat->service);
-        set_text(s->domain, sizeof(s->domain), beat->domain);
+        BwSpan_ToString(beat->service, s->service, sizeof(s->service));
+        BwSpan_ToString(beat->domain, s->domain, sizeof(s->domain));
         if (beat->has_capacity)
             s->capacity = beat->capacity;
         s->label_count = beat->label_count;
         for (uint32_t i = 0; i < beat->label_count; i++)
-            set_text(s->labels[i], BW_NAME_BYTES_MAX, beat->labels[i]);
-        if (strcmp(instance, s->instance) != 0) {
-            strcpy(s->former, s->instance);
+            BwSpan_ToString(beat->labels[i], s->labels[i], BW_NAME_BYTES_MAX);
+        if (!is_same || s->phase == BW_WORKER_NONE) {
+            if (!is_same)
+                strcpy(s->former, s->instance);
             strcpy(s->instance, instance);
             s->clock_ms = beat->clock_ms;
             s->clock_read_us = now_us;
@@ -502,25 +492,20 @@
             answer->clock_ms > s->fence ? answer->clock_ms : s->fence + 1;
 }
 
-/* The worker at the address is not the one that is meant. */
+/* The worker at the address is not the one that is meant: the next
+   announcement says which one it is. */
 static void
 on_other_instance(BwSupervisor *s, uint64_t now_us)
 {
-    if (s->phase == BW_WORKER_CLEARING && s->former[0] != '\0') {
-        char name[BW_NAME_BYTES_MAX];
+    bool was_ready = s->phase == BW_WORKER_READY;
 
-        strcpy(name, s->instance);
-        strcpy(s->instance, s->former);
-        strcpy(s->former, name);
-        clear_worker(s, now_us);
+    s->phase = BW_WORKER_NONE;
+    s->former[0] = '\0';
+    if (!was_ready)
         return;
-    }
-    if (s->phase == BW_WORKER_READY) {
-        s->phase = BW_WORKER_NONE;
-        lose_all(s, now_us, "the worker was replaced");
-        decline_queue(s, now_us, BW_DECLINE_LEAVING);
-        tell_all(s, now_us);
-    }
+    lose_all(s, now_us, "the worker was replaced");
+    decline_queue(s, now_us, BW_DECLINE_LEAVING);
+    tell_all(s, now_us);
 }
 
 static BwSeat *
@@ -539,7 +524,7 @@
     BwSeat *seat;
 
     memset(&key, 0, sizeof(key));
-    set_text(key.job, sizeof(key.job), task->job);
+    BwSpan_ToString(task->job, key.job, sizeof(key.job));
     key.step = task->step;
     key.index = task->index;
     HASH_FIND(hh, s->seats, &key, sizeof(key), seat);
@@ -548,14 +533,28 @@
     return seat;
 }
 
+/* Seats are numbered upwards, so the first step passes every run of the task
+   that this process has started; a predecessor's may be higher. */
+static void
+raise_run(BwSeat *seat)
+{
+    uint64_t run = seat->number * RUNS_PER_SEAT;
+
+    if (seat->run < run && run < UINT32_MAX / 2)
+        seat->run = (uint32_t)run;
+    else
+        seat->run += RUN_STEP << seat->tries;
+}
+
 static void
 on_refused_start(BwSupervisor *s, uint64_t now_us, BwSeat *seat,
                  BwWorkerVerdict verdict)
 {
     if ((verdict == BW_WORKER_FENCED || verdict == BW_WORKER_OLD_RUN) &&
-        ++seat->tries < TRIES_MAX && seat->state == BW_SEAT_STARTING) {
+        ++seat->tries < TRIES_MAX && seat->state == BW_SEAT_STARTING &&
+        is_usable(s, now_us) && is_in_time(s, now_us, seat)) {
         if (verdict == BW_WORKER_OLD_RUN)
-            seat->run += RUN_STEP << seat->tries;
+            raise_run(seat);
         send_start(s, now_us, seat);
         return;
     }
@@ -575,6 +574,8 @@
 {
     BwSeat *seat = find_number(s, number);
 
+    if (number < s->first_number)
+        return;
     take_clock(s, now_us, answer);
     if (answer->verdict == BW_WORKER_OTHER) {
         on_other_instance(s, now_us);
@@ -608,6 +609,8 @@
 {
     BwSeat *seat = find_number(s, number);
 
+    if (number < s->first_number)
+        return;
     take_clock(s, now_us, answer);
     if (answer->verdict == BW_WORKER_OTHER) {
         on_other_instance(s, now_us);
@@ -707,7 +710,6 @@
 static void
 take_cleared(BwSupervisor *s, uint64_t now_us, const BwWorkerAnswer *answer)
 {
-    lose_all(s, now_us, "the worker was replaced or taken over");
     for (uint32_t i = 0; i < answer->running_count; i++)
         stop_stranger(s, &answer->running[i]);
     for (uint32_t i = 0; i < answer->ended_count; i++) {
@@ -729,7 +731,8 @@
     if (s->holds_in_flight > 0)
         s->holds_in_flight--;
     take_clock(s, now_us, answer);
-    if (answer->verdict != BW_WORKER_NO_ANSWER)
+    if (answer->verdict != BW_WORKER_NO_ANSWER &&
+        answer->verdict != BW_WORKER_UNHEALTHY)
         s->due_us = s->holds_in_flight == 0
                         ? 0
                         : now_us + s->limits.hold_us + s->limits.answer_us;
@@ -848,8 +851,6 @@
             const BwSupervisorPeer *peer, const BwPlace *place,
             uint32_t spread)
 {
-    BwRoom none = {0};
-
     if (s->is_leaving || s->is_worker_leaving || !is_usable(s, now_us))
         return BW_DECLINE_LEAVING;
     if (now_us >= peer->valid_until_us)
@@ -857,7 +858,7 @@
     if (!BwSpan_Equal(place->service, BwSpan_FromString(s->service)))
         return BW_DECLINE_NO_SERVICE;
     if (!has_label(s, place->requirement) ||
-        !fits(&none, &place->room, &s->capacity) ||
+        !BwRoom_Fits(&place->room, &s->capacity) ||
         (place->spread_max > 0 && spread >= place->spread_max))
         return BW_DECLINE_UNSUITED;
     if (HASH_COUNT(s->seats) >= BW_SUPERVISOR_TASKS_MAX)
@@ -872,7 +873,7 @@
 
     if (seat == NULL)
         return NULL;
-    set_text(seat->key.job, sizeof(seat->key.job), place->job);
+    BwSpan_ToString(place->job, seat->key.job, sizeof(seat->key.job));
     seat->key.step = place->step;
     seat->key.index = index;
     seat->ref = place->ref;
@@ -908,24 +909,23 @@
     HASH_ADD(hh, s->seats, key, sizeof(seat->key), seat);
     HASH_ADD(by_number, s->numbers, number, sizeof(seat->number), seat);
     DL_INSERT_INORDER(s->queue, seat, compare_seats);
-    add_room(&s->queued, &seat->room);
     s->queued_count++;
+    s->queued_urgent += seat->priority == 0;
     peer->seat_count++;
     return 0;
 }
 
-/* Takes back the tasks of a PLACE that found no room.  Returns how many. */
+/* Takes back the tasks from seat number `first` on that found no room.
+   Returns how many. */
 static uint32_t
-take_back(BwSupervisor *s, uint64_t now_us, const BwPlace *place,
-          uint32_t peer, BwTaskOutcome *declined)
+take_back(BwSupervisor *s, uint64_t first, BwTaskOutcome *declined)
 {
     BwSeat *seat, *next;
     uint32_t count = 0;
 
     DL_FOREACH_SAFE(s->queue, seat, next)
     {
-        if (seat->peer != peer || seat->ref != place->ref ||
-            seat->key.step != place->step || seat->patience_us > now_us)
+        if (seat->number < first)
             continue;
         declined[count].index = seat->key.index;
         declined[count].kind = BW_OUTCOME_NOT_RUN;
@@ -942,6 +942,7 @@
 {
     BwSeatText *text = malloc(sizeof(*text) + place->spec.size_bytes);
     BwTaskOutcome *declined = calloc(place->task_count + 1, sizeof(*declined));
+    uint64_t first = s->next_number + 1;
     uint32_t spread = 0, count = 0;
 
     peer->place_seen = place->number;
@@ -967,7 +968,7 @@
     }
     start_queued(s, now_us);
     if (place->wait_us == 0 && count < place->task_count)
-        count += take_back(s, now_us, place, peer->peer, declined + count);
+        count += take_back(s, first, declined + count);
     s->counters.declined += count;
     report(s, now_us, peer->peer, place->ref, declined, count);
     if (--text->references == 0)
@@ -1074,6 +1075,7 @@
 {
     uint64_t age_us = now_us - s->hold_sent_us;
     bool is_idle = HASH_COUNT(s->seats) == 0;
+    uint64_t wait_us = is_idle ? IDLE_HOLD_US : s->limits.hold_us;
 
     if (s->phase == BW_WORKER_NONE)
         return;
@@ -1083,8 +1085,12 @@
             send_hold(s, now_us, 0);
         return;
     }
-    if (s->holds_in_flight == 0)
-        send_hold(s, now_us, is_idle ? IDLE_HOLD_US : s->limits.hold_us);
+    if (!is_responsive(s, now_us))
+        wait_us = 0;
+    if (s->holds_in_flight == 0) {
+        if (s->due_us == 0 || age_us >= CLEARING_HOLD_US)
+            send_hold(s, now_us, wait_us);
+    }
     else if (!is_idle && s->holds_in_flight < HOLDS_MAX &&
              age_us > s->limits.hold_us + s->limits.answer_us / 2)
         send_hold(s, now_us, s->limits.hold_us);
@@ -1096,6 +1102,8 @@
     if (now_us >= s->lease_end_us && s->lease_end_us != 0) {
         s->lease_end_us = 0;
         lose_all(s, now_us, "the lease ran out");
+        if (!is_responsive(s, now_us))
+            decline_queue(s, now_us, BW_DECLINE_LEAVING);
     }
     tick_seats(s, now_us);
     tick_sessions(s, now_us);
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -119,7 +119,7 @@
 } BwSupervisorCounters;
 
 typedef enum BwWorkerPhase {
-    BW_WORKER_NONE,     /* none has announced itself */
+    BW_WORKER_NONE,     /* none has announced itself, or it is gone */
     BW_WORKER_CLEARING, /* what it ran before is being stopped */
     BW_WORKER_READY,
 } BwWorkerPhase;
@@ -152,16 +152,17 @@
     uint64_t hold_number;
     uint64_t hold_sent_us;
     uint32_t holds_in_flight;
-    uint64_t first_hold; /* number of the first one to this instance */
-    uint64_t due_us;     /* an answer is overdue from then on; 0: none is */
+    uint64_t first_hold;   /* number of the first one to this instance */
+    uint64_t first_number; /* of the first other order to it */
+    uint64_t due_us;       /* an answer is overdue from then on; 0: none is */
 
     uint64_t next_number;
     BwSeat *seats;   /* hash by key */
     BwSeat *numbers; /* hash by number */
     BwSeat *queue;   /* list by priority and due time */
     BwSupervisorPeer *peers;
-    BwRoom queued;
     uint32_t queued_count;
+    uint32_t queued_urgent; /* of priority 0 */
     uint32_t pace_permille; /* run times of the last few tasks */
     uint32_t failed_permille;
     uint32_t orphan_count; /* seats whose dispatcher is gone */
