Test callers that leave in numbers, twins, bad requests and a slow worker

Cause: the room account after many stops at once, a job sent twice to one dispatcher and faulty bodies had no test with processes.

--- a/tests/test_bound.c
+++ b/tests/test_bound.c
@@ -569,6 +569,87 @@
     check_rules();
 }
 
+/* Many at once; no room may stay taken. */
+static void
+test_callers_gone(void)
+{
+    BoundCall calls[CALLS];
+    BoundCount count;
+    Job job;
+
+    set_up();
+    BoundFleet_TellWorkers(&fleet, -1, "{\"still\":true}");
+    for (uint32_t i = 0; i < CALLS; i++) {
+        name_job(&job, "checks");
+        start_job(&calls[i], i % BOUND_DISPATCHERS, &job, 2, 20);
+    }
+    BoundFleet_WaitRunning(&fleet, "", BOUND_WORKERS * BOUND_CPU / 1000);
+    for (uint32_t i = 0; i < CALLS; i++) {
+        BoundCall_Abandon(&calls[i]);
+        BoundCall_Clear(&calls[i]);
+    }
+    BoundFleet_WaitRunning(&fleet, "", 0);
+    go_on();
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++) {
+        name_job(&job, "checks");
+        BoundFleet_TellWorkers(&fleet, -1, "{\"still\":true}");
+        start_spread(&calls[i], i, &job, 16, 20, 4);
+        BoundFleet_WaitRunning(&fleet, job.name, 16);
+        go_on();
+        expect_completed(&calls[i]);
+        BoundFleet_Count(&fleet, job.name, &count);
+        g_assert_cmpuint(count.starts, ==, 16);
+    }
+    check_rules();
+}
+
+static void
+test_same_connection(void)
+{
+    char *text = Standin_JobText(4, 20, 1000, 1000, 0);
+    BwSpan body = {text, (uint32_t)strlen(text)};
+    BwCallReply reply;
+    BwCaller caller;
+    Job job;
+
+    set_up();
+    g_assert_true(
+        BwCaller_Init(&caller, "127.0.0.1", (uint16_t)fleet.front_ports[0]));
+    for (uint32_t i = 0; i < 5; i++) {
+        name_job(&job, "checks");
+        g_assert_cmpuint(BwCaller_Call(&caller, "POST", job.path, "", body,
+                                       WAIT_US, &reply),
+                         ==, 200);
+        g_assert_nonnull(strstr(reply.body, "completed"));
+        free(reply.body);
+    }
+    BwCaller_Finish(&caller);
+    check_rules();
+    g_free(text);
+}
+
+/* A job that runs is not taken a second time. */
+static void
+test_twin(void)
+{
+    char *text = Standin_JobText(4, 20, 1000, 1000, 0);
+    BoundCall call, twin;
+    BoundCount count;
+    Job job;
+
+    set_up();
+    start_still(&call, 0, &job, 4);
+    BoundCall_Run(&twin, fleet.front_ports[0], "POST", job.path, "", text);
+    g_assert_true(twin.status == 429 || twin.status == 503);
+    BoundCall_Clear(&twin);
+    go_on();
+    expect_completed(&call);
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.starts, ==, 4);
+    check_rules();
+    g_free(text);
+}
+
 static void
 test_cancelled(void)
 {
@@ -805,6 +886,37 @@
     g_free(kept);
 }
 
+static void
+test_bad_requests(void)
+{
+    static const char *const bodies[] = {
+        "",
+        "{",
+        "[]",
+        "{}",
+        "{\"bestEffort\":true,\"steps\":[]}",
+        "{\"bestEffort\":true,\"steps\":[{\"count\":0}]}",
+        "{\"bestEffort\":true,\"steps\":[{\"count\":1701}]}",
+        "{\"bestEffort\":true,\"steps\":[{\"count\":1,\"after\":[0]}]}",
+        "{\"bestEffort\":true,\"steps\":[7]}",
+    };
+    BoundCount before, after;
+    BoundCall call;
+    Job job;
+
+    set_up();
+    BoundFleet_Count(&fleet, "", &before);
+    for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+        name_job(&job, "checks");
+        BoundCall_Run(&call, fleet.front_ports[0], "POST", job.path, "",
+                      bodies[i]);
+        g_assert_cmpuint(call.status, ==, 400);
+        BoundCall_Clear(&call);
+    }
+    BoundFleet_Count(&fleet, "", &after);
+    g_assert_cmpuint(after.starts, ==, before.starts);
+}
+
 /* A worker leaves orders unanswered, as `kept` says, and carries them out
    after the job. */
 static void
@@ -896,6 +1008,18 @@
     check_rules();
 }
 
+static void
+test_worker_slow(void)
+{
+    set_up();
+    start_afresh();
+    BoundFleet_TellWorkers(&fleet, 1, "{\"slow_permille\":5000}");
+    for (uint32_t i = 0; i < 4; i++)
+        complete_job(i % BOUND_DISPATCHERS, 16);
+    BoundFleet_TellWorkers(&fleet, 1, "{\"slow_permille\":1000}");
+    check_rules();
+}
+
 /* --------------------------------------------------------------- store */
 
 static void
@@ -978,6 +1102,9 @@
         {"/bound/worker_crashed", test_worker_crashed},
         {"/bound/worker_silent", test_worker_silent},
         {"/bound/caller_gone", test_caller_gone},
+        {"/bound/callers_gone", test_callers_gone},
+        {"/bound/same_connection", test_same_connection},
+        {"/bound/twin", test_twin},
         {"/bound/cancelled", test_cancelled},
         {"/bound/deadline", test_deadline},
         {"/bound/dispatcher_stopped", test_dispatcher_stopped},
@@ -986,10 +1113,12 @@
         {"/bound/worker_drained", test_worker_drained},
         {"/bound/reload", test_reload},
         {"/bound/refused", test_refused},
+        {"/bound/bad_requests", test_bad_requests},
         {"/bound/late_orders", test_late_orders},
         {"/bound/late_orders_and_stops", test_late_orders_and_stops},
         {"/bound/late_orders_meanwhile", test_late_orders_meanwhile},
         {"/bound/worker_fails_all", test_worker_fails_all},
+        {"/bound/worker_slow", test_worker_slow},
         {"/bound/store_down_later", test_store_down_later},
         {"/bound/store_down_one_starts", test_store_down_one_starts},
         {"/bound/store_down_all_start", test_store_down_all_start},
