Poll the stand-ins half as often

Cause: a wait that never comes true opened 12,000 connections in 30 s; seen once, on a mutated build: a ledger could not be read any more, which hid the verdict. Change: a look every 20 ms.

--- a/tests/boundfleet.c
+++ b/tests/boundfleet.c
@@ -12,7 +12,7 @@
 #include "standins/wording.h"
 
 #define WAIT_US 30000000
-#define POLL_US 10000
+#define POLL_US 20000
 #define PORT_FIRST 10000 /* below those that the system hands out */
 #define PORT_SPAN 20000
 #define PORT_STRIDE 64
