Settle an unanswered start by one look after its stop

Ruled out: slow or failing workers, connections, the burst, the store; see docs/INCIDENTS.md.

Change: the acknowledged stop of a start that was never seen to run is followed by a look without waiting, which settles it. Orders time out after four times the slowest answer lately, within 40 and 150 ms. Test: /supervisor/stop_settles, which failed before.

--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -26,6 +26,7 @@
 #define CLOCK_STALE_US 1500000 /* of the worker */
 #define STOP_SETTLES_US 60000  /* a stop takes effect within */
 #define HOLDS_MAX 3
+#define LOOKS_MAX 6       /* at once, with those after a stop */
 #define RUNS_PER_SEAT 512 /* more than the steps of all tries */
 #define TRIES_MAX 4
 #define RUN_STEP 16
@@ -619,10 +620,24 @@
     if (seat == NULL || seat->state != BW_SEAT_STOPPING)
         return;
     seat->is_stop_in_flight = false;
-    if (answer->verdict == BW_WORKER_OK)
-        seat->stopped_us = now_us;
-    else
+    if (answer->verdict != BW_WORKER_OK) {
         s->counters.unanswered++;
+        return;
+    }
+    seat->stopped_us = now_us;
+    if (!seat->is_confirmed && s->holds_in_flight < LOOKS_MAX)
+        send_hold(s, now_us, 0);
+}
+
+/* Whether a look sent at `sent_us` that does not list the stopped task proves
+   that it is gone.  One that was never seen to run is listed until its end or
+   never starts, since the worker remembers the stop. */
+static bool
+is_stop_settled(const BwSeat *seat, uint64_t sent_us)
+{
+    uint64_t settles_us = seat->is_confirmed ? STOP_SETTLES_US : 0;
+
+    return seat->stopped_us != 0 && sent_us >= seat->stopped_us + settles_us;
 }
 
 static void
@@ -697,8 +712,7 @@
         if (!is_on_worker(seat) || seat->listed_us == sent_us)
             continue;
         if (seat->state == BW_SEAT_STOPPING &&
-            ((seat->stopped_us != 0 &&
-              sent_us >= seat->stopped_us + STOP_SETTLES_US) ||
+            (is_stop_settled(seat, sent_us) ||
              (!seat->is_confirmed && clock_ms > seat->start_ms)))
             finish_seat(s, now_us, seat, seat->outcome, seat->reason);
         else if (seat->state == BW_SEAT_RUNNING && seat->listed_us != 0 &&
--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -15,7 +15,11 @@
 #include "nodestatus.h"
 #include "supervisor.h"
 
-#define ANSWER_US 120000
+#define ANSWER_US 120000   /* of a look, beyond its waiting */
+#define ORDER_MIN_US 40000 /* of a start or stop */
+#define ORDER_MAX_US 150000
+#define ORDER_FACTOR 4   /* of the slowest answer lately */
+#define SLOWEST_DECAY 16 /* one part is forgotten with each answer */
 #define HOLD_US 120000
 #define WORKER_CONNECTIONS 48
 #define WORKER_REPLY_BYTES (4u * 1024 * 1024)
@@ -25,6 +29,7 @@
     BwHttpServer control;
     BwHttpClient worker;
     BwSupervisor supervisor;
+    uint64_t slowest_us; /* answer to an order lately */
 } Role;
 
 typedef void (*AnswerTaker)(BwSupervisor *supervisor, uint64_t now_us,
@@ -38,6 +43,26 @@
     AnswerTaker take; /* NULL for a hold */
 } WorkerCall;
 
+static void
+note_answer(Role *role, uint64_t took_us)
+{
+    role->slowest_us -= role->slowest_us / SLOWEST_DECAY;
+    if (took_us > role->slowest_us)
+        role->slowest_us = took_us;
+}
+
+/* How long an order may go unanswered: an answer that is merely slow, on a
+   host that is short of processor time, must not count as lost. */
+static uint64_t
+order_timeout_us(const Role *role)
+{
+    uint64_t timeout_us = role->slowest_us * ORDER_FACTOR;
+
+    if (timeout_us < ORDER_MIN_US)
+        return ORDER_MIN_US;
+    return timeout_us < ORDER_MAX_US ? timeout_us : ORDER_MAX_US;
+}
+
 static void
 on_worker_reply(void *data, const BwHttpReply *reply)
 {
@@ -47,6 +72,8 @@
     uint64_t now_us = BwClock_Now();
     BwWorkerAnswer answer;
 
+    if (call->take != NULL && reply->outcome == BW_HTTP_ANSWERED)
+        note_answer(role, now_us - call->sent_us);
     driver->read_answer(reply->outcome == BW_HTTP_ANSWERED ? reply->status : 0,
                         reply->body, &answer);
     if (call->take != NULL)
@@ -83,7 +110,8 @@
     BwCallText text;
 
     if (role->node->driver->make_start(order, &text))
-        call_worker(role, number, &text, ANSWER_US, BwSupervisor_OnStarted);
+        call_worker(role, number, &text, order_timeout_us(role),
+                    BwSupervisor_OnStarted);
 }
 
 static void
@@ -93,7 +121,8 @@
     BwCallText text;
 
     if (role->node->driver->make_stop(order, &text))
-        call_worker(role, number, &text, ANSWER_US, BwSupervisor_OnStopped);
+        call_worker(role, number, &text, order_timeout_us(role),
+                    BwSupervisor_OnStopped);
 }
 
 static void
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -71,6 +71,28 @@
     }
 }
 
+/* Once the stop of an unanswered start is acknowledged, one look settles that
+   the task is not there; nothing waits for the stop to take effect. */
+static void
+test_stop_settles(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), task;
+    uint64_t looks;
+
+    World_Run(&w, 100000);
+    w.fate[CALL_START] = FATE_LOST;
+    task = World_Place(&w, peer, &(Order){.job = "a", .cpu = 4000});
+    World_Run(&w, ANSWER_US - STEP_US);
+    World_AssertKind(&w, task, 0);
+    looks = w.supervisor.counters.holds;
+    World_Run(&w, STOP_US);
+    World_AssertKind(&w, task, BW_OUTCOME_LOST);
+    g_assert_cmpuint(w.supervisor.counters.holds, >, looks);
+    g_assert_cmpuint(w.supervisor.used.cpu_milli, ==, 0);
+    World_Finish(&w);
+}
+
 static void
 test_peer_down(void)
 {
@@ -955,6 +977,7 @@
     g_test_add_func("/supervisor/room", test_room);
     g_test_add_func("/supervisor/done", test_done);
     g_test_add_func("/supervisor/start_unanswered", test_start_unanswered);
+    g_test_add_func("/supervisor/stop_settles", test_stop_settles);
     g_test_add_func("/supervisor/peer_down", test_peer_down);
     g_test_add_func("/supervisor/clear_again", test_clear_again);
     g_test_add_func("/supervisor/session_lapses", test_session_lapses);
