Dial again after 300 ms without a connection

Some connections came up just as they were given up and were made twice. Ruled out: the configuration (in force 10 ms after the start), heartbeats (the worker was ready before its link).

Change: 300 ms for the connection, a second for the hello after it, and a redial after 50 to 500 ms.

--- a/packages/daemon/mesh.c
+++ b/packages/daemon/mesh.c
@@ -12,9 +12,10 @@
 #include "mesh.h"
 #include "net.h"
 
-#define REDIAL_FIRST_US 100000
-#define REDIAL_LAST_US 1000000
-#define OPEN_TIMEOUT_US 1000000
+#define REDIAL_FIRST_US 50000
+#define REDIAL_LAST_US 500000
+#define CONNECT_TIMEOUT_US 300000
+#define HELLO_TIMEOUT_US 1000000
 #define TELL_MEMBERS_US 1000000
 #define DISPATCHER_SILENCE_US 3500000
 #define MEMBER_KEPT_US 30000000
@@ -69,6 +70,7 @@
 {
     BwMeshLink *link = inner->data;
 
+    link->heard_us = BwClock_Now();
     if (link->member != NULL)
         send_hello(link);
 }
@@ -306,6 +308,21 @@
     }
 }
 
+/* How long nothing may be heard of a connection.  A host that was down drops
+   the first packet of a connection, and the system sends it again only after
+   a second: dialling again is faster. */
+static uint64_t
+silence_us(const BwMeshLink *link)
+{
+    if (!link->link.is_open)
+        return CONNECT_TIMEOUT_US;
+    if (!link->is_up)
+        return HELLO_TIMEOUT_US;
+    if (link->mesh->listener != NULL && link->role == BW_ROLE_DISPATCHER)
+        return DISPATCHER_SILENCE_US;
+    return link->mesh->silence_us;
+}
+
 static void
 tick_links(BwMesh *mesh, uint64_t now_us)
 {
@@ -317,13 +334,7 @@
         mesh->told_us = now_us;
     DL_FOREACH(mesh->links, link)
     {
-        bool is_between_dispatchers =
-            mesh->listener != NULL && link->role == BW_ROLE_DISPATCHER;
-        uint64_t limit_us = !link->is_up             ? OPEN_TIMEOUT_US
-                            : is_between_dispatchers ? DISPATCHER_SILENCE_US
-                                                     : mesh->silence_us;
-
-        if (!link->is_over && now_us - link->heard_us > limit_us)
+        if (!link->is_over && now_us - link->heard_us > silence_us(link))
             end_link(link);
         else if (tells && link->is_up)
             send_members(link);
