Give free room to a job even if it ends past its limit

Cause: the limit of the objective also refused jobs that would start at once; it is there to keep queues short, and only waiting keeps others waiting.

Change: a worker with room is taken up to the caller's deadline.

--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -333,7 +333,10 @@
     for (BwView *view = d->views; view != NULL; view = view->hh.next) {
         Foresight foresight = foresee(job, piece, view, run_us, now_us);
 
-        if (foresight.end_us > limit_us || foresight.cost_us >= least.cost_us)
+        /* Room that is free is given: only waiting keeps others waiting. */
+        if (foresight.end_us >
+                (foresight.wait_us == 0 ? job->deadline_us : limit_us) ||
+            foresight.cost_us >= least.cost_us)
             continue;
         best = view;
         least = foresight;
