Test the dispatcher with supervisors in the test

The dispatcher had no test of its own: only whole processes exercised it. The test speaks for the supervisors and moves the clock itself, so each path has one verdict. Covered: jobs whole or refused whole, room under way, one answer in every path, STOPs, silent supervisors, ejection, labels.

--- /dev/null
+++ b/tests/test_dispatcher.c
@@ -0,0 +1,816 @@
+/* test_dispatcher.c -- placement and answers, with supervisors in the test
+
+   The port records what is sent and answered; the test speaks for the
+   supervisors.  Time moves only where a test moves it.
+*/
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "brasswing.h"
+#include "dispatcher.h"
+
+#define SECOND_US 1000000ull
+#define SENT_MAX 4096
+#define JOBS_MAX 64
+#define SESSION_US (2 * SECOND_US)
+#define LEASE_US (3 * SECOND_US)
+
+typedef struct Sent {
+    uint32_t peer;
+    BwMessageKind kind;
+    uint64_t ref;
+    uint64_t number;
+    uint32_t step;
+    uint32_t count;
+    uint32_t first; /* index of the first task */
+    bool is_used;
+} Sent;
+
+typedef struct Answer {
+    uint32_t count;
+    BwBoundEnd end;
+    uint32_t retry_after_ms;
+} Answer;
+
+typedef struct Fixture {
+    BwDispatcher d;
+    uint64_t now_us;
+    uint64_t deadline_us; /* of the next job, from now */
+    Sent sent[SENT_MAX];
+    uint32_t sent_count;
+    Answer answers[JOBS_MAX];
+    uint32_t job_count;
+    BwRoute route;
+} Fixture;
+
+static void
+record_send(void *ctx, uint32_t peer, const BwMessage *message)
+{
+    Fixture *f = ctx;
+    Sent *sent = &f->sent[f->sent_count++];
+
+    g_assert_cmpuint(f->sent_count, <, SENT_MAX);
+    g_assert_cmpuint(peer, !=, 0);
+    memset(sent, 0, sizeof(*sent));
+    sent->peer = peer;
+    sent->kind = message->kind;
+    if (message->kind == BW_MSG_PLACE) {
+        sent->ref = message->u.place.ref;
+        sent->number = message->u.place.number;
+        sent->step = message->u.place.step;
+        sent->count = message->u.place.task_count;
+        g_assert_cmpuint(sent->count, >, 0);
+        sent->first = message->u.place.tasks[0].index;
+    }
+    if (message->kind == BW_MSG_STOP)
+        sent->ref = message->u.stop.ref;
+}
+
+static void
+record_answer(void *ctx, void *data, BwBoundEnd end, uint32_t retry_after_ms)
+{
+    Fixture *f = ctx;
+    Answer *answer = data;
+
+    (void)f;
+    answer->count++;
+    answer->end = end;
+    answer->retry_after_ms = retry_after_ms;
+}
+
+static void
+ignore_log(void *ctx, const char *event, const BwBoundJob *job,
+           const BwView *view, uint32_t count, const char *reason)
+{
+    (void)ctx;
+    (void)event;
+    (void)job;
+    (void)view;
+    (void)count;
+    (void)reason;
+}
+
+static const BwDispatcherPort port = {record_send, record_answer, ignore_log};
+
+static void
+set_up(Fixture *f)
+{
+    BwDispatcherLimits limits = {SESSION_US, LEASE_US, JOBS_MAX};
+
+    memset(f, 0, sizeof(*f));
+    f->now_us = 10 * SECOND_US;
+    f->deadline_us = 30 * SECOND_US;
+    strcpy(f->route.name, "route");
+    strcpy(f->route.service, "service");
+    f->route.attempts_max = 2;
+    f->route.stretch_permille = 2000;
+    f->route.target_us = SECOND_US;
+    BwDispatcher_Init(&f->d, &limits, &port, f);
+}
+
+static void
+tear_down(Fixture *f)
+{
+    BwDispatcher_Finish(&f->d);
+}
+
+static BwSpan
+span(const char *text)
+{
+    return BwSpan_FromString(text);
+}
+
+/* ------------------------------------------------------- supervisors */
+
+static BwWorkerLoad
+load_of(uint64_t seen, uint64_t free_milli)
+{
+    BwWorkerLoad load = {.place_seen = seen, .pace_permille = 1000};
+
+    load.free.cpu_milli = free_milli;
+    load.free.mem_mb = free_milli;
+    load.free.gpu = 1;
+    return load;
+}
+
+static void
+tell_worker(Fixture *f, uint32_t peer, const char *label, uint64_t seen,
+            uint64_t free_milli, bool is_clear)
+{
+    BwMessage message = {.kind = BW_MSG_WORKER};
+    BwWorkerState *state = &message.u.worker;
+    BwWorkerLoad load = load_of(seen, free_milli);
+    BwName name = {span(label)};
+
+    state->instance = span("instance");
+    state->service = span("service");
+    state->domain = span("domain");
+    state->capacity.cpu_milli = 4000;
+    state->capacity.mem_mb = 4000;
+    state->capacity.gpu = 1;
+    state->is_clear = is_clear;
+    state->labels = &name;
+    state->label_count = 1;
+    state->load = &load;
+    state->load_count = 1;
+    BwDispatcher_OnMessage(&f->d, f->now_us, peer, &message);
+}
+
+static void
+tell_session(Fixture *f, uint32_t peer, uint64_t seen, uint64_t free_milli)
+{
+    BwMessage message = {.kind = BW_MSG_SESSION};
+    BwWorkerLoad load = load_of(seen, free_milli);
+
+    message.u.session.asked_us = 7;
+    message.u.session.load = &load;
+    message.u.session.load_count = 1;
+    BwDispatcher_OnMessage(&f->d, f->now_us, peer, &message);
+}
+
+/* A supervisor whose worker has four cores and one label. */
+static void
+connect_labelled(Fixture *f, uint32_t peer, const char *name,
+                 const char *label)
+{
+    BwDispatcher_PeerUp(&f->d, f->now_us, peer, span(name));
+    tell_worker(f, peer, label, 0, 4000, true);
+    tell_session(f, peer, 0, 4000);
+}
+
+static void
+connect_worker(Fixture *f, uint32_t peer, const char *name)
+{
+    connect_labelled(f, peer, name, "kind");
+}
+
+static void
+tell_outcome(Fixture *f, uint32_t peer, uint64_t ref, uint32_t step,
+             uint32_t index, uint32_t kind)
+{
+    BwMessage message = {.kind = BW_MSG_OUTCOME};
+    BwTaskOutcome outcome = {index, kind, 0, SECOND_US};
+
+    if (kind == BW_OUTCOME_NOT_RUN)
+        outcome.reason = BW_DECLINE_BUSY;
+    message.u.outcome.ref = ref;
+    (void)step;
+    message.u.outcome.tasks = &outcome;
+    message.u.outcome.task_count = 1;
+    BwDispatcher_OnMessage(&f->d, f->now_us, peer, &message);
+}
+
+/* -------------------------------------------------------------- jobs */
+
+static BwBoundStep
+step_of(uint32_t count, uint64_t cpu_milli)
+{
+    BwBoundStep step = {.task_count = count, .declared_us = SECOND_US};
+
+    step.room.cpu_milli = cpu_milli;
+    step.room.mem_mb = 100;
+    step.requirement = span("");
+    step.affinity = span("");
+    return step;
+}
+
+static uint64_t
+submit_named(Fixture *f, const char *name, const BwBoundStep *steps,
+             uint32_t step_count)
+{
+    BwBoundRequest request = {.is_bound = true};
+
+    request.spec = span("spec");
+    request.step_count = step_count;
+    if (step_count > 0)
+        memcpy(request.steps, steps, step_count * sizeof(*steps));
+    g_assert_cmpuint(f->job_count, <, JOBS_MAX);
+    return BwDispatcher_Submit(&f->d, f->now_us, span(name), &request,
+                               &f->route, f->now_us + f->deadline_us,
+                               &f->answers[f->job_count++]);
+}
+
+static uint64_t
+submit(Fixture *f, const BwBoundStep *steps, uint32_t step_count)
+{
+    char name[BW_NAME_BYTES_MAX];
+
+    g_snprintf(name, sizeof(name), "job%u", f->job_count);
+    return submit_named(f, name, steps, step_count);
+}
+
+static uint64_t
+submit_simple(Fixture *f, uint32_t count, uint64_t cpu_milli)
+{
+    BwBoundStep step = step_of(count, cpu_milli);
+
+    return submit(f, &step, 1);
+}
+
+static uint32_t
+count_sent(const Fixture *f, BwMessageKind kind, uint32_t peer, uint64_t ref)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < f->sent_count; i++) {
+        const Sent *sent = &f->sent[i];
+
+        if (sent->kind == kind && sent->ref == ref &&
+            (peer == 0 || sent->peer == peer))
+            count += kind == BW_MSG_PLACE ? sent->count : 1;
+    }
+    return count;
+}
+
+static uint32_t
+placed_at(const Fixture *f, uint32_t peer, uint64_t ref)
+{
+    return count_sent(f, BW_MSG_PLACE, peer, ref);
+}
+
+static uint32_t
+stops_at(const Fixture *f, uint32_t peer, uint64_t ref)
+{
+    return count_sent(f, BW_MSG_STOP, peer, ref);
+}
+
+static uint32_t
+last_peer(const Fixture *f)
+{
+    g_assert_cmpuint(f->sent_count, >, 0);
+    return f->sent[f->sent_count - 1].peer;
+}
+
+static void
+assert_answer(const Fixture *f, uint32_t job, BwBoundEnd end)
+{
+    g_assert_cmpuint(f->answers[job].count, ==, 1);
+    g_assert_cmpint(f->answers[job].end, ==, end);
+    if (end == BW_BOUND_REFUSED)
+        g_assert_cmpuint(f->answers[job].retry_after_ms, >, 0);
+}
+
+static void
+assert_waits(const Fixture *f, uint32_t job)
+{
+    g_assert_cmpuint(f->answers[job].count, ==, 0);
+}
+
+/* ------------------------------------------------------------- tests */
+
+static void
+test_completed(void)
+{
+    Fixture f;
+    uint64_t ref;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    connect_worker(&f, 2, "b");
+    ref = submit_simple(&f, 8, 1000);
+    g_assert_cmpuint(ref, !=, 0);
+    g_assert_cmpuint(placed_at(&f, 1, ref), ==, 4);
+    g_assert_cmpuint(placed_at(&f, 2, ref), ==, 4);
+    g_assert_true(BwBoundJob_IsRunning(
+        BwDispatcher_FindName(&f.d, BwSpan_FromString("job0"))));
+    for (uint32_t i = 0; i < 8; i++) {
+        assert_waits(&f, 0);
+        tell_outcome(&f, 1, ref, 0, i, BW_OUTCOME_DONE);
+        tell_outcome(&f, 2, ref, 0, i, BW_OUTCOME_DONE);
+    }
+    assert_answer(&f, 0, BW_BOUND_COMPLETED);
+    g_assert_cmpuint(stops_at(&f, 0, ref), ==, 0);
+    g_assert_null(BwDispatcher_FindName(&f.d, BwSpan_FromString("job0")));
+    tell_outcome(&f, 1, ref, 0, 0, BW_OUTCOME_DONE);
+    BwDispatcher_Tick(&f.d, f.now_us + 60 * SECOND_US);
+    assert_answer(&f, 0, BW_BOUND_COMPLETED);
+    tear_down(&f);
+}
+
+static void
+test_refused_whole(void)
+{
+    Fixture f;
+    uint32_t before;
+
+    set_up(&f);
+    submit_simple(&f, 1, 1000);
+    assert_answer(&f, 0, BW_BOUND_REFUSED);
+    connect_worker(&f, 1, "a");
+    connect_worker(&f, 2, "b");
+    before = f.sent_count;
+    /* Too many tasks to end in time, and one that fits no worker. */
+    g_assert_cmpuint(submit_simple(&f, 100, 4000), ==, 0);
+    assert_answer(&f, 1, BW_BOUND_REFUSED);
+    g_assert_cmpuint(submit_simple(&f, 1, 4001), ==, 0);
+    assert_answer(&f, 2, BW_BOUND_REFUSED);
+    f.deadline_us = SECOND_US / 2;
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), ==, 0);
+    assert_answer(&f, 3, BW_BOUND_REFUSED);
+    g_assert_cmpuint(submit(&f, NULL, 0), ==, 0);
+    assert_answer(&f, 4, BW_BOUND_REFUSED);
+    g_assert_cmpuint(f.sent_count, ==, before);
+    /* What was assigned on the way is taken back. */
+    f.deadline_us = 30 * SECOND_US;
+    submit_simple(&f, 8, 1000);
+    g_assert_cmpuint(placed_at(&f, 1, 1), <=, 4);
+    assert_waits(&f, 5);
+    tear_down(&f);
+}
+
+static void
+test_in_flight_counts(void)
+{
+    Fixture f;
+    uint64_t first, second, third;
+
+    set_up(&f);
+    f.deadline_us = SECOND_US + SECOND_US / 10;
+    connect_worker(&f, 1, "a");
+    first = submit_simple(&f, 4, 1000);
+    g_assert_cmpuint(placed_at(&f, 1, first), ==, 4);
+    /* An account from before the PLACE changes nothing. */
+    tell_session(&f, 1, 0, 4000);
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), ==, 0);
+    assert_answer(&f, 1, BW_BOUND_REFUSED);
+    tell_session(&f, 1, 1, 2000);
+    second = submit_simple(&f, 2, 1000);
+    g_assert_cmpuint(second, !=, 0);
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), ==, 0);
+    assert_answer(&f, 3, BW_BOUND_REFUSED);
+    tell_session(&f, 1, 2, 4000);
+    third = submit_simple(&f, 4, 1000);
+    g_assert_cmpuint(placed_at(&f, 1, third), ==, 4);
+    g_assert_cmpuint(f.d.views->in_flight_count, ==, 1);
+    tell_session(&f, 1, 3, 4000);
+    g_assert_cmpuint(f.d.views->in_flight_count, ==, 0);
+    tear_down(&f);
+}
+
+/* Two PLACEs of one job: the first one's answer frees nothing of the other. */
+static void
+test_in_flight_of_two_steps(void)
+{
+    Fixture f;
+    BwBoundStep steps[2] = {step_of(2, 1000), step_of(2, 1000)};
+
+    set_up(&f);
+    f.deadline_us = SECOND_US + SECOND_US / 10;
+    connect_worker(&f, 1, "a");
+    g_assert_cmpuint(submit(&f, steps, 2), !=, 0);
+    tell_session(&f, 1, 1, 2000);
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), ==, 0);
+    assert_answer(&f, 1, BW_BOUND_REFUSED);
+    tell_session(&f, 1, 2, 4000);
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), !=, 0);
+    tear_down(&f);
+}
+
+static void
+test_in_flight_merges(void)
+{
+    Fixture f;
+    const uint32_t count = BW_IN_FLIGHT_MAX + 20;
+
+    set_up(&f);
+    f.route.target_us = 1000 * SECOND_US;
+    f.deadline_us = 1000 * SECOND_US;
+    f.d.limits.jobs = 1000;
+    connect_worker(&f, 1, "a");
+    for (uint32_t i = 0; i < count; i++) {
+        char name[BW_NAME_BYTES_MAX];
+        BwBoundStep step = step_of(1, 100);
+
+        g_snprintf(name, sizeof(name), "many%u", i);
+        f.job_count = 0;
+        g_assert_cmpuint(submit_named(&f, name, &step, 1), !=, 0);
+    }
+    g_assert_cmpuint(f.d.views->in_flight_count, <=, BW_IN_FLIGHT_MAX);
+    tell_session(&f, 1, count - 1, 4000);
+    g_assert_cmpuint(f.d.views->in_flight_count, ==, 1);
+    tell_session(&f, 1, count, 4000);
+    g_assert_cmpuint(f.d.views->in_flight_count, ==, 0);
+    tear_down(&f);
+}
+
+static void
+test_withdrawn(void)
+{
+    Fixture f;
+    uint64_t ref, other;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    connect_worker(&f, 2, "b");
+    connect_worker(&f, 3, "c");
+    ref = submit_simple(&f, 8, 1000);
+    other = submit_simple(&f, 1, 1000);
+    for (uint32_t i = 0; i < 8; i++)
+        tell_outcome(&f, 1, ref, 0, i, BW_OUTCOME_DONE);
+    BwDispatcher_Withdraw(&f.d, f.now_us, ref);
+    /* To those that still have some, and no others. */
+    g_assert_cmpuint(stops_at(&f, 1, ref), ==, 0);
+    g_assert_cmpuint(stops_at(&f, 2, ref), ==, 1);
+    g_assert_cmpuint(stops_at(&f, 3, ref), ==, 1);
+    g_assert_cmpuint(stops_at(&f, 0, other), ==, 0);
+    BwDispatcher_Withdraw(&f.d, f.now_us, ref);
+    g_assert_cmpuint(stops_at(&f, 0, ref), ==, 2);
+    tell_outcome(&f, 2, ref, 0, 1, BW_OUTCOME_DONE);
+    BwDispatcher_EndAll(&f.d);
+    assert_waits(&f, 0);
+    assert_answer(&f, 1, BW_BOUND_EXPIRED);
+    g_assert_cmpuint(f.d.counters.withdrawn, ==, 1);
+    tear_down(&f);
+}
+
+static void
+test_deadline(void)
+{
+    Fixture f;
+    uint64_t ref;
+
+    set_up(&f);
+    f.deadline_us = 3 * SECOND_US;
+    connect_worker(&f, 1, "a");
+    ref = submit_simple(&f, 2, 1000);
+    BwDispatcher_Tick(&f.d, f.now_us + f.deadline_us - 1);
+    assert_waits(&f, 0);
+    BwDispatcher_Tick(&f.d, f.now_us + f.deadline_us);
+    assert_answer(&f, 0, BW_BOUND_EXPIRED);
+    g_assert_cmpuint(stops_at(&f, 1, ref), ==, 1);
+    BwDispatcher_Tick(&f.d, f.now_us + 2 * f.deadline_us);
+    BwDispatcher_EndAll(&f.d);
+    assert_answer(&f, 0, BW_BOUND_EXPIRED);
+    tear_down(&f);
+}
+
+static void
+test_end_all(void)
+{
+    Fixture f;
+    uint64_t ref;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    ref = submit_simple(&f, 1, 1000);
+    submit_simple(&f, 1, 1000);
+    BwDispatcher_EndAll(&f.d);
+    assert_answer(&f, 0, BW_BOUND_EXPIRED);
+    assert_answer(&f, 1, BW_BOUND_EXPIRED);
+    g_assert_cmpuint(stops_at(&f, 1, ref), ==, 1);
+    BwDispatcher_EndAll(&f.d);
+    assert_answer(&f, 0, BW_BOUND_EXPIRED);
+    tear_down(&f);
+}
+
+static void
+test_jobs_max(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    f.d.limits.jobs = 2;
+    connect_worker(&f, 1, "a");
+    submit_simple(&f, 1, 100);
+    submit_simple(&f, 1, 100);
+    g_assert_cmpuint(submit_simple(&f, 1, 100), ==, 0);
+    assert_answer(&f, 2, BW_BOUND_REFUSED);
+    BwDispatcher_Withdraw(&f.d, f.now_us, 1);
+    g_assert_cmpuint(submit_simple(&f, 1, 100), !=, 0);
+    tear_down(&f);
+}
+
+static void
+test_failed(void)
+{
+    Fixture f;
+    uint64_t ref;
+    uint32_t first;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    connect_worker(&f, 2, "b");
+    ref = submit_simple(&f, 1, 1000);
+    first = last_peer(&f);
+    tell_outcome(&f, first, ref, 0, 0, BW_OUTCOME_FAILED);
+    assert_waits(&f, 0);
+    g_assert_cmpuint(last_peer(&f), ==, 3 - first);
+    tell_outcome(&f, first, ref, 0, 0, BW_OUTCOME_DONE);
+    assert_waits(&f, 0);
+    tell_outcome(&f, 3 - first, ref, 0, 0, BW_OUTCOME_FAILED);
+    assert_answer(&f, 0, BW_BOUND_FAILED);
+    tear_down(&f);
+}
+
+static void
+test_failed_stops_others(void)
+{
+    Fixture f;
+    uint64_t ref;
+
+    set_up(&f);
+    f.route.attempts_max = 1;
+    connect_worker(&f, 1, "a");
+    connect_worker(&f, 2, "b");
+    ref = submit_simple(&f, 8, 1000);
+    for (uint32_t i = 0; i < 8; i++)
+        tell_outcome(&f, 1, ref, 0, i, BW_OUTCOME_FAILED);
+    assert_answer(&f, 0, BW_BOUND_FAILED);
+    g_assert_cmpuint(stops_at(&f, 2, ref), ==, 1);
+    tear_down(&f);
+}
+
+static uint32_t
+count_ejected(const Fixture *f)
+{
+    uint32_t count = 0;
+
+    for (const BwView *view = f->d.views; view != NULL; view = view->hh.next)
+        count += view->ejected_until_us > f->now_us;
+    return count;
+}
+
+static void
+test_ejected(void)
+{
+    Fixture f;
+    uint32_t placed;
+
+    set_up(&f);
+    f.route.attempts_max = 20;
+    for (uint32_t peer = 1; peer <= 4; peer++)
+        connect_worker(&f, peer, (const char[]){(char)('a' + peer), 0});
+    /* All fail whatever comes. */
+    for (uint32_t job = 0; job < 12; job++) {
+        uint64_t ref = submit_simple(&f, 4, 1000);
+
+        for (uint32_t peer = 1; ref != 0 && peer <= 4; peer++) {
+            for (uint32_t i = 0; i < 4; i++)
+                tell_outcome(&f, peer, ref, 0, i, BW_OUTCOME_FAILED);
+        }
+        for (uint32_t peer = 1; peer <= 4; peer++)
+            tell_session(&f, peer, 10000, 4000);
+        BwDispatcher_Withdraw(&f.d, f.now_us, ref);
+        g_assert_cmpuint(count_ejected(&f), <=, 2);
+    }
+    g_assert_cmpuint(count_ejected(&f), ==, 2);
+    for (const BwView *view = f.d.views; view != NULL; view = view->hh.next) {
+        if (view->ejected_until_us <= f.now_us)
+            continue;
+        placed = f.sent_count;
+        submit_simple(&f, 4, 1000);
+        for (; placed < f.sent_count; placed++)
+            g_assert_cmpuint(f.sent[placed].peer, !=, view->peer);
+    }
+    f.now_us += 60 * SECOND_US;
+    g_assert_cmpuint(count_ejected(&f), ==, 0);
+    tear_down(&f);
+}
+
+static void
+test_one_worker_not_ejected(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    f.route.attempts_max = 50;
+    connect_worker(&f, 1, "a");
+    for (uint32_t job = 0; job < 5; job++) {
+        uint64_t ref = submit_simple(&f, 1, 1000);
+
+        g_assert_cmpuint(ref, !=, 0);
+        tell_outcome(&f, 1, ref, 0, 0, BW_OUTCOME_FAILED);
+        BwDispatcher_Withdraw(&f.d, f.now_us, ref);
+        tell_session(&f, 1, 10000, 4000);
+    }
+    g_assert_cmpuint(count_ejected(&f), ==, 0);
+    tear_down(&f);
+}
+
+static void
+test_labels(void)
+{
+    Fixture f;
+    BwBoundStep step = step_of(4, 1000);
+    uint64_t ref;
+
+    set_up(&f);
+    connect_labelled(&f, 1, "a", "near");
+    connect_labelled(&f, 2, "b", "far");
+    step.requirement = span("far");
+    ref = submit(&f, &step, 1);
+    g_assert_cmpuint(placed_at(&f, 2, ref), ==, 4);
+    step.requirement = span("fa");
+    g_assert_cmpuint(submit(&f, &step, 1), ==, 0);
+    tell_session(&f, 2, 1, 4000);
+    step.requirement = span("");
+    step.affinity = span("near");
+    ref = submit(&f, &step, 1);
+    g_assert_cmpuint(placed_at(&f, 1, ref), ==, 4);
+    /* It may run elsewhere too. */
+    step.affinity = span("nowhere");
+    step.task_count = 1;
+    g_assert_cmpuint(submit(&f, &step, 1), !=, 0);
+    tear_down(&f);
+}
+
+/* ------------------------------------------------- lost supervisors */
+
+static void
+test_silent(void)
+{
+    Fixture f;
+    uint64_t ref, gone_us;
+    uint32_t first;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    connect_worker(&f, 2, "b");
+    ref = submit_simple(&f, 1, 1000);
+    first = last_peer(&f);
+    tell_session(&f, first, 1, 3000);
+    gone_us = f.now_us + SESSION_US + LEASE_US;
+    f.now_us += SECOND_US / 10;
+    BwDispatcher_PeerDown(&f.d, f.now_us, first);
+    for (; f.now_us <= gone_us; f.now_us += SECOND_US / 10) {
+        BwDispatcher_Tick(&f.d, f.now_us);
+        g_assert_cmpuint(placed_at(&f, 0, ref), ==, 1);
+    }
+    f.now_us = gone_us + SECOND_US;
+    BwDispatcher_Tick(&f.d, f.now_us);
+    g_assert_cmpuint(placed_at(&f, 3 - first, ref), ==, 1);
+    tell_outcome(&f, 3 - first, ref, 0, 0, BW_OUTCOME_DONE);
+    assert_answer(&f, 0, BW_BOUND_COMPLETED);
+    tear_down(&f);
+}
+
+static void
+test_clear(void)
+{
+    Fixture f;
+    uint64_t ref;
+    uint32_t first;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    connect_worker(&f, 2, "b");
+    ref = submit_simple(&f, 1, 1000);
+    first = last_peer(&f);
+    BwDispatcher_PeerDown(&f.d, f.now_us, first);
+    BwDispatcher_PeerUp(&f.d, f.now_us, 9, span(first == 1 ? "a" : "b"));
+    tell_worker(&f, 9, "kind", 0, 3000, false);
+    tell_session(&f, 9, 0, 3000);
+    g_assert_cmpuint(placed_at(&f, 0, ref), ==, 1);
+    /* What the older connection would tell is ignored. */
+    tell_outcome(&f, first, ref, 0, 0, BW_OUTCOME_DONE);
+    tell_outcome(&f, 9, ref, 0, 0, BW_OUTCOME_DONE);
+    assert_waits(&f, 0);
+    tell_worker(&f, 9, "kind", 0, 4000, true);
+    g_assert_cmpuint(placed_at(&f, 0, ref), ==, 2);
+    tell_outcome(&f, last_peer(&f), ref, 0, 0, BW_OUTCOME_DONE);
+    assert_answer(&f, 0, BW_BOUND_COMPLETED);
+    tear_down(&f);
+}
+
+/* The supervisor connects anew before its old connection is known to be
+   over. */
+static void
+test_replaced_connection(void)
+{
+    Fixture f;
+    uint64_t ref, other;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    ref = submit_simple(&f, 1, 1000);
+    BwDispatcher_PeerUp(&f.d, f.now_us, 2, span("a"));
+    tell_worker(&f, 2, "kind", 0, 3000, false);
+    tell_session(&f, 2, 0, 3000);
+    BwDispatcher_PeerDown(&f.d, f.now_us, 1);
+    tell_outcome(&f, 1, ref, 0, 0, BW_OUTCOME_DONE);
+    assert_waits(&f, 0);
+    other = submit_simple(&f, 1, 1000);
+    g_assert_cmpuint(placed_at(&f, 2, other), ==, 1);
+    tell_worker(&f, 2, "kind", 1, 4000, true);
+    g_assert_cmpuint(placed_at(&f, 2, ref), ==, 1);
+    g_assert_cmpuint(placed_at(&f, 2, other), ==, 1);
+    tear_down(&f);
+}
+
+/* It cannot end by its deadline any more: the caller learns it at once. */
+static void
+test_silent_too_long(void)
+{
+    Fixture f;
+    uint64_t ref;
+
+    set_up(&f);
+    f.deadline_us = 3 * SECOND_US;
+    connect_worker(&f, 1, "a");
+    connect_worker(&f, 2, "b");
+    ref = submit_simple(&f, 8, 1000);
+    BwDispatcher_PeerDown(&f.d, f.now_us, 1);
+    assert_answer(&f, 0, BW_BOUND_EXPIRED);
+    g_assert_cmpuint(stops_at(&f, 1, ref), ==, 0);
+    g_assert_cmpuint(stops_at(&f, 2, ref), ==, 1);
+    tear_down(&f);
+}
+
+static void
+test_unusable(void)
+{
+    Fixture f;
+    BwMessage message = {.kind = BW_MSG_WORKER};
+
+    set_up(&f);
+    BwDispatcher_PeerUp(&f.d, f.now_us, 1, span("a"));
+    submit_simple(&f, 1, 1000);
+    assert_answer(&f, 0, BW_BOUND_REFUSED);
+    tell_worker(&f, 1, "kind", 0, 4000, true);
+    submit_simple(&f, 1, 1000);
+    assert_answer(&f, 1, BW_BOUND_REFUSED);
+    g_assert_cmpuint(BwDispatcher_CountUsable(&f.d), ==, 0);
+    tell_session(&f, 1, 0, 4000);
+    g_assert_cmpuint(BwDispatcher_CountUsable(&f.d), ==, 1);
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), !=, 0);
+    message.u.worker.instance = span("instance");
+    message.u.worker.service = span("service");
+    message.u.worker.domain = span("domain");
+    message.u.worker.is_leaving = 1;
+    BwDispatcher_OnMessage(&f.d, f.now_us, 1, &message);
+    g_assert_cmpuint(BwDispatcher_CountUsable(&f.d), ==, 0);
+    submit_simple(&f, 1, 1000);
+    assert_answer(&f, 3, BW_BOUND_REFUSED);
+    assert_waits(&f, 2);
+    tear_down(&f);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+#define ADD(name) g_test_add_func("/dispatcher/" #name, test_##name)
+    ADD(completed);
+    ADD(refused_whole);
+    ADD(in_flight_counts);
+    ADD(in_flight_of_two_steps);
+    ADD(in_flight_merges);
+    ADD(withdrawn);
+    ADD(deadline);
+    ADD(end_all);
+    ADD(jobs_max);
+    ADD(failed);
+    ADD(failed_stops_others);
+    ADD(ejected);
+    ADD(one_worker_not_ejected);
+    ADD(labels);
+    ADD(silent);
+    ADD(clear);
+    ADD(replaced_connection);
+    ADD(silent_too_long);
+    ADD(unusable);
+#undef ADD
+    return g_test_run();
+}
