Name the step in an outcome

An outcome named its task by index alone, and two steps of a job that run at the same worker share indices: the end of one was taken for the end of the other, so that a later step started too early and a failed task could start again while it ran. The outcome carries the step, as PLACE does.

/dispatcher/after failed before (5 tasks placed where 3 may be) and passes.

--- a/packages/adapters/wire.c
+++ b/packages/adapters/wire.c
@@ -349,6 +349,7 @@
     LAYOUT(BwTaskOutcome, task_outcome_fields);
 static const Field outcome_fields[] = {
     U64(BwOutcome, ref),
+    U32(BwOutcome, step),
     LIST(BwOutcome, tasks, task_count, task_outcome_layout),
     LIST(BwOutcome, load, load_count, load_account_layout),
 };
--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -492,13 +492,14 @@
 }
 
 static BwPiece *
-find_piece(BwBoundJob *job, const BwView *view, uint32_t index)
+find_piece(BwBoundJob *job, const BwView *view, uint32_t step, uint32_t index)
 {
     for (uint32_t i = 0; i < job->piece_count; i++) {
         BwPiece *piece = &job->pieces[i];
 
-        if (piece->index == index && piece->view == view &&
-            piece->state == BW_PIECE_PLACED && piece->link == view->link)
+        if (piece->step == step && piece->index == index &&
+            piece->view == view && piece->state == BW_PIECE_PLACED &&
+            piece->link == view->link)
             return piece;
     }
     return NULL;
@@ -552,7 +553,7 @@
         return;
     for (uint32_t i = 0; i < outcome->task_count && is_alive; i++) {
         const BwTaskOutcome *task = &outcome->tasks[i];
-        BwPiece *piece = find_piece(job, view, task->index);
+        BwPiece *piece = find_piece(job, view, outcome->step, task->index);
 
         if (piece == NULL)
             continue;
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -139,8 +139,8 @@
 }
 
 static void
-report(BwSupervisor *s, uint32_t peer_id, uint64_t ref, uint32_t index,
-       uint32_t kind, uint32_t reason, uint64_t ran_us)
+report(BwSupervisor *s, uint32_t peer_id, uint64_t ref, uint32_t step,
+       uint32_t index, uint32_t kind, uint32_t reason, uint64_t ran_us)
 {
     BwMessage message = {.kind = BW_MSG_OUTCOME};
     BwTaskOutcome outcome = {index, kind, reason, ran_us};
@@ -152,6 +152,7 @@
         return;
     load = make_load(s, peer);
     message.u.outcome.ref = ref;
+    message.u.outcome.step = step;
     message.u.outcome.tasks = &outcome;
     message.u.outcome.task_count = 1;
     message.u.outcome.load = &load;
@@ -225,8 +226,8 @@
     unlink_seat(s, seat);
     count_outcome(s, seat, kind, ran_us);
     if (kind != 0 && seat->peer != 0)
-        report(s, seat->peer, seat->ref, seat->key.index, kind, reason,
-               ran_us);
+        report(s, seat->peer, seat->ref, seat->key.step, seat->key.index, kind,
+               reason, ran_us);
     free_seat(seat);
 }
 
@@ -886,8 +887,8 @@
             reason = queue_task(s, now_us, peer, place, index, text);
         if (reason != 0) {
             s->counters.declined++;
-            report(s, peer->peer, place->ref, index, BW_OUTCOME_NOT_RUN,
-                   reason, 0);
+            report(s, peer->peer, place->ref, place->step, index,
+                   BW_OUTCOME_NOT_RUN, reason, 0);
         }
         spread++;
     }
--- a/packages/ports/messages.h
+++ b/packages/ports/messages.h
@@ -524,9 +524,10 @@
     uint64_t ran_us;
 } BwTaskOutcome;
 
-/* Supervisor to dispatcher. */
+/* Supervisor to dispatcher, on tasks of one step. */
 typedef struct BwOutcome {
     uint64_t ref;
+    uint32_t step;
     BwTaskOutcome *tasks;
     uint32_t task_count;
     BwWorkerLoad *load; /* one */
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -196,7 +196,7 @@
     if (kind == BW_OUTCOME_NOT_RUN)
         outcome.reason = BW_DECLINE_BUSY;
     message.u.outcome.ref = ref;
-    (void)step;
+    message.u.outcome.step = step;
     message.u.outcome.tasks = &outcome;
     message.u.outcome.task_count = 1;
     BwDispatcher_OnMessage(&f->d, f->now_us, peer, &message);
@@ -629,6 +629,35 @@
     tear_down(&f);
 }
 
+static void
+test_after(void)
+{
+    Fixture f;
+    BwBoundStep steps[3] = {step_of(2, 1000), step_of(1, 1000),
+                            step_of(2, 500)};
+    uint64_t ref;
+
+    set_up(&f);
+    steps[2].after = 3;
+    connect_worker(&f, 1, "a");
+    ref = submit(&f, steps, 3);
+    g_assert_cmpuint(placed_at(&f, 1, ref), ==, 3);
+    /* The same index in two steps names two tasks. */
+    tell_outcome(&f, 1, ref, 1, 0, BW_OUTCOME_DONE);
+    tell_outcome(&f, 1, ref, 0, 1, BW_OUTCOME_DONE);
+    g_assert_cmpuint(placed_at(&f, 1, ref), ==, 3);
+    tell_outcome(&f, 1, ref, 1, 0, BW_OUTCOME_DONE);
+    g_assert_cmpuint(placed_at(&f, 1, ref), ==, 3);
+    tell_outcome(&f, 1, ref, 0, 0, BW_OUTCOME_DONE);
+    g_assert_cmpuint(placed_at(&f, 1, ref), ==, 5);
+    g_assert_cmpuint(f.sent[f.sent_count - 1].step, ==, 2);
+    assert_waits(&f, 0);
+    tell_outcome(&f, 1, ref, 2, 0, BW_OUTCOME_DONE);
+    tell_outcome(&f, 1, ref, 2, 1, BW_OUTCOME_DONE);
+    assert_answer(&f, 0, BW_BOUND_COMPLETED);
+    tear_down(&f);
+}
+
 static void
 test_labels(void)
 {
@@ -805,6 +834,7 @@
     ADD(failed_stops_others);
     ADD(ejected);
     ADD(one_worker_not_ejected);
+    ADD(after);
     ADD(labels);
     ADD(silent);
     ADD(clear);
