Place the open steps of a job together or not at all

Steps were placed one by one, so a job whose second open step found no room had a PLACE out already and was given up half done instead of refused. All open steps are assigned first and sent then; a step that no worker could ever run refuses the job. A job without tasks waited for its deadline: refused. A caller without a deadline made workers that take nothing look in time, and a PLACE went to a connection that was over.

/dispatcher/refused_whole_across_steps (expired instead of refused), no_deadline (sent to peer 0) and no_tasks failed before and pass.

--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -269,7 +269,7 @@
         uint64_t cost_us = 0;
         uint64_t end_us = foresee(job, piece, view, run_us, now_us, &cost_us);
 
-        if (end_us > limit_us || cost_us >= best_cost_us)
+        if (end_us == NEVER || end_us > limit_us || cost_us >= best_cost_us)
             continue;
         best = view;
         best_cost_us = cost_us;
@@ -327,6 +327,8 @@
         tasks[count++].index = piece->index;
     }
     place->number = ++view->place_number;
+    /* One account serves all steps that were assigned together. */
+    view->in_flight[view->in_flight_count - 1].number = place->number;
     place->ref = job->ref;
     place->job = BwSpan_FromString(job->name);
     place->spec.base = job->spec;
@@ -349,75 +351,102 @@
     free(tasks);
 }
 
-/* Assigns every waiting piece of the step.  Returns false, with nothing
-   changed, when one cannot end by the limit. */
+static uint64_t
+step_run_us(BwDispatcher *d, const BwBoundJob *job, uint32_t step)
+{
+    return expected_us(d, job->route, job->steps[step].declared_us);
+}
+
+static bool
+is_assigned(const BwPiece *piece, uint32_t step)
+{
+    return piece->step == step && piece->state == BW_PIECE_WAITING &&
+           piece->view != NULL;
+}
+
+/* Assigns every waiting piece of the step.  Returns false when one cannot end
+   by the limit. */
 static bool
 assign_step(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, uint32_t step,
-            uint64_t run_us, uint64_t limit_us)
+            uint64_t limit_us)
 {
     const BwRoom *room = &job->steps[step].room;
-    uint64_t core_us = room->cpu_milli * run_us / 1000;
-    uint32_t i;
+    uint64_t run_us = step_run_us(d, job, step);
 
-    for (i = 0; i < job->piece_count; i++) {
+    for (uint32_t i = 0; i < job->piece_count; i++) {
         BwPiece *piece = &job->pieces[i];
 
         if (piece->step != step || piece->state != BW_PIECE_WAITING)
             continue;
         piece->view = pick_view(d, job, piece, run_us, now_us, limit_us);
         if (piece->view == NULL)
-            break;
-        reserve(piece->view, room, core_us);
+            return false;
+        reserve(piece->view, room, room->cpu_milli * run_us / 1000);
     }
-    if (i == job->piece_count)
-        return true;
-    while (i-- > 0) {
+    return true;
+}
+
+/* Takes back what was assigned and not sent. */
+static void
+unassign(BwDispatcher *d, BwBoundJob *job)
+{
+    for (uint32_t i = 0; i < job->piece_count; i++) {
         BwPiece *piece = &job->pieces[i];
+        const BwRoom *room = &job->steps[piece->step].room;
 
-        if (piece->step != step || piece->state != BW_PIECE_WAITING)
+        if (!is_assigned(piece, piece->step))
             continue;
-        unreserve(piece->view, room, core_us);
+        unreserve(piece->view, room,
+                  room->cpu_milli * step_run_us(d, job, piece->step) / 1000);
         piece->view = NULL;
     }
-    return false;
 }
 
-static bool
-place_step(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, uint32_t step,
-           uint64_t limit_us)
+static void
+send_step(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, uint32_t step)
 {
-    uint64_t run_us = expected_us(d, job->route, job->steps[step].declared_us);
-
-    if (!assign_step(d, now_us, job, step, run_us, limit_us))
-        return false;
     for (BwView *view = d->views; view != NULL; view = view->hh.next) {
-        bool is_used = false;
-
-        for (uint32_t i = 0; i < job->piece_count && !is_used; i++)
-            is_used = job->pieces[i].view == view &&
-                      job->pieces[i].step == step &&
-                      job->pieces[i].state == BW_PIECE_WAITING;
-        if (is_used)
-            send_place(d, now_us, job, view, step, run_us);
+        for (uint32_t i = 0; i < job->piece_count; i++) {
+            if (is_assigned(&job->pieces[i], step) &&
+                job->pieces[i].view == view) {
+                send_place(d, now_us, job, view, step,
+                           step_run_us(d, job, step));
+                break;
+            }
+        }
     }
-    return true;
 }
 
-/* Places what waits and may start.  Returns false when a task cannot end by
-   the limit. */
+/* Places all that waits and may start.  Returns false, with nothing sent,
+   when a task cannot end by the limit. */
 static bool
 place_open(BwDispatcher *d, uint64_t now_us, BwBoundJob *job,
            uint64_t limit_us)
 {
     for (uint32_t step = 0; step < job->step_count; step++) {
-        bool is_waiting = false;
+        if (is_step_open(job, step) &&
+            !assign_step(d, now_us, job, step, limit_us)) {
+            unassign(d, job);
+            return false;
+        }
+    }
+    for (uint32_t step = 0; step < job->step_count; step++)
+        send_step(d, now_us, job, step);
+    return true;
+}
 
-        for (uint32_t i = 0; i < job->piece_count && !is_waiting; i++)
-            is_waiting = job->pieces[i].step == step &&
-                         job->pieces[i].state == BW_PIECE_WAITING;
-        if (is_waiting && is_step_open(job, step) &&
-            !place_step(d, now_us, job, step, limit_us))
+/* Whether some worker could run a task of each step. */
+static bool
+is_runnable(BwDispatcher *d, const BwBoundJob *job, uint64_t now_us)
+{
+    uint32_t first = 0;
+
+    for (uint32_t step = 0; step < job->step_count; step++) {
+        if (job->left[step] > 0 &&
+            pick_view(d, job, &job->pieces[first], step_run_us(d, job, step),
+                      now_us, NEVER) == NULL)
             return false;
+        first += job->left[step];
     }
     return true;
 }
@@ -524,6 +553,7 @@
     note_failure(d, now_us, piece->view);
     piece->state = BW_PIECE_WAITING;
     piece->avoid = piece->view;
+    piece->view = NULL;
     if (!is_suspect)
         piece->failures++;
     else
@@ -536,6 +566,7 @@
 {
     piece->state = BW_PIECE_WAITING;
     piece->avoid = piece->view;
+    piece->view = NULL;
     d->counters.bounced += kind == BW_OUTCOME_NOT_RUN;
     d->counters.lost += kind == BW_OUTCOME_LOST;
     return ++piece->moves < MOVES_MAX;
@@ -660,7 +691,8 @@
     job->data = data;
     job->spec_bytes = request->spec.size_bytes;
     job->spec = malloc(request->spec.size_bytes + 1);
-    if (job->spec == NULL || !copy_steps(job, request)) {
+    if (job->spec == NULL || !copy_steps(job, request) ||
+        job->piece_count == 0) {
         free_job(job);
         return NULL;
     }
@@ -693,7 +725,8 @@
     ref = job->ref;
     HASH_ADD(hh, d->jobs, ref, sizeof(job->ref), job);
     HASH_ADD_KEYPTR(by_name, d->names, job->name, strlen(job->name), job);
-    if (!place_open(d, now_us, job, limit_of(job))) {
+    if (!is_runnable(d, job, now_us) ||
+        !place_open(d, now_us, job, limit_of(job))) {
         end_job(d, job, BW_BOUND_EXPIRED, "no worker can end it in time");
         return 0;
     }
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -360,6 +360,46 @@
     tear_down(&f);
 }
 
+static void
+test_refused_whole_across_steps(void)
+{
+    Fixture f;
+    BwBoundStep steps[2] = {step_of(2, 1000), step_of(1, 1000)};
+    uint32_t before;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    before = f.sent_count;
+    /* Both may start now, and the second can't. */
+    steps[1].requirement = span("other");
+    g_assert_cmpuint(submit(&f, steps, 2), ==, 0);
+    assert_answer(&f, 0, BW_BOUND_REFUSED);
+    g_assert_cmpuint(f.sent_count, ==, before);
+    /* No worker could run the later step. */
+    steps[1].after = 1;
+    g_assert_cmpuint(submit(&f, steps, 2), ==, 0);
+    assert_answer(&f, 1, BW_BOUND_REFUSED);
+    g_assert_cmpuint(f.sent_count, ==, before);
+    for (const BwView *view = f.d.views; view != NULL; view = view->hh.next) {
+        for (uint32_t i = 0; i < view->in_flight_count; i++)
+            g_assert_cmpuint(view->in_flight[i].room.cpu_milli, ==, 0);
+    }
+    tear_down(&f);
+}
+
+static void
+test_no_tasks(void)
+{
+    Fixture f;
+    BwBoundStep step = step_of(0, 1000);
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    g_assert_cmpuint(submit(&f, &step, 1), ==, 0);
+    assert_answer(&f, 0, BW_BOUND_REFUSED);
+    tear_down(&f);
+}
+
 static void
 test_in_flight_counts(void)
 {
@@ -486,6 +526,28 @@
     tear_down(&f);
 }
 
+static void
+test_no_deadline(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    f.deadline_us = UINT64_MAX - f.now_us;
+    f.route.target_us = UINT64_MAX / 4;
+    connect_worker(&f, 1, "a");
+    connect_labelled(&f, 2, "b", "other");
+    BwDispatcher_PeerDown(&f.d, f.now_us, 1);
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), !=, 0);
+    g_assert_cmpuint(last_peer(&f), ==, 2);
+    /* It fits nobody any more. */
+    tell_outcome(&f, 2, 1, 0, 0, BW_OUTCOME_DONE);
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), !=, 0);
+    BwDispatcher_PeerDown(&f.d, f.now_us, 2);
+    BwDispatcher_Tick(&f.d, f.now_us + 60 * SECOND_US);
+    assert_answer(&f, 1, BW_BOUND_EXPIRED);
+    tear_down(&f);
+}
+
 static void
 test_end_all(void)
 {
@@ -823,11 +885,14 @@
 #define ADD(name) g_test_add_func("/dispatcher/" #name, test_##name)
     ADD(completed);
     ADD(refused_whole);
+    ADD(refused_whole_across_steps);
+    ADD(no_tasks);
     ADD(in_flight_counts);
     ADD(in_flight_of_two_steps);
     ADD(in_flight_merges);
     ADD(withdrawn);
     ADD(deadline);
+    ADD(no_deadline);
     ADD(end_all);
     ADD(jobs_max);
     ADD(failed);
