Count tasks that are being assigned against the spread

The bound on tasks of a step at one worker was checked against placed tasks only, so all tasks of a job could go to one worker, which then declined those beyond the bound. Tasks that are assigned or whose supervisor is silent count too.

/dispatcher/spread failed before (a job that can't be spread was taken).

--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -219,7 +219,7 @@
 
     for (uint32_t i = 0; i < job->piece_count; i++)
         count += job->pieces[i].view == view && job->pieces[i].step == step &&
-                 job->pieces[i].state == BW_PIECE_PLACED;
+                 job->pieces[i].state != BW_PIECE_DONE;
     return count;
 }
 
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -747,6 +747,28 @@
     tear_down(&f);
 }
 
+static void
+test_spread(void)
+{
+    Fixture f;
+    BwBoundStep step = step_of(4, 100);
+    uint64_t ref;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    connect_worker(&f, 2, "b");
+    step.spread_max = 2;
+    ref = submit(&f, &step, 1);
+    g_assert_cmpuint(placed_at(&f, 1, ref), ==, 2);
+    g_assert_cmpuint(placed_at(&f, 2, ref), ==, 2);
+    step.task_count = 5;
+    g_assert_cmpuint(submit(&f, &step, 1), ==, 0);
+    assert_answer(&f, 1, BW_BOUND_REFUSED);
+    connect_worker(&f, 3, "c");
+    g_assert_cmpuint(submit(&f, &step, 1), !=, 0);
+    tear_down(&f);
+}
+
 /* ------------------------------------------------- lost supervisors */
 
 static void
@@ -901,6 +923,7 @@
     ADD(one_worker_not_ejected);
     ADD(after);
     ADD(labels);
+    ADD(spread);
     ADD(silent);
     ADD(clear);
     ADD(replaced_connection);
