Keep the longer wait for tasks of an earlier connection

When a supervisor connected again and was lost before its first session, the time at which its tasks are over was counted anew without the session of the earlier connection, which may still run. The later time counts.

/dispatcher/silent_twice failed before (a task placed twice within session and lease).

--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -807,13 +807,16 @@
 {
     uint64_t session_us = view->answered_us + d->limits.session_us;
     uint64_t from_us = session_us > now_us ? session_us : now_us;
+    uint64_t gone_us = from_us + GONE_MARGIN_US +
+                       d->limits.lease_us * LEASE_DRIFT_PERMILLE / 1000;
     BwBoundJob *job, *next;
 
     view->peer = 0;
     view->is_usable = false;
     view->in_flight_count = 0;
-    view->gone_us = from_us + GONE_MARGIN_US +
-                    d->limits.lease_us * LEASE_DRIFT_PERMILLE / 1000;
+    /* An earlier connection may have left tasks that end later. */
+    if (gone_us > view->gone_us)
+        view->gone_us = gone_us;
     HASH_ITER(hh, d->jobs, job, next)
     {
         bool is_late = false;
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -799,6 +799,32 @@
     tear_down(&f);
 }
 
+/* A second short connection does not shorten the wait. */
+static void
+test_silent_twice(void)
+{
+    Fixture f;
+    uint64_t ref, gone_us;
+    uint32_t first;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    connect_worker(&f, 2, "b");
+    ref = submit_simple(&f, 1, 1000);
+    first = last_peer(&f);
+    tell_session(&f, first, 1, 3000);
+    gone_us = f.now_us + SESSION_US + LEASE_US;
+    BwDispatcher_PeerDown(&f.d, f.now_us, first);
+    BwDispatcher_PeerUp(&f.d, f.now_us, 9, span(first == 1 ? "a" : "b"));
+    tell_worker(&f, 9, "kind", 0, 3000, false);
+    BwDispatcher_PeerDown(&f.d, f.now_us, 9);
+    for (; f.now_us <= gone_us; f.now_us += SECOND_US / 10) {
+        BwDispatcher_Tick(&f.d, f.now_us);
+        g_assert_cmpuint(placed_at(&f, 0, ref), ==, 1);
+    }
+    tear_down(&f);
+}
+
 static void
 test_clear(void)
 {
@@ -925,6 +951,7 @@
     ADD(labels);
     ADD(spread);
     ADD(silent);
+    ADD(silent_twice);
     ADD(clear);
     ADD(replaced_connection);
     ADD(silent_too_long);
