Try the only worker again; expire what was merely declined

A task avoided the worker that failed or declined it even when there was no other, so its job was given up before attempts_max. It goes there again if nothing else takes it; MOVES_MAX bounds that. A job whose task was declined too often ended as failed, though no task had failed: it expires.

/dispatcher/failed_alone (expired after one failure) and declined (failed) failed before and pass.

--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -236,7 +236,7 @@
     if (!view_takes(view, now_us) ||
         strcmp(view->service, job->service) != 0 ||
         !room_fits(&step->room, &view->capacity) ||
-        !view_has_label(view, step->requirement) || piece->avoid == view)
+        !view_has_label(view, step->requirement))
         return NEVER;
     if (step->spread_max > 0 &&
         count_there(job, view, piece->step) >= step->spread_max)
@@ -257,24 +257,30 @@
 }
 
 /* Picks the view that ends the task first, or NULL when none ends it by
-   `limit_us`. */
+   `limit_us`.  The one to avoid is taken when there is no other. */
 static BwView *
 pick_view(BwDispatcher *d, const BwBoundJob *job, const BwPiece *piece,
           uint64_t run_us, uint64_t now_us, uint64_t limit_us)
 {
-    BwView *best = NULL;
+    BwView *best = NULL, *last = NULL;
     uint64_t best_cost_us = NEVER;
 
     for (BwView *view = d->views; view != NULL; view = view->hh.next) {
         uint64_t cost_us = 0;
         uint64_t end_us = foresee(job, piece, view, run_us, now_us, &cost_us);
 
-        if (end_us == NEVER || end_us > limit_us || cost_us >= best_cost_us)
+        if (end_us == NEVER || end_us > limit_us)
+            continue;
+        if (view == piece->avoid) {
+            last = view;
+            continue;
+        }
+        if (cost_us >= best_cost_us)
             continue;
         best = view;
         best_cost_us = cost_us;
     }
-    return best;
+    return best != NULL ? best : last;
 }
 
 static bool
@@ -576,6 +582,7 @@
 on_outcome(BwDispatcher *d, uint64_t now_us, BwView *view,
            const BwOutcome *outcome)
 {
+    BwBoundEnd end = BW_BOUND_EXPIRED; /* should it end here */
     BwBoundJob *job;
     bool is_alive = true;
 
@@ -588,15 +595,22 @@
 
         if (piece == NULL)
             continue;
-        if (task->kind == BW_OUTCOME_DONE)
+        if (task->kind == BW_OUTCOME_DONE) {
             on_done(d, job, piece, task->ran_us);
-        else if (task->kind == BW_OUTCOME_FAILED)
+        }
+        else if (task->kind == BW_OUTCOME_FAILED) {
             is_alive = on_failed(d, now_us, job, piece);
-        else
+            end = BW_BOUND_FAILED;
+        }
+        else {
             is_alive = on_moved(d, piece, task->kind);
+            end = BW_BOUND_EXPIRED;
+        }
     }
     if (!is_alive)
-        end_job(d, job, BW_BOUND_FAILED, "a task failed for good");
+        end_job(d, job, end,
+                end == BW_BOUND_FAILED ? "a task failed for good"
+                                       : "a task moved too often");
     else if (job->done_count == job->piece_count)
         end_job(d, job, BW_BOUND_COMPLETED, "all tasks are done");
     else
@@ -796,7 +810,7 @@
             is_freed = true;
         }
         if (!is_alive)
-            end_job(d, job, BW_BOUND_FAILED, "a task moved too often");
+            end_job(d, job, BW_BOUND_EXPIRED, "a task moved too often");
         else if (is_freed)
             replace_pieces(d, now_us, job, "its worker was lost");
     }
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -624,6 +624,49 @@
     tear_down(&f);
 }
 
+/* With no other worker the task goes to the same one again. */
+static void
+test_failed_alone(void)
+{
+    Fixture f;
+    uint64_t ref;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    ref = submit_simple(&f, 1, 1000);
+    tell_outcome(&f, 1, ref, 0, 0, BW_OUTCOME_FAILED);
+    assert_waits(&f, 0);
+    g_assert_cmpuint(placed_at(&f, 1, ref), ==, 2);
+    tell_outcome(&f, 1, ref, 0, 0, BW_OUTCOME_DONE);
+    assert_answer(&f, 0, BW_BOUND_COMPLETED);
+    tear_down(&f);
+}
+
+/* A job that was only declined has not failed. */
+static void
+test_declined(void)
+{
+    Fixture f;
+    uint64_t ref;
+    uint32_t rounds = 0;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    connect_worker(&f, 2, "b");
+    ref = submit_simple(&f, 1, 1000);
+    while (f.answers[0].count == 0) {
+        uint32_t peer = last_peer(&f);
+
+        g_assert_cmpuint(rounds++, <, 100);
+        tell_outcome(&f, peer, ref, 0, 0, BW_OUTCOME_NOT_RUN);
+        if (f.answers[0].count == 0)
+            g_assert_cmpuint(last_peer(&f), ==, 3 - peer);
+    }
+    g_assert_cmpuint(rounds, >, 1);
+    assert_answer(&f, 0, BW_BOUND_EXPIRED);
+    tear_down(&f);
+}
+
 static uint32_t
 count_ejected(const Fixture *f)
 {
@@ -945,6 +988,8 @@
     ADD(jobs_max);
     ADD(failed);
     ADD(failed_stops_others);
+    ADD(failed_alone);
+    ADD(declined);
     ADD(ejected);
     ADD(one_worker_not_ejected);
     ADD(after);
