Bound a job's name and declared run time

A name beyond the buffer was cut, so that its twin was not found and two jobs could share a name; such a job is refused now. A declared run time near 2^64 overflowed to a short one and the job was taken.

/dispatcher/twin and estimate_too_large failed before and pass.

--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -26,6 +26,7 @@
 #define FAR_PERMILLE 1500
 #define CROWDED_PERMILLE 100
 #define RETRY_AFTER_MS 1000
+#define DECLARED_MAX_US 86400000000ull /* sums of more could overflow */
 #define LATE_SHARE 2 /* of the objective, that an answer may be late */
 #define NEVER UINT64_MAX
 
@@ -654,6 +655,8 @@
             at = copy_label(at, &step->requirement);
         if (step->affinity.size_bytes > 0)
             at = copy_label(at, &step->affinity);
+        if (step->declared_us > DECLARED_MAX_US)
+            step->declared_us = DECLARED_MAX_US;
         job->left[i] = step->task_count;
         for (uint32_t j = 0; j < step->task_count; j++) {
             job->pieces[next].step = i;
@@ -693,9 +696,7 @@
 
     if (job == NULL)
         return NULL;
-    memcpy(job->name, name.base,
-           name.size_bytes < sizeof(job->name) ? name.size_bytes
-                                               : sizeof(job->name) - 1);
+    BwSpan_ToString(name, job->name, sizeof(job->name));
     strcpy(job->service, route->service);
     strcpy(job->route, route->name);
     job->priority = route->priority;
@@ -728,7 +729,7 @@
     uint64_t ref;
 
     d->counters.submitted++;
-    if (twin == NULL && request->step_count > 0 &&
+    if (twin == NULL && name.size_bytes < BW_NAME_BYTES_MAX &&
         HASH_COUNT(d->jobs) < d->limits.jobs)
         job = make_job(d, now_us, name, request, route, deadline_us, data);
     if (job == NULL) {
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -567,6 +567,32 @@
     tear_down(&f);
 }
 
+static void
+test_twin(void)
+{
+    Fixture f;
+    BwBoundStep step = step_of(1, 1000);
+    uint64_t ref;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    ref = submit_named(&f, "name", &step, 1);
+    g_assert_cmpuint(submit_named(&f, "name", &step, 1), ==, 0);
+    assert_answer(&f, 1, BW_BOUND_REFUSED);
+    assert_waits(&f, 0);
+    tell_outcome(&f, 1, ref, 0, 0, BW_OUTCOME_DONE);
+    assert_answer(&f, 0, BW_BOUND_COMPLETED);
+    g_assert_cmpuint(submit_named(&f, "name", &step, 1), !=, 0);
+    /* Names that only the cut would make equal. */
+    g_assert_cmpuint(submit_named(&f,
+                                  "0123456789012345678901234567890123456789"
+                                  "01234567890123456789012345678901",
+                                  &step, 1),
+                     ==, 0);
+    assert_answer(&f, 3, BW_BOUND_REFUSED);
+    tear_down(&f);
+}
+
 static void
 test_jobs_max(void)
 {
@@ -969,6 +995,23 @@
     tear_down(&f);
 }
 
+static void
+test_estimate_too_large(void)
+{
+    Fixture f;
+    BwBoundStep step = step_of(1, 1000);
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    step.declared_us = UINT64_MAX;
+    g_assert_cmpuint(submit(&f, &step, 1), ==, 0);
+    step.declared_us = UINT64_MAX / 1000 + 1;
+    g_assert_cmpuint(submit(&f, &step, 1), ==, 0);
+    assert_answer(&f, 0, BW_BOUND_REFUSED);
+    assert_answer(&f, 1, BW_BOUND_REFUSED);
+    tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -985,6 +1028,7 @@
     ADD(deadline);
     ADD(no_deadline);
     ADD(end_all);
+    ADD(twin);
     ADD(jobs_max);
     ADD(failed);
     ADD(failed_stops_others);
@@ -1001,6 +1045,7 @@
     ADD(replaced_connection);
     ADD(silent_too_long);
     ADD(unusable);
+    ADD(estimate_too_large);
 #undef ADD
     return g_test_run();
 }
