Find routes whatever the case of the host

Callers and proxies may write a host in capitals; such a request found no route. Tests of routes: longest prefix, ports, twins, texts that are too long, and probes that don't grow with the number of routes.

/routes/host failed before and passes.

--- a/packages/core/routes.c
+++ b/packages/core/routes.c
@@ -14,14 +14,19 @@
     out[size] = '\0';
 }
 
-/* Returns the length of the key, or 0 when a part is too long. */
+/* Hosts have no case.  Returns the length of the key, or 0 when a part is too
+ * long. */
 static uint32_t
 make_key(char *key, BwSpan host, const char *prefix, uint32_t prefix_bytes)
 {
     if (host.size_bytes >= BW_ROUTE_TEXT_BYTES ||
         prefix_bytes >= BW_ROUTE_TEXT_BYTES)
         return 0;
-    memcpy(key, host.base, host.size_bytes);
+    for (uint32_t i = 0; i < host.size_bytes; i++) {
+        char c = host.base[i];
+
+        key[i] = c >= 'A' && c <= 'Z' ? (char)(c - 'A' + 'a') : c;
+    }
     key[host.size_bytes] = '\0';
     memcpy(key + host.size_bytes + 1, prefix, prefix_bytes);
     return host.size_bytes + 1 + prefix_bytes;
--- a/packages/core/routes.h
+++ b/packages/core/routes.h
@@ -45,7 +45,7 @@
 BwRoutes_Finish(BwRoutes *routes);
 
 /* Finds the route of a request, or returns NULL.  A port after the host is
-   left out. */
+   left out, and the host's case counts for nothing. */
 const BwRoute *
 BwRoutes_Find(const BwRoutes *routes, BwSpan host, BwSpan path);
 
