--- /dev/null
+++ b/tests/test_driver.c
@@ -0,0 +1,535 @@
+/* test_driver.c -- the platform's driver, through its table
+
+   Round trips, and bodies that are malformed, truncated or hostile.  Inputs
+   lie in blocks of their exact size, so a sanitized build sees each read
+   beyond them, and each reader's memory is released whatever it returned.
+*/
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "brasswing.h"
+#include "driver.h"
+
+static const BwDriver *const driver = &BwPlatform_Driver;
+
+static BwSpan
+span(const char *text)
+{
+    return BwSpan_FromString(text);
+}
+
+/* A copy that ends where its block ends. */
+static BwSpan
+tight(const void *bytes, size_t size)
+{
+    BwSpan copy = {g_memdup2(bytes, size), (uint32_t)size};
+
+    if (copy.base == NULL)
+        copy.base = g_malloc(1);
+    return copy;
+}
+
+static void
+drop(BwSpan copy)
+{
+    g_free((char *)copy.base);
+}
+
+static void
+assert_span(BwSpan got, const char *wanted)
+{
+    g_assert_cmpmem(got.base, got.size_bytes, wanted, strlen(wanted));
+}
+
+/* ----------------------------------------------------------- callers */
+
+static bool
+read_request(const char *text, BwBoundRequest *request)
+{
+    BwSpan body = tight(text, strlen(text));
+    const char *fault = NULL;
+    bool is_good = driver->read_request(body, request, &fault);
+
+    drop(body);
+    if (!is_good)
+        g_assert_nonnull(fault);
+    return is_good;
+}
+
+static void
+test_request(void)
+{
+    BwBoundRequest request;
+
+    g_assert_true(read_request(
+        "{\"spec\":\"text\",\"bestEffort\":true,\"steps\":["
+        "{\"count\":4,\"cpu\":500,\"memMb\":256,\"estimateMs\":900,"
+        "\"affinity\":\"r1-3\"},"
+        "{\"count\":20,\"cpu\":2000,\"gpu\":1,\"estimateMs\":70.5,"
+        "\"requirements\":\"kind\",\"antiAffinity\":2},"
+        "{\"count\":1,\"after\":[0,1]}]}",
+        &request));
+    g_assert_true(request.is_bound);
+    g_assert_false(request.is_unsupported);
+    assert_span(request.spec, "text");
+    g_assert_cmpuint(request.step_count, ==, 3);
+    g_assert_cmpuint(request.steps[0].task_count, ==, 4);
+    g_assert_cmpuint(request.steps[0].room.cpu_milli, ==, 500);
+    g_assert_cmpuint(request.steps[0].room.mem_mb, ==, 256);
+    g_assert_cmpuint(request.steps[0].room.gpu, ==, 0);
+    g_assert_cmpuint(request.steps[0].declared_us, ==, 900000);
+    assert_span(request.steps[0].affinity, "r1-3");
+    assert_span(request.steps[0].requirement, "");
+    g_assert_cmpuint(request.steps[1].room.gpu, ==, 1);
+    g_assert_cmpuint(request.steps[1].spread_max, ==, 2);
+    assert_span(request.steps[1].requirement, "kind");
+    g_assert_cmpuint(request.steps[1].after, ==, 0);
+    g_assert_cmpuint(request.steps[2].after, ==, 3);
+    driver->release(request.memory);
+}
+
+static void
+test_request_flags(void)
+{
+    static const char *const unsupported[] = {
+        "\"longRunning\":true",
+        "\"repeatCount\":2",
+        "\"steps\":[{\"count\":1,\"gang\":true}]",
+        "\"steps\":[{\"count\":1},{\"count\":1,\"sameRack\":true}]",
+        "\"steps\":[{\"count\":1,\"allowDuplicates\":true}]",
+        "\"steps\":[{\"count\":1,\"image\":\"i\"}]",
+        "\"steps\":[{\"count\":1,\"targetMs\":5}]",
+        "\"steps\":[{\"count\":1,\"fills\":true}]",
+        "\"steps\":[{\"count\":1,\"mayMiss\":1}]",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(unsupported); i++) {
+        BwBoundRequest request;
+        char *text = g_strdup_printf("{%s%s}", unsupported[i],
+                                     strstr(unsupported[i], "steps") != NULL
+                                         ? ""
+                                         : ",\"steps\":[{\"count\":1}]");
+
+        g_assert_true(read_request(text, &request));
+        g_assert_true(request.is_unsupported);
+        g_assert_false(request.is_bound);
+        driver->release(request.memory);
+        g_free(text);
+    }
+}
+
+static void
+test_request_refused(void)
+{
+    static const char *const bad[] = {
+        "",
+        "{",
+        "[]",
+        "null",
+        "{}",
+        "{\"steps\":[]}",
+        "{\"steps\":{}}",
+        "{\"steps\":[1]}",
+        "{\"steps\":[{}]}",
+        "{\"steps\":[{\"count\":0}]}",
+        "{\"steps\":[{\"count\":-1}]}",
+        "{\"steps\":[{\"count\":1701}]}",
+        "{\"steps\":[{\"count\":1e300}]}",
+        "{\"steps\":[{\"count\":\"1\"}]}",
+        "{\"steps\":[{\"count\":1000},{\"count\":1000}]}",
+        "{\"steps\":[{\"count\":1,\"after\":[0]}]}",
+        "{\"steps\":[{\"count\":1},{\"count\":1,\"after\":[1]}]}",
+        "{\"steps\":[{\"count\":1},{\"count\":1,\"after\":[-1]}]}",
+        "{\"steps\":[{\"count\":1},{\"count\":1,\"after\":[\"0\"]}]}",
+        "{\"steps\":[{\"count\":1},{\"count\":1,\"after\":[0.5]}]}",
+        "{\"steps\":[{\"count\":1},{\"count\":1,\"after\":0}]}",
+        "{\"steps\":[{\"count\":1}],\"steps\":[{\"count\":1}]}",
+        "{\"steps\":[{\"count\":1}],\"spec\":5}",
+        "{\"steps\":[{\"count\":1}],\"spec\":\"\\ud800\"}",
+        "{\"steps\":[{\"count\":1}]} x",
+    };
+    GString *many = g_string_new("{\"steps\":[{\"count\":1}");
+    BwBoundRequest request;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        if (read_request(bad[i], &request))
+            g_error("taken: %s", bad[i]);
+        driver->release(request.memory);
+    }
+    for (int i = 1; i < 33; i++)
+        g_string_append(many, ",{\"count\":1}");
+    g_string_append(many, "]}");
+    g_assert_false(read_request(many->str, &request));
+    driver->release(request.memory);
+    g_string_free(many, TRUE);
+}
+
+/* Numbers that no field can hold are not cut to small ones. */
+static void
+test_request_large_numbers(void)
+{
+    BwBoundRequest request;
+
+    g_assert_true(read_request(
+        "{\"steps\":[{\"count\":1,\"cpu\":1e300,\"memMb\":4294967297,"
+        "\"estimateMs\":1e30,\"antiAffinity\":4294967296}]}",
+        &request));
+    g_assert_cmpuint(request.steps[0].room.cpu_milli, >, UINT32_MAX);
+    g_assert_cmpuint(request.steps[0].room.mem_mb, ==, 4294967297);
+    g_assert_cmpuint(request.steps[0].declared_us, >, UINT32_MAX);
+    g_assert_cmpuint(request.steps[0].spread_max, ==, UINT32_MAX);
+    driver->release(request.memory);
+}
+
+/* A spec comes out of a start as it went into the request. */
+static void
+assert_spec(const char *encoded, const char *wanted, size_t wanted_bytes)
+{
+    char *text = g_strdup_printf("{\"spec\":\"%s\",\"steps\":[{\"count\":1}]}",
+                                 encoded);
+    BwTaskOrder order = {.run = 1};
+    BwBoundRequest request;
+    json_t *document, *spec;
+    BwCallText call;
+
+    g_assert_true(read_request(text, &request));
+    g_assert_cmpmem(request.spec.base, request.spec.size_bytes, wanted,
+                    wanted_bytes);
+    order.instance = span("i");
+    order.job = span("j");
+    order.spec = tight(request.spec.base, request.spec.size_bytes);
+    g_assert_true(driver->make_start(&order, &call));
+    document = json_loadb(call.body, call.body_bytes, JSON_ALLOW_NUL, NULL);
+    spec = json_object_get(document, "spec");
+    g_assert_true(json_is_string(spec));
+    g_assert_cmpmem(json_string_value(spec), json_string_length(spec), wanted,
+                    wanted_bytes);
+    json_decref(document);
+    free(call.body);
+    drop(order.spec);
+    driver->release(request.memory);
+    g_free(text);
+}
+
+static void
+test_spec(void)
+{
+    char *longest = g_strnfill(4000, 'x');
+
+    assert_spec("", "", 0);
+    assert_spec("plain", "plain", 5);
+    assert_spec("\\\"\\\\\\/\\b\\f\\n\\r\\t", "\"\\/\b\f\n\r\t", 8);
+    assert_spec("a\\u0000b\\u0000", "a\0b\0", 4);
+    assert_spec("\\u0001\\u001f\\u007f", "\x01\x1f\x7f", 3);
+    assert_spec("\\u00e4\\u20ac\\ud83d\\ude00",
+                "\xc3\xa4\xe2\x82\xac\xf0\x9f\x98\x80", 9);
+    assert_spec("\xc3\xa4\xe2\x82\xac\xf0\x9f\x98\x80",
+                "\xc3\xa4\xe2\x82\xac\xf0\x9f\x98\x80", 9);
+    assert_spec("\\u2028</script>%s%n", "\xe2\x80\xa8</script>%s%n", 16);
+    assert_spec(longest, longest, 4000);
+    g_free(longest);
+}
+
+static void
+test_states(void)
+{
+    static const char *const wanted[] = {
+        [BW_STATE_QUEUED] = "{\"state\":\"queued\"}",
+        [BW_STATE_RUNNING] = "{\"state\":\"running\"}",
+        [BW_STATE_COMPLETED] = "{\"state\":\"completed\"}",
+        [BW_STATE_FAILED] = "{\"state\":\"failed\"}",
+        [BW_STATE_CANCELLED] = "{\"state\":\"canceled\"}",
+    };
+    char text[64];
+
+    for (uint32_t i = 0; i < G_N_ELEMENTS(wanted); i++) {
+        uint32_t length =
+            driver->write_state((BwBoundState)i, text, sizeof(text));
+
+        g_assert_cmpstr(text, ==, wanted[i]);
+        g_assert_cmpuint(length, ==, strlen(wanted[i]));
+    }
+    g_assert_cmpuint(driver->write_waiting(12, text, sizeof(text)), ==, 14);
+    g_assert_cmpstr(text, ==, "{\"waiting\":12}");
+    g_assert_cmpstr(driver->deadline_header, ==, "x-deadline-ms");
+    g_assert_cmpstr(driver->ready_path, ==, "/api/readiness");
+}
+
+/* ------------------------------------------------------------ routes */
+
+static bool
+read_routes(const char *text, BwRouteRows *rows)
+{
+    BwSpan body = tight(text, strlen(text));
+    const char *fault = NULL;
+    bool is_good = driver->read_routes(body, rows, &fault);
+
+    drop(body);
+    g_assert_true(is_good || fault != NULL);
+    return is_good;
+}
+
+static void
+test_routes(void)
+{
+    static const char *const bad[] = {
+        "",
+        "{}",
+        "[]",
+        "{\"version\":0}",
+        "{\"version\":\"3\"}",
+        "{\"version\":-1,\"routes\":[]}",
+    };
+    BwRouteRows rows;
+
+    g_assert_true(read_routes(
+        "{\"version\":12,\"limits\":{\"maxBodyBytes\":65536},\"routes\":["
+        "{\"name\":\"n\",\"host\":\"h.example\",\"pathPrefix\":\"/p/\","
+        "\"service\":\"s\",\"priority\":2,\"maxAttempts\":3,\"stretch\":1.5,"
+        "\"targetLatencyMs\":250,\"timeoutMs\":4000},{}]}",
+        &rows));
+    g_assert_cmpuint(rows.revision, ==, 12);
+    g_assert_cmpuint(rows.body_bytes_max, ==, 65536);
+    g_assert_cmpuint(rows.row_count, ==, 2);
+    assert_span(rows.rows[0].name, "n");
+    assert_span(rows.rows[0].host, "h.example");
+    assert_span(rows.rows[0].prefix, "/p/");
+    assert_span(rows.rows[0].service, "s");
+    g_assert_cmpuint(rows.rows[0].priority, ==, 2);
+    g_assert_cmpuint(rows.rows[0].attempts_max, ==, 3);
+    g_assert_cmpuint(rows.rows[0].stretch_permille, ==, 1500);
+    g_assert_cmpuint(rows.rows[0].target_us, ==, 250000);
+    g_assert_cmpuint(rows.rows[0].timeout_us, ==, 4000000);
+    assert_span(rows.rows[1].host, "");
+    driver->release(rows.memory);
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_assert_false(read_routes(bad[i], &rows));
+        driver->release(rows.memory);
+    }
+    g_assert_true(read_routes(
+        "{\"version\":1,\"limits\":7,\"routes\":[5,{\"priority\":1e12,"
+        "\"stretch\":-3,\"host\":9}]}",
+        &rows));
+    g_assert_cmpuint(rows.rows[1].priority, ==, UINT32_MAX);
+    g_assert_cmpuint(rows.rows[1].stretch_permille, ==, 0);
+    assert_span(rows.rows[1].host, "");
+    driver->release(rows.memory);
+}
+
+/* ----------------------------------------------------------- workers */
+
+static BwTaskOrder
+order_of(const char *instance, const char *job)
+{
+    BwTaskOrder order = {
+        .step = 1, .index = 17, .run = 2, .fence = 7, .lease_ms = 486000};
+
+    order.instance = span(instance);
+    order.job = span(job);
+    order.spec = span("text");
+    return order;
+}
+
+static void
+assert_call(BwCallText *call, const char *path, const char *headers,
+            const char *body)
+{
+    json_t *got = json_loadb(call->body, call->body_bytes, 0, NULL);
+    json_t *wanted = json_loads(body, 0, NULL);
+
+    g_assert_cmpstr(call->method, ==, "POST");
+    g_assert_cmpstr(call->path, ==, path);
+    g_assert_cmpstr(call->headers, ==, headers);
+    g_assert_nonnull(got);
+    g_assert_nonnull(wanted);
+    if (!json_equal(got, wanted))
+        g_error("%.*s", (int)call->body_bytes, call->body);
+    json_decref(got);
+    json_decref(wanted);
+    free(call->body);
+}
+
+static void
+test_calls(void)
+{
+    const char *headers = "content-type: application/json\r\n"
+                          "x-expect-instance: w17\r\n";
+    BwTaskOrder order = order_of("w17", "5c0e7a21d94b36f8");
+    BwHoldOrder hold = {.fence = 7, .seen = 57};
+    BwCallText call;
+
+    g_assert_true(driver->make_start(&order, &call));
+    assert_call(&call, "/api/run-start", headers,
+                "{\"task\":\"5c0e7a21d94b36f8.0.1.17\",\"run\":2,"
+                "\"spec\":\"text\",\"deadlineMs\":486000,\"fenceToken\":7}");
+    g_assert_true(driver->make_stop(&order, &call));
+    assert_call(&call, "/api/run-stop", headers,
+                "{\"task\":\"5c0e7a21d94b36f8.0.1.17\",\"run\":2,"
+                "\"fenceToken\":7}");
+    hold.instance = span("w17");
+    g_assert_true(driver->make_hold(&hold, &call));
+    assert_call(&call, "/api/hold", headers,
+                "{\"fenceToken\":7,\"lastSeen\":57}");
+    hold.lease_ms = 486000;
+    hold.wait_ms = 1000;
+    hold.instance = span("");
+    g_assert_true(driver->make_hold(&hold, &call));
+    assert_call(&call, "/api/hold", "content-type: application/json\r\n",
+                "{\"deadlineMs\":486000,\"fenceToken\":7,\"lastSeen\":57,"
+                "\"waitMs\":1000}");
+}
+
+/* ------------------------------------------------------------- store */
+
+/* An append's body is one record as a read gives it. */
+static void
+test_append_and_read(void)
+{
+    static const char head[16] = "\0\0\0\0\0\0\1\2\0\0\0\0\0\0\0\5";
+    char *key = g_strnfill(255, 'k');
+    char value[] = "v\0\xff\n";
+    BwSpan value_span = {value, 4}, body;
+    BwStorePage page;
+    BwCallText call;
+    GByteArray *bytes = g_byte_array_new();
+
+    g_byte_array_append(bytes, (const guint8 *)head, sizeof(head));
+    g_assert_true(driver->make_append(BW_TOPIC_MEMBERS, span("name"),
+                                      value_span, &call));
+    g_assert_cmpstr(call.method, ==, "POST");
+    g_assert_cmpstr(call.path, ==,
+                    "/api/log-append?topic=keyed.members&part=0");
+    g_byte_array_append(bytes, (const guint8 *)call.body, call.body_bytes);
+    free(call.body);
+    g_assert_true(
+        driver->make_append(BW_TOPIC_MEMBERS, span(key), span(""), &call));
+    g_byte_array_append(bytes, (const guint8 *)call.body, call.body_bytes);
+    free(call.body);
+    body = tight(bytes->data, bytes->len);
+    g_assert_true(driver->read_page(40, body, &page));
+    drop(body);
+    g_assert_cmpuint(page.end, ==, 258);
+    g_assert_cmpuint(page.first, ==, 5);
+    g_assert_cmpuint(page.record_count, ==, 2);
+    assert_span(page.records[0].key, "name");
+    g_assert_cmpmem(page.records[0].value.base,
+                    page.records[0].value.size_bytes, value, 4);
+    g_assert_cmpuint(page.records[0].offset, ==, 40);
+    assert_span(page.records[1].key, key);
+    g_assert_cmpuint(page.records[1].value.size_bytes, ==, 0);
+    g_assert_cmpuint(page.records[1].offset, ==, 41);
+    driver->release(page.memory);
+    g_byte_array_free(bytes, TRUE);
+    g_free(key);
+    key = g_strnfill(256, 'k');
+    g_assert_false(
+        driver->make_append(BW_TOPIC_MEMBERS, span(key), span(""), &call));
+    free(call.body);
+    g_free(key);
+}
+
+static void
+test_page_truncated(void)
+{
+    static const char whole[] = "\0\0\0\0\0\0\0\2\0\0\0\0\0\0\0\0"
+                                "\0\0\0\4\2kkv\0\0\0\3\1kv";
+    const uint32_t size = sizeof(whole) - 1;
+
+    for (uint32_t length = 0; length <= size; length++) {
+        BwSpan body = tight(whole, length);
+        BwStorePage page;
+        bool is_good = driver->read_page(0, body, &page);
+
+        g_assert_true(is_good == (length >= 16));
+        if (is_good)
+            g_assert_cmpuint(page.record_count, ==,
+                             (length >= 24) + (length >= size));
+        driver->release(page.memory);
+        drop(body);
+    }
+}
+
+static void
+test_page_hostile(void)
+{
+    static const char *const tails[] = {
+        "\xff\xff\xff\xff\1kv", /* longer than the body */
+        "\0\0\0\2\5k",          /* a key longer than the record */
+        "\0\0\0\0\0\0\0\3\1kv", /* an empty record */
+    };
+    static const uint32_t sizes[] = {7, 6, 11};
+    static const uint32_t counts[] = {0, 0, 1};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(tails); i++) {
+        char bytes[64] = {0};
+        BwStorePage page;
+        BwSpan body;
+
+        memcpy(bytes + 16, tails[i], sizes[i]);
+        body = tight(bytes, 16 + sizes[i]);
+        g_assert_true(driver->read_page(8, body, &page));
+        g_assert_cmpuint(page.record_count, ==, counts[i]);
+        if (counts[i] > 0)
+            g_assert_cmpuint(page.records[0].offset, ==, 9);
+        driver->release(page.memory);
+        drop(body);
+    }
+}
+
+static void
+test_newest(void)
+{
+    const char *text =
+        "{\"end\":90,\"hasMore\":true,\"items\":["
+        "{\"key\":\"config\",\"offset\":7,\"value\":\"aGVsbG8=\"},"
+        "{\"key\":\"b\",\"offset\":8,\"value\":\"YQ==\"},"
+        "{\"key\":\"c\",\"offset\":9,\"value\":\"YWJj\"},"
+        "{\"key\":\"d\",\"offset\":10,\"value\":\"\"},"
+        "{\"key\":\"e\",\"offset\":11}]}";
+    static const char *const values[] = {"hello", "a", "abc", "", ""};
+    BwSpan body = tight(text, strlen(text));
+    BwStorePage page;
+
+    g_assert_true(driver->read_newest(body, &page));
+    drop(body);
+    g_assert_cmpuint(page.end, ==, 90);
+    g_assert_true(page.has_more);
+    g_assert_cmpuint(page.record_count, ==, 5);
+    assert_span(page.records[0].key, "config");
+    for (uint32_t i = 0; i < 5; i++) {
+        assert_span(page.records[i].value, values[i]);
+        g_assert_cmpuint(page.records[i].offset, ==, 7 + i);
+    }
+    driver->release(page.memory);
+    g_assert_false(driver->read_newest(span("[]"), &page));
+    driver->release(page.memory);
+    g_assert_false(driver->read_newest(span(""), &page));
+    driver->release(page.memory);
+}
+
+/* ---------------------------------------------------------- mutations */
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+#define ADD(name) g_test_add_func("/driver/" #name, test_##name)
+    ADD(request);
+    ADD(request_flags);
+    ADD(request_refused);
+    ADD(request_large_numbers);
+    ADD(spec);
+    ADD(states);
+    ADD(routes);
+    ADD(calls);
+    ADD(append_and_read);
+    ADD(page_truncated);
+    ADD(page_hostile);
+    ADD(newest);
+#undef ADD
+    return g_test_run();
+}
