--- a/tests/test_driver.c
+++ b/tests/test_driver.c
@@ -543,29 +543,29 @@
 test_answer_verdicts(void)
 {
     static const struct {
-        uint32_t status;
         const char *body;
+        uint32_t status;
         BwWorkerVerdict verdict;
     } cases[] = {
-        {0, "", BW_WORKER_NO_ANSWER},
-        {200, "{\"clockMs\":1}", BW_WORKER_OK},
-        {204, "", BW_WORKER_OK},
-        {409, "{\"reason\":\"fence\"}", BW_WORKER_FENCED},
-        {409, "{\"reason\":\"old\"}", BW_WORKER_OLD_RUN},
-        {409, "{\"reason\":\"late\"}", BW_WORKER_LATE},
-        {409, "{\"reason\":\"room\"}", BW_WORKER_NO_ROOM},
-        {409, "{\"reason\":5}", BW_WORKER_BAD},
-        {409, "", BW_WORKER_BAD},
-        {400, "{}", BW_WORKER_BAD},
-        {421, "{}", BW_WORKER_OTHER},
-        {421, "", BW_WORKER_OTHER},
-        {429, "{}", BW_WORKER_UNHEALTHY},
-        {503, "", BW_WORKER_UNHEALTHY},
+        {"", 0, BW_WORKER_NO_ANSWER},
+        {"{\"clockMs\":1}", 200, BW_WORKER_OK},
+        {"", 204, BW_WORKER_OK},
+        {"{\"reason\":\"fence\"}", 409, BW_WORKER_FENCED},
+        {"{\"reason\":\"old\"}", 409, BW_WORKER_OLD_RUN},
+        {"{\"reason\":\"late\"}", 409, BW_WORKER_LATE},
+        {"{\"reason\":\"room\"}", 409, BW_WORKER_NO_ROOM},
+        {"{\"reason\":5}", 409, BW_WORKER_BAD},
+        {"", 409, BW_WORKER_BAD},
+        {"{}", 400, BW_WORKER_BAD},
+        {"{}", 421, BW_WORKER_OTHER},
+        {"", 421, BW_WORKER_OTHER},
+        {"{}", 429, BW_WORKER_UNHEALTHY},
+        {"", 503, BW_WORKER_UNHEALTHY},
         /* It said yes, and its lists can't be read. */
-        {200, "{\"running\":[[\"j.0.0.0\",1", BW_WORKER_NO_ANSWER},
-        {200, "[]", BW_WORKER_NO_ANSWER},
-        {200, "{\"running\":5,\"ended\":[]}", BW_WORKER_NO_ANSWER},
-        {200, "{\"running\":[],\"ended\":\"\"}", BW_WORKER_NO_ANSWER},
+        {"{\"running\":[[\"j.0.0.0\",1", 200, BW_WORKER_NO_ANSWER},
+        {"[]", 200, BW_WORKER_NO_ANSWER},
+        {"{\"running\":5,\"ended\":[]}", 200, BW_WORKER_NO_ANSWER},
+        {"{\"running\":[],\"ended\":\"\"}", 200, BW_WORKER_NO_ANSWER},
     };
 
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
