Assign large jobs without passing over all tasks for each worker

Each look at a worker counted the job's tasks there, and since the open steps of a job are sent together every outcome went over workers times tasks even when nothing waited. The step's tasks are counted once for all workers, and only steps of which something was assigned are sent.

/dispatcher/largest_job: 1700 tasks on 300 workers with a spread of 6.

--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -213,15 +213,21 @@
 
 /* ---------------------------------------------------------- placement */
 
-static uint32_t
-count_there(const BwBoundJob *job, const BwView *view, uint32_t step)
+/* Counts the step's tasks at each view. */
+static void
+count_there(BwDispatcher *d, const BwBoundJob *job, uint32_t step)
 {
-    uint32_t count = 0;
+    if (job->steps[step].spread_max == 0)
+        return;
+    for (BwView *view = d->views; view != NULL; view = view->hh.next)
+        view->there = 0;
+    for (uint32_t i = 0; i < job->piece_count; i++) {
+        const BwPiece *piece = &job->pieces[i];
 
-    for (uint32_t i = 0; i < job->piece_count; i++)
-        count += job->pieces[i].view == view && job->pieces[i].step == step &&
-                 job->pieces[i].state != BW_PIECE_DONE;
-    return count;
+        if (piece->view != NULL && piece->step == step &&
+            piece->state != BW_PIECE_DONE)
+            piece->view->there++;
+    }
 }
 
 /* When the view would end a task, and a cost that spreads load; NEVER when it
@@ -239,8 +245,7 @@
         !room_fits(&step->room, &view->capacity) ||
         !view_has_label(view, step->requirement))
         return NEVER;
-    if (step->spread_max > 0 &&
-        count_there(job, view, piece->step) >= step->spread_max)
+    if (step->spread_max > 0 && view->there >= step->spread_max)
         return NEVER;
     room = view_room(view, &core_us);
     if (!room_fits(&step->room, &room) || view->queued_core_us > 0)
@@ -371,15 +376,17 @@
            piece->view != NULL;
 }
 
-/* Assigns every waiting piece of the step.  Returns false when one cannot end
-   by the limit. */
+/* Assigns every waiting piece of the step and counts them.  Returns false when
+   one cannot end by the limit. */
 static bool
 assign_step(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, uint32_t step,
-            uint64_t limit_us)
+            uint64_t limit_us, uint32_t *count)
 {
     const BwRoom *room = &job->steps[step].room;
     uint64_t run_us = step_run_us(d, job, step);
 
+    *count = 0;
+    count_there(d, job, step);
     for (uint32_t i = 0; i < job->piece_count; i++) {
         BwPiece *piece = &job->pieces[i];
 
@@ -389,6 +396,8 @@
         if (piece->view == NULL)
             return false;
         reserve(piece->view, room, room->cpu_milli * run_us / 1000);
+        piece->view->there++;
+        ++*count;
     }
     return true;
 }
@@ -430,15 +439,19 @@
 place_open(BwDispatcher *d, uint64_t now_us, BwBoundJob *job,
            uint64_t limit_us)
 {
+    uint32_t counts[BW_STEPS_MAX] = {0};
+
     for (uint32_t step = 0; step < job->step_count; step++) {
-        if (is_step_open(job, step) &&
-            !assign_step(d, now_us, job, step, limit_us)) {
+        if (job->left[step] > 0 && is_step_open(job, step) &&
+            !assign_step(d, now_us, job, step, limit_us, &counts[step])) {
             unassign(d, job);
             return false;
         }
     }
-    for (uint32_t step = 0; step < job->step_count; step++)
-        send_step(d, now_us, job, step);
+    for (uint32_t step = 0; step < job->step_count; step++) {
+        if (counts[step] > 0)
+            send_step(d, now_us, job, step);
+    }
     return true;
 }
 
@@ -449,6 +462,7 @@
     uint32_t first = 0;
 
     for (uint32_t step = 0; step < job->step_count; step++) {
+        count_there(d, job, step);
         if (job->left[step] > 0 &&
             pick_view(d, job, &job->pieces[first], step_run_us(d, job, step),
                       now_us, NEVER) == NULL)
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -95,6 +95,7 @@
     bool is_usable;
     uint64_t answered_us; /* the last session */
     uint64_t gone_us;     /* what it ran is over then; 0 while connected */
+    uint32_t there;       /* tasks of the step that is being assigned */
     uint64_t place_number;
     BwInFlight in_flight[BW_IN_FLIGHT_MAX];
     uint32_t in_flight_count;
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -40,6 +40,7 @@
     uint64_t deadline_us; /* of the next job, from now */
     Sent sent[SENT_MAX];
     uint32_t sent_count;
+    uint32_t at[BW_JOB_TASKS_MAX]; /* peer of the last PLACE of that index */
     Answer answers[JOBS_MAX];
     uint32_t job_count;
     BwRoute route;
@@ -63,6 +64,8 @@
         sent->count = message->u.place.task_count;
         g_assert_cmpuint(sent->count, >, 0);
         sent->first = message->u.place.tasks[0].index;
+        for (uint32_t i = 0; i < sent->count; i++)
+            f->at[message->u.place.tasks[i].index] = peer;
     }
     if (message->kind == BW_MSG_STOP)
         sent->ref = message->u.stop.ref;
@@ -816,6 +819,35 @@
     tear_down(&f);
 }
 
+static void
+test_largest_job(void)
+{
+    Fixture f;
+    BwBoundStep step = step_of(BW_JOB_TASKS_MAX, 100);
+    const uint32_t workers = 300;
+    uint64_t ref;
+
+    set_up(&f);
+    f.route.target_us = 20 * SECOND_US;
+    for (uint32_t peer = 1; peer <= workers; peer++) {
+        char name[BW_NAME_BYTES_MAX];
+
+        g_snprintf(name, sizeof(name), "worker%u", peer);
+        connect_worker(&f, peer, name);
+    }
+    step.spread_max = 6;
+    ref = submit(&f, &step, 1);
+    g_assert_cmpuint(placed_at(&f, 0, ref), ==, BW_JOB_TASKS_MAX);
+    for (uint32_t peer = 1; peer <= workers; peer++)
+        g_assert_cmpuint(placed_at(&f, peer, ref), <=, 6);
+    for (uint32_t i = 0; i < BW_JOB_TASKS_MAX; i++) {
+        assert_waits(&f, 0);
+        tell_outcome(&f, f.at[i], ref, 0, i, BW_OUTCOME_DONE);
+    }
+    assert_answer(&f, 0, BW_BOUND_COMPLETED);
+    tear_down(&f);
+}
+
 static void
 test_spread(void)
 {
@@ -1039,6 +1071,7 @@
     ADD(after);
     ADD(labels);
     ADD(spread);
+    ADD(largest_job);
     ADD(silent);
     ADD(silent_twice);
     ADD(clear);
