--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -13,21 +13,29 @@
 
 #include "brasswing.h"
 #include "dispatcher.h"
+#include "pace.h"
+#include "room.h"
 
 #define LEASE_DRIFT_PERMILLE 1030
 #define GONE_MARGIN_US 120000 /* stops take effect, and clocks drift */
-#define FIRST_SLOT_US 25000   /* until a full worker frees room */
-#define MOVES_MAX 8
+#define RELEASE_MIN_US 5000   /* until a full worker frees room */
+#define MOVES_MAX 24
+#define BOUNCES_MAX 3 /* after which a task waits at a worker */
 #define FAILURES_TO_EJECT 3
 #define EJECTED_US 3000000
 #define EJECTED_SHARE_MAX 2 /* half of the workers */
 #define RATIO_SHIFT 5
 #define RATIO_START_PERMILLE 1000
+#define RATIO_MAX_PERMILLE 4000
+#define ANCHORED_MAX 256
+#define ANCHOR_US 1000000
+#define PATIENCE_US 20000 /* beyond twice the foreseen wait */
 #define FAR_PERMILLE 1500
 #define CROWDED_PERMILLE 100
 #define RETRY_AFTER_MS 1000
 #define DECLARED_MAX_US 86400000000ull /* sums of more could overflow */
-#define LATE_SHARE 2 /* of the objective, that an answer may be late */
+#define URGENT_LIMIT_PERMILLE 1200
+#define LIMIT_PERMILLE 850
 #define NEVER UINT64_MAX
 
 static BwRoutePace *
@@ -57,9 +65,9 @@
     return declared_us * pace->ratio_permille / 1000;
 }
 
+/* Learns the run time of a route against the declared one. */
 static void
-learn_pace(BwDispatcher *d, const BwBoundJob *job, const BwPiece *piece,
-           uint64_t ran_us)
+learn_ratio(BwDispatcher *d, const BwBoundJob *job, const BwPiece *piece)
 {
     BwRoutePace *pace = find_pace(d, job->route);
     uint64_t declared_us = job->steps[piece->step].declared_us;
@@ -67,13 +75,52 @@
 
     if (pace == NULL || declared_us == 0)
         return;
-    ratio = ran_us * 1000 / declared_us;
-    if (ratio > 4000)
-        ratio = 4000;
+    ratio = piece->ran_us * 1000 / declared_us * BW_PACE_MEAN_PERMILLE /
+            piece->view->pace_permille;
+    if (ratio > RATIO_MAX_PERMILLE)
+        ratio = RATIO_MAX_PERMILLE;
     pace->ratio_permille += (uint32_t)(ratio >> RATIO_SHIFT) -
                             (pace->ratio_permille >> RATIO_SHIFT);
 }
 
+/* Compares the workers that ran the tasks of each step. */
+static void
+learn_paces(const BwBoundJob *job)
+{
+    BwPaceSample *samples = malloc(job->piece_count * sizeof(*samples));
+
+    if (samples == NULL)
+        return;
+    for (uint32_t step = 0; step < job->step_count; step++) {
+        uint32_t count = 0;
+
+        for (uint32_t i = 0; i < job->piece_count; i++) {
+            const BwPiece *piece = &job->pieces[i];
+
+            if (piece->step != step || piece->state != BW_PIECE_DONE)
+                continue;
+            samples[count].pace_permille = &piece->view->pace_permille;
+            samples[count++].ran_us = piece->ran_us;
+        }
+        BwPace_Compare(samples, count);
+    }
+    free(samples);
+}
+
+static void
+anchor_paces(BwDispatcher *d)
+{
+    uint32_t *paces[ANCHORED_MAX];
+    uint32_t count = 0;
+
+    for (BwView *view = d->views; view != NULL && count < ANCHORED_MAX;
+         view = view->hh.next) {
+        if (view->peer != 0)
+            paces[count++] = &view->pace_permille;
+    }
+    BwPace_Anchor(paces, count);
+}
+
 /* -------------------------------------------------------------- views */
 
 static BwView *
@@ -95,31 +142,28 @@
            now_us >= view->ejected_until_us && view->answered_us != 0;
 }
 
+/* The room that is free once what is under way has come, and the number of
+   tasks that a new one of that priority waits for. */
 static BwRoom
-view_room(const BwView *view, uint64_t *core_us)
+view_room(const BwView *view, uint32_t priority, uint32_t *ahead)
 {
     BwRoom room = view->free;
 
-    *core_us = view->queued_core_us;
+    *ahead = priority == 0 ? view->queued_urgent : view->queued;
     for (uint32_t i = 0; i < view->in_flight_count; i++) {
-        const BwInFlight *sent = &view->in_flight[i];
-
-        room.cpu_milli -= sent->room.cpu_milli < room.cpu_milli
-                              ? sent->room.cpu_milli
-                              : room.cpu_milli;
-        room.mem_mb -=
-            sent->room.mem_mb < room.mem_mb ? sent->room.mem_mb : room.mem_mb;
-        room.gpu -= sent->room.gpu < room.gpu ? sent->room.gpu : room.gpu;
-        *core_us += sent->core_us;
+        BwRoom_Remove(&room, &view->in_flight[i].room);
+        *ahead += view->in_flight[i].task_count;
     }
     return room;
 }
 
 static bool
-room_fits(const BwRoom *need, const BwRoom *room)
+view_has_room(const BwView *view, const BwRoom *need, const BwRoom *room,
+              uint32_t priority)
 {
-    return need->cpu_milli <= room->cpu_milli &&
-           need->mem_mb <= room->mem_mb && need->gpu <= room->gpu;
+    uint32_t queued = priority == 0 ? view->queued_urgent : view->queued;
+
+    return queued == 0 && BwRoom_Fits(need, room);
 }
 
 static bool
@@ -156,25 +200,21 @@
 }
 
 static void
-reserve(BwView *view, const BwRoom *room, uint64_t core_us)
+reserve(BwView *view, const BwRoom *room)
 {
     BwInFlight *sent = next_in_flight(view);
 
-    sent->room.cpu_milli += room->cpu_milli;
-    sent->room.mem_mb += room->mem_mb;
-    sent->room.gpu += room->gpu;
-    sent->core_us += core_us;
+    BwRoom_Add(&sent->room, room);
+    sent->task_count++;
 }
 
 static void
-unreserve(BwView *view, const BwRoom *room, uint64_t core_us)
+unreserve(BwView *view, const BwRoom *room)
 {
     BwInFlight *sent = next_in_flight(view);
 
-    sent->room.cpu_milli -= room->cpu_milli;
-    sent->room.mem_mb -= room->mem_mb;
-    sent->room.gpu -= room->gpu;
-    sent->core_us -= core_us;
+    BwRoom_Remove(&sent->room, room);
+    sent->task_count--;
 }
 
 static void
@@ -183,8 +223,10 @@
     uint32_t kept = 0;
 
     view->free = load->free;
-    view->queued_core_us = load->queued_core_us;
-    view->pace_permille = load->pace_permille;
+    view->queued = load->queued;
+    view->queued_urgent = load->queued_urgent;
+    view->release_us = load->release_us;
+    view->slow_permille = load->slow_permille;
     view->failed_permille = load->failed_permille;
     for (uint32_t i = 0; i < view->in_flight_count; i++) {
         if (view->in_flight[i].number > load->place_seen)
@@ -230,63 +272,93 @@
     }
 }
 
-/* When the view would end a task, and a cost that spreads load; NEVER when it
-   cannot take it. */
 static uint64_t
+view_pace(const BwView *view)
+{
+    return view->slow_permille > view->pace_permille ? view->slow_permille
+                                                     : view->pace_permille;
+}
+
+/* What would become of a task at a view. */
+typedef struct Foresight {
+    uint64_t wait_us; /* for room */
+    uint64_t end_us;  /* NEVER when the view cannot take it */
+    uint64_t cost_us; /* time, and a part that spreads load */
+} Foresight;
+
+static bool
+is_suited(const BwBoundJob *job, const BwPiece *piece, const BwView *view,
+          uint64_t now_us)
+{
+    const BwBoundStep *step = &job->steps[piece->step];
+
+    return view_takes(view, now_us) &&
+           strcmp(view->service, job->service) == 0 &&
+           BwRoom_Fits(&step->room, &view->capacity) &&
+           view_has_label(view, step->requirement) &&
+           (step->spread_max == 0 || view->there < step->spread_max);
+}
+
+static Foresight
 foresee(const BwBoundJob *job, const BwPiece *piece, const BwView *view,
-        uint64_t run_us, uint64_t now_us, uint64_t *cost_us)
+        uint64_t run_us, uint64_t now_us)
 {
     const BwBoundStep *step = &job->steps[piece->step];
-    uint64_t wait_us = 0, core_us;
+    Foresight foresight = {0, NEVER, NEVER};
+    uint64_t used_milli;
+    uint32_t ahead;
     BwRoom room;
 
-    if (!view_takes(view, now_us) ||
-        strcmp(view->service, job->service) != 0 ||
-        !room_fits(&step->room, &view->capacity) ||
-        !view_has_label(view, step->requirement))
-        return NEVER;
-    if (step->spread_max > 0 && view->there >= step->spread_max)
-        return NEVER;
-    room = view_room(view, &core_us);
-    if (!room_fits(&step->room, &room) || view->queued_core_us > 0)
-        wait_us = FIRST_SLOT_US + core_us * 1000 /
-                                      (view->capacity.cpu_milli + 1) *
-                                      view->pace_permille / 1000;
-    run_us = run_us * view->pace_permille / 1000;
+    if (!is_suited(job, piece, view, now_us))
+        return foresight;
+    room = view_room(view, job->priority, &ahead);
+    if (!view_has_room(view, &step->room, &room, job->priority))
+        foresight.wait_us =
+            (ahead + 1) * (view->release_us > RELEASE_MIN_US ? view->release_us
+                                                             : RELEASE_MIN_US);
+    run_us = run_us * view_pace(view) / BW_PACE_MEAN_PERMILLE;
     if (!view_has_label(view, step->affinity))
         run_us = run_us * FAR_PERMILLE / 1000;
-    *cost_us = wait_us + run_us +
-               run_us * CROWDED_PERMILLE / 1000 *
-                   (view->capacity.cpu_milli - room.cpu_milli) /
-                   (view->capacity.cpu_milli + 1);
-    return now_us + wait_us + run_us;
+    used_milli = view->capacity.cpu_milli - room.cpu_milli;
+    foresight.end_us = now_us + foresight.wait_us + run_us;
+    foresight.cost_us = foresight.wait_us + run_us +
+                        run_us * CROWDED_PERMILLE / 1000 * used_milli /
+                            (view->capacity.cpu_milli + 1);
+    return foresight;
 }
 
 /* Picks the view that ends the task first, or NULL when none ends it by
    `limit_us`.  The one to avoid is taken when there is no other. */
 static BwView *
-pick_view(BwDispatcher *d, const BwBoundJob *job, const BwPiece *piece,
+pick_view(BwDispatcher *d, const BwBoundJob *job, BwPiece *piece,
           uint64_t run_us, uint64_t now_us, uint64_t limit_us)
 {
     BwView *best = NULL, *last = NULL;
-    uint64_t best_cost_us = NEVER;
+    Foresight least = {0, NEVER, NEVER}, last_least = {0, NEVER, NEVER};
 
     for (BwView *view = d->views; view != NULL; view = view->hh.next) {
-        uint64_t cost_us = 0;
-        uint64_t end_us = foresee(job, piece, view, run_us, now_us, &cost_us);
+        Foresight foresight = foresee(job, piece, view, run_us, now_us);
 
-        if (end_us == NEVER || end_us > limit_us)
+        if (foresight.end_us == NEVER || foresight.end_us > limit_us)
             continue;
         if (view == piece->avoid) {
             last = view;
+            last_least = foresight;
             continue;
         }
-        if (cost_us >= best_cost_us)
+        if (foresight.cost_us >= least.cost_us)
             continue;
         best = view;
-        best_cost_us = cost_us;
+        least = foresight;
     }
-    return best != NULL ? best : last;
+    if (best == NULL) {
+        best = last;
+        least = last_least;
+    }
+    piece->wait_us = least.wait_us;
+    if (least.wait_us > 0 || piece->moves >= BOUNCES_MAX)
+        piece->wait_us = 2 * least.wait_us + PATIENCE_US;
+    return best;
 }
 
 static bool
@@ -299,11 +371,18 @@
     return true;
 }
 
+/* When the last task has to end, as far as can be foreseen, for the job to be
+   taken.  Work that would end late keeps others waiting, so only urgent jobs
+   may pass their objective. */
 static uint64_t
 limit_of(const BwBoundJob *job)
 {
+    uint64_t objective_us = job->due_us - job->arrived_us;
     uint64_t limit_us =
-        job->due_us + (job->due_us - job->arrived_us) / LATE_SHARE;
+        job->arrived_us +
+        objective_us *
+            (job->priority == 0 ? URGENT_LIMIT_PERMILLE : LIMIT_PERMILLE) /
+            1000;
 
     return limit_us < job->deadline_us ? limit_us : job->deadline_us;
 }
@@ -336,6 +415,8 @@
         piece->state = BW_PIECE_PLACED;
         piece->link = view->link;
         piece->placed_us = now_us;
+        if (piece->wait_us > place->wait_us)
+            place->wait_us = piece->wait_us;
         tasks[count++].index = piece->index;
     }
     place->number = ++view->place_number;
@@ -395,7 +476,7 @@
         piece->view = pick_view(d, job, piece, run_us, now_us, limit_us);
         if (piece->view == NULL)
             return false;
-        reserve(piece->view, room, room->cpu_milli * run_us / 1000);
+        reserve(piece->view, room);
         piece->view->there++;
         ++*count;
     }
@@ -404,7 +485,7 @@
 
 /* Takes back what was assigned and not sent. */
 static void
-unassign(BwDispatcher *d, BwBoundJob *job)
+unassign(BwBoundJob *job)
 {
     for (uint32_t i = 0; i < job->piece_count; i++) {
         BwPiece *piece = &job->pieces[i];
@@ -412,8 +493,7 @@
 
         if (!is_assigned(piece, piece->step))
             continue;
-        unreserve(piece->view, room,
-                  room->cpu_milli * step_run_us(d, job, piece->step) / 1000);
+        unreserve(piece->view, room);
         piece->view = NULL;
     }
 }
@@ -444,7 +524,7 @@
     for (uint32_t step = 0; step < job->step_count; step++) {
         if (job->left[step] > 0 && is_step_open(job, step) &&
             !assign_step(d, now_us, job, step, limit_us, &counts[step])) {
-            unassign(d, job);
+            unassign(job);
             return false;
         }
     }
@@ -559,14 +639,16 @@
 on_done(BwDispatcher *d, BwBoundJob *job, BwPiece *piece, uint64_t ran_us)
 {
     piece->view->failed_in_row = 0;
-    learn_pace(d, job, piece, ran_us);
     piece->state = BW_PIECE_DONE;
+    piece->ran_us = ran_us;
+    learn_ratio(d, job, piece);
     job->left[piece->step]--;
-    job->done_count++;
+    if (++job->done_count == job->piece_count)
+        learn_paces(job);
 }
 
-/* Returns false when the job has failed for good. */
-static bool
+/* How a job ends that a task cannot go on with; COMPLETED while it can. */
+static BwBoundEnd
 on_failed(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, BwPiece *piece)
 {
     bool is_suspect = piece->view->failed_in_row > 0;
@@ -579,32 +661,34 @@
         piece->failures++;
     else
         piece->moves++;
-    return piece->failures < job->attempts_max && piece->moves < MOVES_MAX;
+    if (piece->failures >= job->attempts_max)
+        return BW_BOUND_FAILED;
+    return piece->moves < MOVES_MAX ? BW_BOUND_COMPLETED : BW_BOUND_EXPIRED;
 }
 
-static bool
-on_moved(BwDispatcher *d, BwPiece *piece, uint32_t kind)
+static BwBoundEnd
+on_moved(BwDispatcher *d, BwPiece *piece, uint32_t kind, uint32_t reason)
 {
     piece->state = BW_PIECE_WAITING;
-    piece->avoid = piece->view;
+    piece->avoid = reason == BW_DECLINE_BUSY ? NULL : piece->view;
     piece->view = NULL;
     d->counters.bounced += kind == BW_OUTCOME_NOT_RUN;
     d->counters.lost += kind == BW_OUTCOME_LOST;
-    return ++piece->moves < MOVES_MAX;
+    return ++piece->moves < MOVES_MAX ? BW_BOUND_COMPLETED : BW_BOUND_EXPIRED;
 }
 
 static void
 on_outcome(BwDispatcher *d, uint64_t now_us, BwView *view,
            const BwOutcome *outcome)
 {
-    BwBoundEnd end = BW_BOUND_EXPIRED; /* should it end here */
     BwBoundJob *job;
-    bool is_alive = true;
+    BwBoundEnd end = BW_BOUND_COMPLETED;
 
     HASH_FIND(hh, d->jobs, &outcome->ref, sizeof(outcome->ref), job);
     if (job == NULL)
         return;
-    for (uint32_t i = 0; i < outcome->task_count && is_alive; i++) {
+    for (uint32_t i = 0; i < outcome->task_count && end == BW_BOUND_COMPLETED;
+         i++) {
         const BwTaskOutcome *task = &outcome->tasks[i];
         BwPiece *piece = find_piece(job, view, outcome->step, task->index);
 
@@ -614,15 +698,13 @@
             on_done(d, job, piece, task->ran_us);
         }
         else if (task->kind == BW_OUTCOME_FAILED) {
-            is_alive = on_failed(d, now_us, job, piece);
-            end = BW_BOUND_FAILED;
+            end = on_failed(d, now_us, job, piece);
         }
         else {
-            is_alive = on_moved(d, piece, task->kind);
-            end = BW_BOUND_EXPIRED;
+            end = on_moved(d, piece, task->kind, task->reason);
         }
     }
-    if (!is_alive)
+    if (end != BW_BOUND_COMPLETED)
         end_job(d, job, end,
                 end == BW_BOUND_FAILED ? "a task failed for good"
                                        : "a task moved too often");
@@ -820,7 +902,9 @@
 
             if (piece->view != view || piece->state != BW_PIECE_UNKNOWN)
                 continue;
-            is_alive = on_moved(d, piece, BW_OUTCOME_LOST) && is_alive;
+            is_alive =
+                on_moved(d, piece, BW_OUTCOME_LOST, 0) == BW_BOUND_COMPLETED &&
+                is_alive;
             piece->avoid = NULL;
             is_freed = true;
         }
@@ -870,19 +954,17 @@
 BwDispatcher_PeerUp(BwDispatcher *d, uint64_t now_us, uint32_t peer,
                     BwSpan name)
 {
-    char text[BW_NAME_BYTES_MAX] = {0};
+    char text[BW_NAME_BYTES_MAX];
     BwView *view;
 
-    memcpy(text, name.base,
-           name.size_bytes < sizeof(text) ? name.size_bytes
-                                          : sizeof(text) - 1);
+    BwSpan_ToString(name, text, sizeof(text));
     HASH_FIND_STR(d->views, text, view);
     if (view == NULL) {
         view = calloc(1, sizeof(*view));
         if (view == NULL)
             return;
         strcpy(view->name, text);
-        view->pace_permille = 1000;
+        view->pace_permille = BW_PACE_MEAN_PERMILLE;
         HASH_ADD_STR(d->views, name, view);
     }
     else if (view->peer != 0) {
@@ -905,35 +987,27 @@
         lose_link(d, now_us, view);
 }
 
-static void
-copy_span(char *out, size_t room, BwSpan span)
-{
-    size_t size = span.size_bytes < room - 1 ? span.size_bytes : room - 1;
-
-    memcpy(out, span.base, size);
-    out[size] = '\0';
-}
-
 static void
 on_worker(BwDispatcher *d, uint64_t now_us, BwView *view,
           const BwWorkerState *state)
 {
     char instance[BW_NAME_BYTES_MAX];
 
-    copy_span(instance, sizeof(instance), state->instance);
+    BwSpan_ToString(state->instance, instance, sizeof(instance));
     if (strcmp(instance, view->instance) != 0) {
         view->failed_in_row = 0;
         view->ejected_until_us = 0;
     }
     strcpy(view->instance, instance);
-    copy_span(view->service, sizeof(view->service), state->service);
-    copy_span(view->domain, sizeof(view->domain), state->domain);
+    BwSpan_ToString(state->service, view->service, sizeof(view->service));
+    BwSpan_ToString(state->domain, view->domain, sizeof(view->domain));
     view->capacity = state->capacity;
     view->is_usable = state->is_leaving == 0;
     view->label_count = state->label_count < BW_LABELS_MAX ? state->label_count
                                                            : BW_LABELS_MAX;
     for (uint32_t i = 0; i < view->label_count; i++)
-        copy_span(view->labels[i], BW_NAME_BYTES_MAX, state->labels[i].name);
+        BwSpan_ToString(state->labels[i].name, view->labels[i],
+                        BW_NAME_BYTES_MAX);
     if (state->is_clear != 0)
         release_unknown(d, now_us, view);
 }
@@ -975,6 +1049,10 @@
 {
     BwBoundJob *job, *next;
 
+    if (now_us - d->anchored_us >= ANCHOR_US) {
+        d->anchored_us = now_us;
+        anchor_paces(d);
+    }
     for (BwView *view = d->views; view != NULL; view = view->hh.next) {
         if (view->gone_us != 0 && now_us >= view->gone_us)
             release_unknown(d, now_us, view);
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -17,6 +17,7 @@
 #include <utlist.h>
 
 #include "brasswing.h"
+#include "room.h"
 #include "supervisor.h"
 
 #define SESSION_RENEWALS 3     /* in the time of a session */
@@ -25,9 +26,16 @@
 #define CLOCK_STALE_US 1500000 /* of the worker */
 #define STOP_SETTLES_US 60000  /* a stop takes effect within */
 #define HOLDS_MAX 3
+#define RUNS_PER_SEAT 512 /* more than the steps of all tries */
 #define TRIES_MAX 4
 #define RUN_STEP 16
-#define PACE_SHIFT 4
+#define PACE_SHIFT 3
+#define ENDED_WEIGHT 4 /* of the tasks that ended, beside each that runs */
+#define FAR_PACE_PERMILLE 2000
+#define PACE_MAX_PERMILLE 8000
+#define PROGRESS_AFTER_US 80000
+#define STUCK_FACTOR 4
+#define FAILED_SHIFT 4
 #define LEASE_DRIFT_PERMILLE 1030
 #define LEASE_MARGIN_US 20000
 
@@ -37,67 +45,77 @@
     return seat->state != BW_SEAT_QUEUED;
 }
 
-static uint64_t
-take_away(uint64_t from, uint64_t amount)
+/* Whether the worker has answered lately enough to be given work. */
+static bool
+is_responsive(const BwSupervisor *s, uint64_t now_us)
 {
-    return from > amount ? from - amount : 0;
+    return s->due_us == 0 || now_us < s->due_us;
 }
 
-static void
-add_room(BwRoom *sum, const BwRoom *room)
+static bool
+is_usable(const BwSupervisor *s, uint64_t now_us)
 {
-    sum->cpu_milli += room->cpu_milli;
-    sum->mem_mb += room->mem_mb;
-    sum->gpu += room->gpu;
+    return s->phase == BW_WORKER_READY && !s->is_worker_leaving &&
+           !s->is_leaving && is_responsive(s, now_us);
 }
 
-static void
-remove_room(BwRoom *sum, const BwRoom *room)
+/* The run times against the expected ones, of tasks that ended and of those
+   that run, as far as their progress shows; 1000 unless they are far above.
+   Single declarations are far off, so small differences say nothing. */
+static uint32_t
+slow_permille(const BwSupervisor *s, uint64_t now_us)
 {
-    sum->cpu_milli = take_away(sum->cpu_milli, room->cpu_milli);
-    sum->mem_mb = take_away(sum->mem_mb, room->mem_mb);
-    sum->gpu = take_away(sum->gpu, room->gpu);
-}
+    uint64_t sum = s->pace_permille * ENDED_WEIGHT;
+    uint64_t count = ENDED_WEIGHT;
+    uint64_t mean;
 
-static bool
-fits(const BwRoom *used, const BwRoom *room, const BwRoom *capacity)
-{
-    return used->cpu_milli + room->cpu_milli <= capacity->cpu_milli &&
-           used->mem_mb + room->mem_mb <= capacity->mem_mb &&
-           used->gpu + room->gpu <= capacity->gpu;
+    for (const BwSeat *seat = s->seats; seat != NULL; seat = seat->hh.next) {
+        uint64_t ran_us = now_us - seat->started_us;
+        uint64_t whole_us, pace;
+
+        if (seat->state != BW_SEAT_RUNNING || ran_us < PROGRESS_AFTER_US)
+            continue;
+        whole_us = seat->percent > 0 ? ran_us * 100 / seat->percent
+                                     : ran_us * STUCK_FACTOR;
+        pace = whole_us * 1000 / (seat->expected_us + 1000);
+        sum += pace < PACE_MAX_PERMILLE ? pace : PACE_MAX_PERMILLE;
+        count++;
+    }
+    mean = sum / count;
+    return mean > FAR_PACE_PERMILLE ? (uint32_t)mean : 1000;
 }
 
+/* How long until one of the tasks that run ends, on average. */
 static uint64_t
-core_us(const BwSeat *seat)
+release_us(const BwSupervisor *s, uint64_t now_us)
 {
-    return seat->room.cpu_milli * seat->expected_us / 1000;
-}
+    uint64_t left_us = 0, count = 0;
 
-/* Whether the worker has answered lately enough to be given work. */
-static bool
-is_responsive(const BwSupervisor *s, uint64_t now_us)
-{
-    return s->due_us == 0 || now_us < s->due_us;
-}
+    for (const BwSeat *seat = s->seats; seat != NULL; seat = seat->hh.next) {
+        uint64_t run_us = seat->expected_us;
+        uint64_t ran_us = now_us - seat->started_us;
 
-static bool
-is_usable(const BwSupervisor *s, uint64_t now_us)
-{
-    return s->phase == BW_WORKER_READY && !s->is_worker_leaving &&
-           !s->is_leaving && is_responsive(s, now_us);
+        if (!is_on_worker(seat))
+            continue;
+        count++;
+        if (seat->state != BW_SEAT_STOPPING)
+            left_us += ran_us < run_us ? run_us - ran_us : ran_us / 2;
+    }
+    return count > 0 ? left_us / count / count : 0;
 }
 
 static BwWorkerLoad
-make_load(const BwSupervisor *s, const BwSupervisorPeer *peer)
+make_load(const BwSupervisor *s, const BwSupervisorPeer *peer, uint64_t now_us)
 {
     BwWorkerLoad load = {0};
 
     load.place_seen = peer->place_seen;
     load.free = s->capacity;
-    remove_room(&load.free, &s->used);
-    remove_room(&load.free, &s->queued);
-    load.queued_core_us = s->queued_core_us;
-    load.pace_permille = s->pace_permille;
+    BwRoom_Remove(&load.free, &s->used);
+    load.queued = s->queued_count;
+    load.queued_urgent = s->queued_urgent;
+    load.release_us = release_us(s, now_us);
+    load.slow_permille = slow_permille(s, now_us);
     load.failed_permille = s->failed_permille;
     return load;
 }
@@ -107,7 +125,7 @@
 {
     BwMessage message = {.kind = BW_MSG_WORKER};
     BwWorkerState *state = &message.u.worker;
-    BwWorkerLoad load = make_load(s, peer);
+    BwWorkerLoad load = make_load(s, peer, now_us);
     BwName labels[BW_LABELS_MAX];
 
     for (uint32_t i = 0; i < s->label_count; i++)
@@ -139,22 +157,21 @@
 }
 
 static void
-report(BwSupervisor *s, uint32_t peer_id, uint64_t ref, uint32_t step,
-       uint32_t index, uint32_t kind, uint32_t reason, uint64_t ran_us)
+report(BwSupervisor *s, uint64_t now_us, uint32_t peer_id, uint64_t ref,
+       uint32_t step, BwTaskOutcome *tasks, uint32_t task_count)
 {
     BwMessage message = {.kind = BW_MSG_OUTCOME};
-    BwTaskOutcome outcome = {index, kind, reason, ran_us};
     BwSupervisorPeer *peer;
     BwWorkerLoad load;
 
     HASH_FIND(hh, s->peers, &peer_id, sizeof(peer_id), peer);
-    if (peer == NULL)
+    if (peer == NULL || task_count == 0)
         return;
-    load = make_load(s, peer);
+    load = make_load(s, peer, now_us);
     message.u.outcome.ref = ref;
     message.u.outcome.step = step;
-    message.u.outcome.tasks = &outcome;
-    message.u.outcome.task_count = 1;
+    message.u.outcome.tasks = tasks;
+    message.u.outcome.task_count = task_count;
     message.u.outcome.load = &load;
     message.u.outcome.load_count = 1;
     s->port->send(s->ctx, peer_id, &message);
@@ -162,6 +179,13 @@
 
 /* -------------------------------------------------------------- seats */
 
+static void
+note_unqueued(BwSupervisor *s, const BwSeat *seat)
+{
+    s->queued_count--;
+    s->queued_urgent -= seat->priority == 0;
+}
+
 static void
 unlink_seat(BwSupervisor *s, BwSeat *seat)
 {
@@ -169,11 +193,10 @@
 
     if (seat->state == BW_SEAT_QUEUED) {
         DL_DELETE(s->queue, seat);
-        remove_room(&s->queued, &seat->room);
-        s->queued_core_us = take_away(s->queued_core_us, core_us(seat));
+        note_unqueued(s, seat);
     }
     else {
-        remove_room(&s->used, &seat->room);
+        BwRoom_Remove(&s->used, &seat->room);
     }
     HASH_DELETE(hh, s->seats, seat);
     HASH_DELETE(by_number, s->numbers, seat);
@@ -205,8 +228,8 @@
     if (kind == BW_OUTCOME_DONE) {
         uint64_t pace = ran_us * 1000 / expected;
 
-        if (pace > 20000)
-            pace = 20000;
+        if (pace > PACE_MAX_PERMILLE)
+            pace = PACE_MAX_PERMILLE;
         s->pace_permille +=
             (uint32_t)(pace >> PACE_SHIFT) - (s->pace_permille >> PACE_SHIFT);
     }
@@ -221,13 +244,14 @@
 finish_seat(BwSupervisor *s, uint64_t now_us, BwSeat *seat, uint32_t kind,
             uint32_t reason)
 {
-    uint64_t ran_us = seat->started_us != 0 ? now_us - seat->started_us : 0;
+    BwTaskOutcome outcome = {seat->key.index, kind, reason, 0};
 
+    if (seat->started_us != 0)
+        outcome.ran_us = now_us - seat->started_us;
     unlink_seat(s, seat);
-    count_outcome(s, seat, kind, ran_us);
+    count_outcome(s, seat, kind, outcome.ran_us);
     if (kind != 0 && seat->peer != 0)
-        report(s, seat->peer, seat->ref, seat->key.step, seat->key.index, kind,
-               reason, ran_us);
+        report(s, now_us, seat->peer, seat->ref, seat->key.step, &outcome, 1);
     free_seat(seat);
 }
 
@@ -271,6 +295,7 @@
 
     order.lease_ms = worker_clock(s, now_us) + s->limits.lease_us / 1000;
     extend_lease(s, now_us);
+    seat->start_ms = order.lease_ms;
     seat->started_us = now_us;
     s->counters.started++;
     s->port->start(s->ctx, seat->number, &order);
@@ -304,6 +329,17 @@
     send_stop(s, now_us, seat);
 }
 
+/* Whether the task's session and its deadline are still to end. */
+static bool
+is_in_time(const BwSupervisor *s, uint64_t now_us, const BwSeat *seat)
+{
+    const BwSupervisorPeer *peer;
+
+    HASH_FIND(hh, s->peers, &seat->peer, sizeof(seat->peer), peer);
+    return peer != NULL && now_us < peer->valid_until_us &&
+           now_us < seat->deadline_us;
+}
+
 /* Starts what fits, in the order of the queue; a smaller task may pass a
    larger one. */
 static void
@@ -315,12 +351,14 @@
         return;
     DL_FOREACH_SAFE(s->queue, seat, next)
     {
-        if (!fits(&s->used, &seat->room, &s->capacity))
+        BwRoom room = s->capacity;
+
+        BwRoom_Remove(&room, &s->used);
+        if (!BwRoom_Fits(&seat->room, &room) || !is_in_time(s, now_us, seat))
             continue;
         DL_DELETE(s->queue, seat);
-        remove_room(&s->queued, &seat->room);
-        s->queued_core_us = take_away(s->queued_core_us, core_us(seat));
-        add_room(&s->used, &seat->room);
+        note_unqueued(s, seat);
+        BwRoom_Add(&s->used, &seat->room);
         seat->state = BW_SEAT_STARTING;
         s->port->log(s->ctx, "start", seat, "room");
         send_start(s, now_us, seat);
@@ -387,47 +425,46 @@
     s->holds_in_flight = 0;
     s->due_us = 0;
     s->first_hold = s->hold_number + 1;
+    s->first_number = s->next_number + 1;
     send_hold(s, now_us, 0);
 }
 
-static void
-set_text(char *out, size_t room, BwSpan span)
-{
-    size_t size = span.size_bytes < room - 1 ? span.size_bytes : room - 1;
-
-    memcpy(out, span.base, size);
-    out[size] = '\0';
-}
-
 void
 BwSupervisor_OnBeat(BwSupervisor *s, uint64_t now_us, const BwWorkerBeat *beat)
 {
     bool was_leaving = s->is_worker_leaving;
     char instance[BW_NAME_BYTES_MAX];
+    bool is_same;
 
-    set_text(instance, sizeof(instance), beat->instance);
-    if (strcmp(instance, s->former) == 0)
+    BwSpan_ToString(beat->instance, instance, sizeof(instance));
+    is_same = strcmp(instance, s->instance) == 0;
+    if (strcmp(instance, s->former) == 0 || (beat->is_gone && !is_same))
         return;
-    if (strcmp(instance, s->instance) == 0 &&
-        beat->sequence < s->beat_sequence && !beat->is_gone)
+    if (is_same && beat->sequence < s->beat_sequence && !beat->is_gone)
         return;
+    if (!is_same && HASH_COUNT(s->seats) > 0) {
+        if (s->holds_in_flight < HOLDS_MAX)
+            send_hold(s, now_us, 0);
+        return;
+    }
     s->beat_us = now_us;
     s->beat_sequence = beat->sequence;
     if (beat->is_gone) {
-        if (strcmp(instance, s->instance) == 0)
-            s->is_worker_leaving = true;
+        s->is_worker_leaving = true;
+        s->beat_sequence = UINT64_MAX;
     }
     else {
         s->is_worker_leaving = beat->is_leaving;
-        set_text(s->service, sizeof(s->service), beat->service);
-        set_text(s->domain, sizeof(s->domain), beat->domain);
+        BwSpan_ToString(beat->service, s->service, sizeof(s->service));
+        BwSpan_ToString(beat->domain, s->domain, sizeof(s->domain));
         if (beat->has_capacity)
             s->capacity = beat->capacity;
         s->label_count = beat->label_count;
         for (uint32_t i = 0; i < beat->label_count; i++)
-            set_text(s->labels[i], BW_NAME_BYTES_MAX, beat->labels[i]);
-        if (strcmp(instance, s->instance) != 0) {
-            strcpy(s->former, s->instance);
+            BwSpan_ToString(beat->labels[i], s->labels[i], BW_NAME_BYTES_MAX);
+        if (!is_same || s->phase == BW_WORKER_NONE) {
+            if (!is_same)
+                strcpy(s->former, s->instance);
             strcpy(s->instance, instance);
             s->clock_ms = beat->clock_ms;
             s->clock_read_us = now_us;
@@ -456,25 +493,20 @@
             answer->clock_ms > s->fence ? answer->clock_ms : s->fence + 1;
 }
 
-/* The worker at the address is not the one that is meant. */
+/* The worker at the address is not the one that is meant: the next
+   announcement says which one it is. */
 static void
 on_other_instance(BwSupervisor *s, uint64_t now_us)
 {
-    if (s->phase == BW_WORKER_CLEARING && s->former[0] != '\0') {
-        char name[BW_NAME_BYTES_MAX];
+    bool was_ready = s->phase == BW_WORKER_READY;
 
-        strcpy(name, s->instance);
-        strcpy(s->instance, s->former);
-        strcpy(s->former, name);
-        clear_worker(s, now_us);
+    s->phase = BW_WORKER_NONE;
+    s->former[0] = '\0';
+    if (!was_ready)
         return;
-    }
-    if (s->phase == BW_WORKER_READY) {
-        s->phase = BW_WORKER_NONE;
-        lose_all(s, now_us, "the worker was replaced");
-        decline_queue(s, now_us, BW_DECLINE_LEAVING);
-        tell_all(s, now_us);
-    }
+    lose_all(s, now_us, "the worker was replaced");
+    decline_queue(s, now_us, BW_DECLINE_LEAVING);
+    tell_all(s, now_us);
 }
 
 static BwSeat *
@@ -493,7 +525,7 @@
     BwSeat *seat;
 
     memset(&key, 0, sizeof(key));
-    set_text(key.job, sizeof(key.job), task->job);
+    BwSpan_ToString(task->job, key.job, sizeof(key.job));
     key.step = task->step;
     key.index = task->index;
     HASH_FIND(hh, s->seats, &key, sizeof(key), seat);
@@ -502,14 +534,28 @@
     return seat;
 }
 
+/* Seats are numbered upwards, so the first step passes every run of the task
+   that this process has started; a predecessor's may be higher. */
+static void
+raise_run(BwSeat *seat)
+{
+    uint64_t run = seat->number * RUNS_PER_SEAT;
+
+    if (seat->run < run && run < UINT32_MAX / 2)
+        seat->run = (uint32_t)run;
+    else
+        seat->run += RUN_STEP << seat->tries;
+}
+
 static void
 on_refused_start(BwSupervisor *s, uint64_t now_us, BwSeat *seat,
                  BwWorkerVerdict verdict)
 {
     if ((verdict == BW_WORKER_FENCED || verdict == BW_WORKER_OLD_RUN) &&
-        ++seat->tries < TRIES_MAX && seat->state == BW_SEAT_STARTING) {
+        ++seat->tries < TRIES_MAX && seat->state == BW_SEAT_STARTING &&
+        is_usable(s, now_us) && is_in_time(s, now_us, seat)) {
         if (verdict == BW_WORKER_OLD_RUN)
-            seat->run += RUN_STEP << seat->tries;
+            raise_run(seat);
         send_start(s, now_us, seat);
         return;
     }
@@ -518,10 +564,9 @@
         return;
     }
     s->port->log(s->ctx, "refused", seat, "by the worker");
-    finish_seat(
-        s, now_us, seat,
-        verdict == BW_WORKER_BAD ? BW_OUTCOME_FAILED : BW_OUTCOME_NOT_RUN,
-        verdict == BW_WORKER_LATE ? BW_DECLINE_LATE : BW_DECLINE_REFUSED);
+    finish_seat(s, now_us, seat, BW_OUTCOME_NOT_RUN,
+                verdict == BW_WORKER_LATE ? BW_DECLINE_LATE
+                                          : BW_DECLINE_REFUSED);
 }
 
 void
@@ -530,6 +575,8 @@
 {
     BwSeat *seat = find_number(s, number);
 
+    if (number < s->first_number)
+        return;
     take_clock(s, now_us, answer);
     if (answer->verdict == BW_WORKER_OTHER) {
         on_other_instance(s, now_us);
@@ -563,6 +610,8 @@
 {
     BwSeat *seat = find_number(s, number);
 
+    if (number < s->first_number)
+        return;
     take_clock(s, now_us, answer);
     if (answer->verdict == BW_WORKER_OTHER) {
         on_other_instance(s, now_us);
@@ -636,9 +685,11 @@
 }
 
 /* Seats that a look does not list although it was sent after they were known
-   to be there, or after their stop has taken effect. */
+   to be there, or after their stop has taken effect, or was made when their
+   start, which nobody confirmed, could no longer be carried out. */
 static void
-take_absent(BwSupervisor *s, uint64_t now_us, uint64_t sent_us)
+take_absent(BwSupervisor *s, uint64_t now_us, uint64_t sent_us,
+            uint64_t clock_ms)
 {
     BwSeat *seat, *next;
 
@@ -646,8 +697,10 @@
     {
         if (!is_on_worker(seat) || seat->listed_us == sent_us)
             continue;
-        if (seat->state == BW_SEAT_STOPPING && seat->stopped_us != 0 &&
-            sent_us >= seat->stopped_us + STOP_SETTLES_US)
+        if (seat->state == BW_SEAT_STOPPING &&
+            ((seat->stopped_us != 0 &&
+              sent_us >= seat->stopped_us + STOP_SETTLES_US) ||
+             (!seat->is_confirmed && clock_ms > seat->start_ms)))
             finish_seat(s, now_us, seat, seat->outcome, seat->reason);
         else if (seat->state == BW_SEAT_RUNNING && seat->listed_us != 0 &&
                  sent_us > seat->listed_us + STOP_SETTLES_US)
@@ -658,7 +711,6 @@
 static void
 take_cleared(BwSupervisor *s, uint64_t now_us, const BwWorkerAnswer *answer)
 {
-    lose_all(s, now_us, "the worker was replaced or taken over");
     for (uint32_t i = 0; i < answer->running_count; i++)
         stop_stranger(s, &answer->running[i]);
     for (uint32_t i = 0; i < answer->ended_count; i++) {
@@ -680,7 +732,8 @@
     if (s->holds_in_flight > 0)
         s->holds_in_flight--;
     take_clock(s, now_us, answer);
-    if (answer->verdict != BW_WORKER_NO_ANSWER)
+    if (answer->verdict != BW_WORKER_NO_ANSWER &&
+        answer->verdict != BW_WORKER_UNHEALTHY)
         s->due_us = s->holds_in_flight == 0
                         ? 0
                         : now_us + s->limits.hold_us + s->limits.answer_us;
@@ -696,7 +749,7 @@
     }
     take_running(s, sent_us, answer);
     take_ends(s, now_us, answer);
-    take_absent(s, now_us, sent_us);
+    take_absent(s, now_us, sent_us, answer->clock_ms);
     start_queued(s, now_us);
     BwSupervisor_Tick(s, now_us);
 }
@@ -799,8 +852,6 @@
             const BwSupervisorPeer *peer, const BwPlace *place,
             uint32_t spread)
 {
-    BwRoom none = {0};
-
     if (s->is_leaving || s->is_worker_leaving || !is_usable(s, now_us))
         return BW_DECLINE_LEAVING;
     if (now_us >= peer->valid_until_us)
@@ -808,7 +859,7 @@
     if (!BwSpan_Equal(place->service, BwSpan_FromString(s->service)))
         return BW_DECLINE_NO_SERVICE;
     if (!has_label(s, place->requirement) ||
-        !fits(&none, &place->room, &s->capacity) ||
+        !BwRoom_Fits(&place->room, &s->capacity) ||
         (place->spread_max > 0 && spread >= place->spread_max))
         return BW_DECLINE_UNSUITED;
     if (HASH_COUNT(s->seats) >= BW_SUPERVISOR_TASKS_MAX)
@@ -823,7 +874,7 @@
 
     if (seat == NULL)
         return NULL;
-    set_text(seat->key.job, sizeof(seat->key.job), place->job);
+    BwSpan_ToString(place->job, seat->key.job, sizeof(seat->key.job));
     seat->key.step = place->step;
     seat->key.index = index;
     seat->ref = place->ref;
@@ -832,6 +883,7 @@
     seat->run = 1;
     seat->expected_us = place->expected_us;
     seat->due_us = now_us + place->due_in_us;
+    seat->patience_us = now_us + place->wait_us;
     seat->deadline_us = now_us + place->deadline_in_us;
     return seat;
 }
@@ -858,22 +910,45 @@
     HASH_ADD(hh, s->seats, key, sizeof(seat->key), seat);
     HASH_ADD(by_number, s->numbers, number, sizeof(seat->number), seat);
     DL_INSERT_INORDER(s->queue, seat, compare_seats);
-    add_room(&s->queued, &seat->room);
-    s->queued_core_us += core_us(seat);
+    s->queued_count++;
+    s->queued_urgent += seat->priority == 0;
     peer->seat_count++;
     return 0;
 }
 
+/* Takes back the tasks from seat number `first` on that found no room.
+   Returns how many. */
+static uint32_t
+take_back(BwSupervisor *s, uint64_t first, BwTaskOutcome *declined)
+{
+    BwSeat *seat, *next;
+    uint32_t count = 0;
+
+    DL_FOREACH_SAFE(s->queue, seat, next)
+    {
+        if (seat->number < first)
+            continue;
+        declined[count].index = seat->key.index;
+        declined[count].kind = BW_OUTCOME_NOT_RUN;
+        declined[count++].reason = BW_DECLINE_BUSY;
+        unlink_seat(s, seat);
+        free_seat(seat);
+    }
+    return count;
+}
+
 static void
 on_place(BwSupervisor *s, uint64_t now_us, BwSupervisorPeer *peer,
          const BwPlace *place)
 {
     BwSeatText *text = malloc(sizeof(*text) + place->spec.size_bytes);
-    uint32_t spread = 0;
+    BwTaskOutcome *declined = calloc(place->task_count + 1, sizeof(*declined));
+    uint64_t first = s->next_number + 1;
+    uint32_t spread = 0, count = 0;
 
     peer->place_seen = place->number;
-    if (text == NULL)
-        return;
+    if (text == NULL || declined == NULL)
+        goto cleanup;
     text->references = 1;
     text->spec_bytes = place->spec.size_bytes;
     memcpy(text->spec, place->spec.base, place->spec.size_bytes);
@@ -886,15 +961,23 @@
         if (reason == 0)
             reason = queue_task(s, now_us, peer, place, index, text);
         if (reason != 0) {
-            s->counters.declined++;
-            report(s, peer->peer, place->ref, place->step, index,
-                   BW_OUTCOME_NOT_RUN, reason, 0);
+            declined[count].index = index;
+            declined[count].kind = BW_OUTCOME_NOT_RUN;
+            declined[count++].reason = reason;
         }
         spread++;
     }
+    start_queued(s, now_us);
+    if (place->wait_us == 0 && count < place->task_count)
+        count += take_back(s, first, declined + count);
+    s->counters.declined += count;
+    report(s, now_us, peer->peer, place->ref, place->step, declined, count);
     if (--text->references == 0)
         free(text);
-    start_queued(s, now_us);
+    text = NULL;
+cleanup:
+    free(text);
+    free(declined);
 }
 
 static void
@@ -950,7 +1033,7 @@
         if (now_us - peer->asked_us >=
             s->limits.session_us / SESSION_RENEWALS) {
             BwMessage message = {.kind = BW_MSG_SESSION};
-            BwWorkerLoad load = make_load(s, peer);
+            BwWorkerLoad load = make_load(s, peer, now_us);
 
             peer->asked_us = now_us;
             message.u.session.asked_us = now_us;
@@ -976,6 +1059,10 @@
             if (!seat->is_stop_in_flight && seat->stopped_us == 0)
                 send_stop(s, now_us, seat);
         }
+        else if (seat->state == BW_SEAT_QUEUED &&
+                 now_us >= seat->patience_us) {
+            finish_seat(s, now_us, seat, BW_OUTCOME_NOT_RUN, BW_DECLINE_BUSY);
+        }
         else if (now_us >= seat->deadline_us) {
             end_seat(s, now_us, seat,
                      is_on_worker(seat) ? BW_OUTCOME_LOST : BW_OUTCOME_NOT_RUN,
@@ -989,6 +1076,7 @@
 {
     uint64_t age_us = now_us - s->hold_sent_us;
     bool is_idle = HASH_COUNT(s->seats) == 0;
+    uint64_t wait_us = is_idle ? IDLE_HOLD_US : s->limits.hold_us;
 
     if (s->phase == BW_WORKER_NONE)
         return;
@@ -998,8 +1086,12 @@
             send_hold(s, now_us, 0);
         return;
     }
-    if (s->holds_in_flight == 0)
-        send_hold(s, now_us, is_idle ? IDLE_HOLD_US : s->limits.hold_us);
+    if (!is_responsive(s, now_us))
+        wait_us = 0;
+    if (s->holds_in_flight == 0) {
+        if (s->due_us == 0 || age_us >= CLEARING_HOLD_US)
+            send_hold(s, now_us, wait_us);
+    }
     else if (!is_idle && s->holds_in_flight < HOLDS_MAX &&
              age_us > s->limits.hold_us + s->limits.answer_us / 2)
         send_hold(s, now_us, s->limits.hold_us);
@@ -1011,6 +1103,8 @@
     if (now_us >= s->lease_end_us && s->lease_end_us != 0) {
         s->lease_end_us = 0;
         lose_all(s, now_us, "the lease ran out");
+        if (!is_responsive(s, now_us))
+            decline_queue(s, now_us, BW_DECLINE_LEAVING);
     }
     tick_seats(s, now_us);
     tick_sessions(s, now_us);
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -62,11 +62,14 @@
     uint64_t number; /* of this seat, never used again */
     uint64_t expected_us;
     uint64_t due_us;
+    uint64_t patience_us; /* it is declined when it has no room by then */
     uint64_t deadline_us;
     uint64_t started_us;
     uint64_t stop_sent_us;
     uint64_t stopped_us; /* when the worker acknowledged the stop; 0 */
     uint64_t listed_us;  /* when the last look that listed it was sent */
+    uint64_t start_ms;   /* a start that comes later, on the worker's clock, is
+                            refused there */
     uint32_t outcome;    /* BwOutcomeKind to report at the end; 0: none */
     uint32_t reason;
     bool is_confirmed; /* the worker has listed it or said yes */
@@ -116,7 +119,7 @@
 } BwSupervisorCounters;
 
 typedef enum BwWorkerPhase {
-    BW_WORKER_NONE,     /* none has announced itself */
+    BW_WORKER_NONE,     /* none has announced itself, or it is gone */
     BW_WORKER_CLEARING, /* what it ran before is being stopped */
     BW_WORKER_READY,
 } BwWorkerPhase;
@@ -149,17 +152,18 @@
     uint64_t hold_number;
     uint64_t hold_sent_us;
     uint32_t holds_in_flight;
-    uint64_t first_hold; /* number of the first one to this instance */
-    uint64_t due_us;     /* an answer is overdue from then on; 0: none is */
+    uint64_t first_hold;   /* number of the first one to this instance */
+    uint64_t first_number; /* of the first other order to it */
+    uint64_t due_us;       /* an answer is overdue from then on; 0: none is */
 
     uint64_t next_number;
     BwSeat *seats;   /* hash by key */
     BwSeat *numbers; /* hash by number */
     BwSeat *queue;   /* list by priority and due time */
     BwSupervisorPeer *peers;
-    BwRoom queued;
-    uint64_t queued_core_us;
-    uint32_t pace_permille;
+    uint32_t queued_count;
+    uint32_t queued_urgent; /* of priority 0 */
+    uint32_t pace_permille; /* run times of the last few tasks */
     uint32_t failed_permille;
     uint32_t orphan_count; /* seats whose dispatcher is gone */
     bool was_usable;       /* as last told */
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -130,11 +130,12 @@
 static BwWorkerLoad
 load_of(uint64_t seen, uint64_t free_milli)
 {
-    BwWorkerLoad load = {.place_seen = seen, .pace_permille = 1000};
+    BwWorkerLoad load = {.place_seen = seen, .slow_permille = 1000};
 
     load.free.cpu_milli = free_milli;
     load.free.mem_mb = free_milli;
     load.free.gpu = 1;
+    load.release_us = SECOND_US / 4;
     return load;
 }
 
--- a/tests/test_schedules.c
+++ b/tests/test_schedules.c
@@ -527,12 +527,13 @@
     BwMessage message = {.kind = mail->kind};
     BwTaskOutcome outcome = {mail->index[0], mail->outcome, 0, 50 * MS};
     BwWorkerLoad load = {.place_seen = mail->place_seen,
-                         .pace_permille = 1000};
+                         .slow_permille = 1000};
     BwName label = {BwSpan_FromString(s->label)};
     Job *job;
 
     load.free.cpu_milli = mail->free_milli;
     load.free.mem_mb = CORES_MILLI;
+    load.release_us = 100 * MS;
     if (mail->kind == BW_MSG_WORKER) {
         BwWorkerState *state = &message.u.worker;
 
@@ -754,7 +755,7 @@
         for (uint32_t i = 0; i < view->in_flight_count; i++) {
             g_assert_cmpuint(view->in_flight[i].room.cpu_milli, ==, 0);
             g_assert_cmpuint(view->in_flight[i].room.mem_mb, ==, 0);
-            g_assert_cmpuint(view->in_flight[i].core_us, ==, 0);
+            g_assert_cmpuint(view->in_flight[i].task_count, ==, 0);
         }
         g_assert_cmpuint(view->free.cpu_milli, ==, CORES_MILLI);
     }
