Refuse names of jobs that no call could carry

A name that is not plain text went to the supervisor, whose driver can't write a call with it, so the task held its room without a start. The dispatcher refuses it.

/dispatcher/names failed before (the job was taken).

--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -733,6 +733,17 @@
     return job;
 }
 
+/* Calls to workers carry the name as text. */
+static bool
+is_name(BwSpan name)
+{
+    for (uint32_t i = 0; i < name.size_bytes; i++) {
+        if (name.base[i] <= ' ' || name.base[i] > '~')
+            return false;
+    }
+    return name.size_bytes > 0 && name.size_bytes < BW_NAME_BYTES_MAX;
+}
+
 uint64_t
 BwDispatcher_Submit(BwDispatcher *d, uint64_t now_us, BwSpan name,
                     const BwBoundRequest *request, const BwRoute *route,
@@ -743,8 +754,7 @@
     uint64_t ref;
 
     d->counters.submitted++;
-    if (twin == NULL && name.size_bytes < BW_NAME_BYTES_MAX &&
-        HASH_COUNT(d->jobs) < d->limits.jobs)
+    if (twin == NULL && is_name(name) && HASH_COUNT(d->jobs) < d->limits.jobs)
         job = make_job(d, now_us, name, request, route, deadline_us, data);
     if (job == NULL) {
         d->counters.refused++;
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -596,6 +596,25 @@
     tear_down(&f);
 }
 
+/* Workers are told the name as text. */
+static void
+test_names(void)
+{
+    static const char *const bad[] = {"",      "a b",      "a\nb",
+                                      "a\x7f", "\xff\xfe", "\xc3\xa4"};
+    Fixture f;
+    BwBoundStep step = step_of(1, 100);
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    for (uint32_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        g_assert_cmpuint(submit_named(&f, bad[i], &step, 1), ==, 0);
+        assert_answer(&f, i, BW_BOUND_REFUSED);
+    }
+    g_assert_cmpuint(submit_named(&f, "5c0e.a-b_\"~", &step, 1), !=, 0);
+    tear_down(&f);
+}
+
 static void
 test_jobs_max(void)
 {
@@ -1061,6 +1080,7 @@
     ADD(no_deadline);
     ADD(end_all);
     ADD(twin);
+    ADD(names);
     ADD(jobs_max);
     ADD(failed);
     ADD(failed_stops_others);
