--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -33,6 +33,7 @@
 #define FAR_PERMILLE 1500
 #define CROWDED_PERMILLE 100
 #define RETRY_AFTER_MS 1000
+#define DECLARED_MAX_US 86400000000ull /* sums of more could overflow */
 #define URGENT_LIMIT_PERMILLE 1200
 #define LIMIT_PERMILLE 850
 #define NEVER UINT64_MAX
@@ -254,15 +255,21 @@
 
 /* ---------------------------------------------------------- placement */
 
-static uint32_t
-count_there(const BwBoundJob *job, const BwView *view, uint32_t step)
+/* Counts the step's tasks at each view. */
+static void
+count_there(BwDispatcher *d, const BwBoundJob *job, uint32_t step)
 {
-    uint32_t count = 0;
+    if (job->steps[step].spread_max == 0)
+        return;
+    for (BwView *view = d->views; view != NULL; view = view->hh.next)
+        view->there = 0;
+    for (uint32_t i = 0; i < job->piece_count; i++) {
+        const BwPiece *piece = &job->pieces[i];
 
-    for (uint32_t i = 0; i < job->piece_count; i++)
-        count += job->pieces[i].view == view && job->pieces[i].step == step &&
-                 job->pieces[i].state == BW_PIECE_PLACED;
-    return count;
+        if (piece->view != NULL && piece->step == step &&
+            piece->state != BW_PIECE_DONE)
+            piece->view->there++;
+    }
 }
 
 static uint64_t
@@ -288,9 +295,8 @@
     return view_takes(view, now_us) &&
            strcmp(view->service, job->service) == 0 &&
            BwRoom_Fits(&step->room, &view->capacity) &&
-           view_has_label(view, step->requirement) && piece->avoid != view &&
-           (step->spread_max == 0 ||
-            count_there(job, view, piece->step) < step->spread_max);
+           view_has_label(view, step->requirement) &&
+           (step->spread_max == 0 || view->there < step->spread_max);
 }
 
 static Foresight
@@ -322,25 +328,36 @@
 }
 
 /* Picks the view that ends the task first, or NULL when none ends it by
-   `limit_us`. */
+   `limit_us`.  The one to avoid is taken when there is no other. */
 static BwView *
 pick_view(BwDispatcher *d, const BwBoundJob *job, BwPiece *piece,
           uint64_t run_us, uint64_t now_us, uint64_t limit_us)
 {
-    BwView *best = NULL;
-    Foresight least = {0, NEVER, NEVER};
+    BwView *best = NULL, *last = NULL;
+    Foresight least = {0, NEVER, NEVER}, last_least = {0, NEVER, NEVER};
 
     for (BwView *view = d->views; view != NULL; view = view->hh.next) {
         Foresight foresight = foresee(job, piece, view, run_us, now_us);
 
         /* Room that is free is given: only waiting keeps others waiting. */
-        if (foresight.end_us >
-                (foresight.wait_us == 0 ? job->deadline_us : limit_us) ||
-            foresight.cost_us >= least.cost_us)
+        if (foresight.end_us == NEVER ||
+            foresight.end_us >
+                (foresight.wait_us == 0 ? job->deadline_us : limit_us))
+            continue;
+        if (view == piece->avoid) {
+            last = view;
+            last_least = foresight;
+            continue;
+        }
+        if (foresight.cost_us >= least.cost_us)
             continue;
         best = view;
         least = foresight;
     }
+    if (best == NULL) {
+        best = last;
+        least = last_least;
+    }
     piece->wait_us = least.wait_us;
     if (least.wait_us > 0 || piece->moves >= BOUNCES_MAX)
         piece->wait_us = 2 * least.wait_us + PATIENCE_US;
@@ -406,6 +423,8 @@
         tasks[count++].index = piece->index;
     }
     place->number = ++view->place_number;
+    /* One account serves all steps that were assigned together. */
+    view->in_flight[view->in_flight_count - 1].number = place->number;
     place->ref = job->ref;
     place->job = BwSpan_FromString(job->name);
     place->spec.base = job->spec;
@@ -428,74 +447,110 @@
     free(tasks);
 }
 
-/* Assigns every waiting piece of the step.  Returns false, with nothing
-   changed, when one cannot end by the limit. */
+static uint64_t
+step_run_us(BwDispatcher *d, const BwBoundJob *job, uint32_t step)
+{
+    return expected_us(d, job->route, job->steps[step].declared_us);
+}
+
+static bool
+is_assigned(const BwPiece *piece, uint32_t step)
+{
+    return piece->step == step && piece->state == BW_PIECE_WAITING &&
+           piece->view != NULL;
+}
+
+/* Assigns every waiting piece of the step and counts them.  Returns false when
+   one cannot end by the limit. */
 static bool
 assign_step(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, uint32_t step,
-            uint64_t run_us, uint64_t limit_us)
+            uint64_t limit_us, uint32_t *count)
 {
     const BwRoom *room = &job->steps[step].room;
-    uint32_t i;
+    uint64_t run_us = step_run_us(d, job, step);
 
-    for (i = 0; i < job->piece_count; i++) {
+    *count = 0;
+    count_there(d, job, step);
+    for (uint32_t i = 0; i < job->piece_count; i++) {
         BwPiece *piece = &job->pieces[i];
 
         if (piece->step != step || piece->state != BW_PIECE_WAITING)
             continue;
         piece->view = pick_view(d, job, piece, run_us, now_us, limit_us);
         if (piece->view == NULL)
-            break;
+            return false;
         reserve(piece->view, room);
+        piece->view->there++;
+        ++*count;
     }
-    if (i == job->piece_count)
-        return true;
-    while (i-- > 0) {
+    return true;
+}
+
+/* Takes back what was assigned and not sent. */
+static void
+unassign(BwBoundJob *job)
+{
+    for (uint32_t i = 0; i < job->piece_count; i++) {
         BwPiece *piece = &job->pieces[i];
+        const BwRoom *room = &job->steps[piece->step].room;
 
-        if (piece->step != step || piece->state != BW_PIECE_WAITING)
+        if (!is_assigned(piece, piece->step))
             continue;
         unreserve(piece->view, room);
         piece->view = NULL;
     }
-    return false;
 }
 
-static bool
-place_step(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, uint32_t step,
-           uint64_t limit_us)
+static void
+send_step(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, uint32_t step)
 {
-    uint64_t run_us = expected_us(d, job->route, job->steps[step].declared_us);
-
-    if (!assign_step(d, now_us, job, step, run_us, limit_us))
-        return false;
     for (BwView *view = d->views; view != NULL; view = view->hh.next) {
-        bool is_used = false;
-
-        for (uint32_t i = 0; i < job->piece_count && !is_used; i++)
-            is_used = job->pieces[i].view == view &&
-                      job->pieces[i].step == step &&
-                      job->pieces[i].state == BW_PIECE_WAITING;
-        if (is_used)
-            send_place(d, now_us, job, view, step, run_us);
+        for (uint32_t i = 0; i < job->piece_count; i++) {
+            if (is_assigned(&job->pieces[i], step) &&
+                job->pieces[i].view == view) {
+                send_place(d, now_us, job, view, step,
+                           step_run_us(d, job, step));
+                break;
+            }
+        }
     }
-    return true;
 }
 
-/* Places what waits and may start.  Returns false when a task cannot end by
-   the limit. */
+/* Places all that waits and may start.  Returns false, with nothing sent,
+   when a task cannot end by the limit. */
 static bool
 place_open(BwDispatcher *d, uint64_t now_us, BwBoundJob *job,
            uint64_t limit_us)
 {
+    uint32_t counts[BW_STEPS_MAX] = {0};
+
     for (uint32_t step = 0; step < job->step_count; step++) {
-        bool is_waiting = false;
+        if (job->left[step] > 0 && is_step_open(job, step) &&
+            !assign_step(d, now_us, job, step, limit_us, &counts[step])) {
+            unassign(job);
+            return false;
+        }
+    }
+    for (uint32_t step = 0; step < job->step_count; step++) {
+        if (counts[step] > 0)
+            send_step(d, now_us, job, step);
+    }
+    return true;
+}
+
+/* Whether some worker could run a task of each step. */
+static bool
+is_runnable(BwDispatcher *d, const BwBoundJob *job, uint64_t now_us)
+{
+    uint32_t first = 0;
 
-        for (uint32_t i = 0; i < job->piece_count && !is_waiting; i++)
-            is_waiting = job->pieces[i].step == step &&
-                         job->pieces[i].state == BW_PIECE_WAITING;
-        if (is_waiting && is_step_open(job, step) &&
-            !place_step(d, now_us, job, step, limit_us))
+    for (uint32_t step = 0; step < job->step_count; step++) {
+        count_there(d, job, step);
+        if (job->left[step] > 0 &&
+            pick_view(d, job, &job->pieces[first], step_run_us(d, job, step),
+                      now_us, NEVER) == NULL)
             return false;
+        first += job->left[step];
     }
     return true;
 }
@@ -570,13 +625,14 @@
 }
 
 static BwPiece *
-find_piece(BwBoundJob *job, const BwView *view, uint32_t index)
+find_piece(BwBoundJob *job, const BwView *view, uint32_t step, uint32_t index)
 {
     for (uint32_t i = 0; i < job->piece_count; i++) {
         BwPiece *piece = &job->pieces[i];
 
-        if (piece->index == index && piece->view == view &&
-            piece->state == BW_PIECE_PLACED && piece->link == view->link)
+        if (piece->step == step && piece->index == index &&
+            piece->view == view && piece->state == BW_PIECE_PLACED &&
+            piece->link == view->link)
             return piece;
     }
     return NULL;
@@ -603,6 +659,7 @@
     note_failure(d, now_us, piece->view);
     piece->state = BW_PIECE_WAITING;
     piece->avoid = piece->view;
+    piece->view = NULL;
     if (!is_suspect)
         piece->failures++;
     else
@@ -617,6 +674,7 @@
 {
     piece->state = BW_PIECE_WAITING;
     piece->avoid = reason == BW_DECLINE_BUSY ? NULL : piece->view;
+    piece->view = NULL;
     d->counters.bounced += kind == BW_OUTCOME_NOT_RUN;
     d->counters.lost += kind == BW_OUTCOME_LOST;
     return ++piece->moves < MOVES_MAX ? BW_BOUND_COMPLETED : BW_BOUND_EXPIRED;
@@ -635,16 +693,19 @@
     for (uint32_t i = 0; i < outcome->task_count && end == BW_BOUND_COMPLETED;
          i++) {
         const BwTaskOutcome *task = &outcome->tasks[i];
-        BwPiece *piece = find_piece(job, view, task->index);
+        BwPiece *piece = find_piece(job, view, outcome->step, task->index);
 
         if (piece == NULL)
             continue;
-        if (task->kind == BW_OUTCOME_DONE)
+        if (task->kind == BW_OUTCOME_DONE) {
             on_done(d, job, piece, task->ran_us);
-        else if (task->kind == BW_OUTCOME_FAILED)
+        }
+        else if (task->kind == BW_OUTCOME_FAILED) {
             end = on_failed(d, now_us, job, piece);
-        else
+        }
+        else {
             end = on_moved(d, piece, task->kind, task->reason);
+        }
     }
     if (end != BW_BOUND_COMPLETED)
         end_job(d, job, end,
@@ -693,6 +754,8 @@
             at = copy_label(at, &step->requirement);
         if (step->affinity.size_bytes > 0)
             at = copy_label(at, &step->affinity);
+        if (step->declared_us > DECLARED_MAX_US)
+            step->declared_us = DECLARED_MAX_US;
         job->left[i] = step->task_count;
         for (uint32_t j = 0; j < step->task_count; j++) {
             job->pieces[next].step = i;
@@ -742,7 +805,8 @@
     job->data = data;
     job->spec_bytes = request->spec.size_bytes;
     job->spec = malloc(request->spec.size_bytes + 1);
-    if (job->spec == NULL || !copy_steps(job, request)) {
+    if (job->spec == NULL || !copy_steps(job, request) ||
+        job->piece_count == 0) {
         free_job(job);
         return NULL;
     }
@@ -754,6 +818,17 @@
     return job;
 }
 
+/* Calls to workers carry the name as text. */
+static bool
+is_name(BwSpan name)
+{
+    for (uint32_t i = 0; i < name.size_bytes; i++) {
+        if (name.base[i] <= ' ' || name.base[i] > '~')
+            return false;
+    }
+    return name.size_bytes > 0 && name.size_bytes < BW_NAME_BYTES_MAX;
+}
+
 uint64_t
 BwDispatcher_Submit(BwDispatcher *d, uint64_t now_us, BwSpan name,
                     const BwBoundRequest *request, const BwRoute *route,
@@ -764,8 +839,7 @@
     uint64_t ref;
 
     d->counters.submitted++;
-    if (twin == NULL && request->step_count > 0 &&
-        HASH_COUNT(d->jobs) < d->limits.jobs)
+    if (twin == NULL && is_name(name) && HASH_COUNT(d->jobs) < d->limits.jobs)
         job = make_job(d, now_us, name, request, route, deadline_us, data);
     if (job == NULL) {
         d->counters.refused++;
@@ -775,7 +849,8 @@
     ref = job->ref;
     HASH_ADD(hh, d->jobs, ref, sizeof(job->ref), job);
     HASH_ADD_KEYPTR(by_name, d->names, job->name, strlen(job->name), job);
-    if (!place_open(d, now_us, job, limit_of(job))) {
+    if (!is_runnable(d, job, now_us) ||
+        !place_open(d, now_us, job, limit_of(job))) {
         end_job(d, job, BW_BOUND_EXPIRED, "no worker can end it in time");
         return 0;
     }
@@ -858,13 +933,16 @@
 {
     uint64_t session_us = view->answered_us + d->limits.session_us;
     uint64_t from_us = session_us > now_us ? session_us : now_us;
+    uint64_t gone_us = from_us + GONE_MARGIN_US +
+                       d->limits.lease_us * LEASE_DRIFT_PERMILLE / 1000;
     BwBoundJob *job, *next;
 
     view->peer = 0;
     view->is_usable = false;
     view->in_flight_count = 0;
-    view->gone_us = from_us + GONE_MARGIN_US +
-                    d->limits.lease_us * LEASE_DRIFT_PERMILLE / 1000;
+    /* An earlier connection may have left tasks that end later. */
+    if (gone_us > view->gone_us)
+        view->gone_us = gone_us;
     HASH_ITER(hh, d->jobs, job, next)
     {
         bool is_late = false;
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -159,7 +159,7 @@
 
 static void
 report(BwSupervisor *s, uint64_t now_us, uint32_t peer_id, uint64_t ref,
-       BwTaskOutcome *tasks, uint32_t task_count)
+       uint32_t step, BwTaskOutcome *tasks, uint32_t task_count)
 {
     BwMessage message = {.kind = BW_MSG_OUTCOME};
     BwSupervisorPeer *peer;
@@ -170,6 +170,7 @@
         return;
     load = make_load(s, peer, now_us);
     message.u.outcome.ref = ref;
+    message.u.outcome.step = step;
     message.u.outcome.tasks = tasks;
     message.u.outcome.task_count = task_count;
     message.u.outcome.load = &load;
@@ -251,7 +252,7 @@
     unlink_seat(s, seat);
     count_outcome(s, seat, kind, outcome.ran_us);
     if (kind != 0 && seat->peer != 0)
-        report(s, now_us, seat->peer, seat->ref, &outcome, 1);
+        report(s, now_us, seat->peer, seat->ref, seat->key.step, &outcome, 1);
     free_seat(seat);
 }
 
@@ -984,7 +985,7 @@
     if (place->wait_us == 0 && count < place->task_count)
         count += take_back(s, first, declined + count);
     s->counters.declined += count;
-    report(s, now_us, peer->peer, place->ref, declined, count);
+    report(s, now_us, peer->peer, place->ref, place->step, declined, count);
     if (--text->references == 0)
         free(text);
     text = NULL;
