--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -26,6 +26,7 @@
 #define CLOCK_STALE_US 1500000 /* of the worker */
 #define STOP_SETTLES_US 60000  /* a stop takes effect within */
 #define HOLDS_MAX 3
+#define LOOKS_MAX 6       /* at once, with those after a stop */
 #define RUNS_PER_SEAT 512 /* more than the steps of all tries */
 #define TRIES_MAX 4
 #define RUN_STEP 16
@@ -158,7 +159,7 @@
 
 static void
 report(BwSupervisor *s, uint64_t now_us, uint32_t peer_id, uint64_t ref,
-       BwTaskOutcome *tasks, uint32_t task_count)
+       uint32_t step, BwTaskOutcome *tasks, uint32_t task_count)
 {
     BwMessage message = {.kind = BW_MSG_OUTCOME};
     BwSupervisorPeer *peer;
@@ -169,6 +170,7 @@
         return;
     load = make_load(s, peer, now_us);
     message.u.outcome.ref = ref;
+    message.u.outcome.step = step;
     message.u.outcome.tasks = tasks;
     message.u.outcome.task_count = task_count;
     message.u.outcome.load = &load;
@@ -250,7 +252,7 @@
     unlink_seat(s, seat);
     count_outcome(s, seat, kind, outcome.ran_us);
     if (kind != 0 && seat->peer != 0)
-        report(s, now_us, seat->peer, seat->ref, &outcome, 1);
+        report(s, now_us, seat->peer, seat->ref, seat->key.step, &outcome, 1);
     free_seat(seat);
 }
 
@@ -619,10 +621,24 @@
     if (seat == NULL || seat->state != BW_SEAT_STOPPING)
         return;
     seat->is_stop_in_flight = false;
-    if (answer->verdict == BW_WORKER_OK)
-        seat->stopped_us = now_us;
-    else
+    if (answer->verdict != BW_WORKER_OK) {
         s->counters.unanswered++;
+        return;
+    }
+    seat->stopped_us = now_us;
+    if (!seat->is_confirmed && s->holds_in_flight < LOOKS_MAX)
+        send_hold(s, now_us, 0);
+}
+
+/* Whether a look sent at `sent_us` that does not list the stopped task proves
+   that it is gone.  One that was never seen to run is listed until its end or
+   never starts, since the worker remembers the stop. */
+static bool
+is_stop_settled(const BwSeat *seat, uint64_t sent_us)
+{
+    uint64_t settles_us = seat->is_confirmed ? STOP_SETTLES_US : 0;
+
+    return seat->stopped_us != 0 && sent_us >= seat->stopped_us + settles_us;
 }
 
 static void
@@ -697,8 +713,7 @@
         if (!is_on_worker(seat) || seat->listed_us == sent_us)
             continue;
         if (seat->state == BW_SEAT_STOPPING &&
-            ((seat->stopped_us != 0 &&
-              sent_us >= seat->stopped_us + STOP_SETTLES_US) ||
+            (is_stop_settled(seat, sent_us) ||
              (!seat->is_confirmed && clock_ms > seat->start_ms)))
             finish_seat(s, now_us, seat, seat->outcome, seat->reason);
         else if (seat->state == BW_SEAT_RUNNING && seat->listed_us != 0 &&
@@ -970,7 +985,7 @@
     if (place->wait_us == 0 && count < place->task_count)
         count += take_back(s, first, declined + count);
     s->counters.declined += count;
-    report(s, now_us, peer->peer, place->ref, declined, count);
+    report(s, now_us, peer->peer, place->ref, place->step, declined, count);
     if (--text->references == 0)
         free(text);
     text = NULL;
