Keep the platform's field names out of the test of bound jobs

Change: the texts lie with the stand-ins, in wording.h; the tests are as before. test_boundaries and test_bound pass.

--- a/tests/standins/wording.h
+++ b/tests/standins/wording.h
@@ -7,6 +7,31 @@
 
 #define STANDIN_READY_PATH "/api/readiness"
 #define STANDIN_DEADLINE_HEADER "X-Deadline-Ms"
+#define STANDIN_COMPLETED "completed"
+#define STANDIN_CANCELLED "canceled"
+
+/* A job that would outlive its connection. */
+#define STANDIN_KEPT_JOB "{\"spec\":\"\",\"steps\":[{\"count\":1}]}"
+
+/* Bodies that are no job; the last is NULL. */
+static inline const char *const *
+Standin_BadBodies(void)
+{
+    static const char *const bodies[] = {
+        "",
+        "{",
+        "[]",
+        "{}",
+        "{\"bestEffort\":true,\"steps\":[]}",
+        "{\"bestEffort\":true,\"steps\":[{\"count\":0}]}",
+        "{\"bestEffort\":true,\"steps\":[{\"count\":1701}]}",
+        "{\"bestEffort\":true,\"steps\":[{\"count\":1,\"after\":[0]}]}",
+        "{\"bestEffort\":true,\"steps\":[7]}",
+        NULL,
+    };
+
+    return bodies;
+}
 
 /* A job of one step, which ends with its connection.  At most `spread` of its
    tasks may run on one worker; 0 sets no bound.  Free it. */
--- a/tests/test_bound.c
+++ b/tests/test_bound.c
@@ -128,7 +128,7 @@
     BoundCall_Wait(call);
     g_assert_cmpuint(call->status, ==, 200);
     g_assert_true(call->is_complete);
-    g_assert_nonnull(strstr(call->body, "completed"));
+    g_assert_nonnull(strstr(call->body, STANDIN_COMPLETED));
     BoundCall_Clear(call);
 }
 
@@ -620,7 +620,7 @@
         g_assert_cmpuint(BwCaller_Call(&caller, "POST", job.path, "", body,
                                        WAIT_US, &reply),
                          ==, 200);
-        g_assert_nonnull(strstr(reply.body, "completed"));
+        g_assert_nonnull(strstr(reply.body, STANDIN_COMPLETED));
         free(reply.body);
     }
     BwCaller_Finish(&caller);
@@ -663,7 +663,7 @@
     expect_status(1, "DELETE", job.path, 200);
     BoundCall_Wait(&call);
     g_assert_cmpuint(call.status, ==, 200);
-    g_assert_nonnull(strstr(call.body, "canceled"));
+    g_assert_nonnull(strstr(call.body, STANDIN_CANCELLED));
     BoundCall_Clear(&call);
     BoundFleet_WaitRunning(&fleet, job.name, 0);
     BoundFleet_Count(&fleet, job.name, &count);
@@ -866,7 +866,6 @@
 {
     char *small = Standin_JobText(2, 5, 1000, 1000, 0);
     char *huge = Standin_JobText(1, 50, BOUND_CPU + 1, 1000, 0);
-    char *kept = g_strdup("{\"spec\":\"\",\"steps\":[{\"count\":1}]}");
     BoundCall call;
     Job job;
 
@@ -876,40 +875,29 @@
         start_full(&call, i, &job);
         expect_refused(i, "tight", small);
         expect_refused(i, "checks", huge);
-        expect_refused(i, "checks", kept);
+        expect_refused(i, "checks", STANDIN_KEPT_JOB);
         go_on();
         expect_completed(&call);
     }
     check_rules();
     g_free(small);
     g_free(huge);
-    g_free(kept);
 }
 
 static void
 test_bad_requests(void)
 {
-    static const char *const bodies[] = {
-        "",
-        "{",
-        "[]",
-        "{}",
-        "{\"bestEffort\":true,\"steps\":[]}",
-        "{\"bestEffort\":true,\"steps\":[{\"count\":0}]}",
-        "{\"bestEffort\":true,\"steps\":[{\"count\":1701}]}",
-        "{\"bestEffort\":true,\"steps\":[{\"count\":1,\"after\":[0]}]}",
-        "{\"bestEffort\":true,\"steps\":[7]}",
-    };
+    const char *const *bodies = Standin_BadBodies();
     BoundCount before, after;
     BoundCall call;
     Job job;
 
     set_up();
     BoundFleet_Count(&fleet, "", &before);
-    for (size_t i = 0; i < G_N_ELEMENTS(bodies); i++) {
+    for (; *bodies != NULL; bodies++) {
         name_job(&job, "checks");
         BoundCall_Run(&call, fleet.front_ports[0], "POST", job.path, "",
-                      bodies[i]);
+                      *bodies);
         g_assert_cmpuint(call.status, ==, 400);
         BoundCall_Clear(&call);
     }
