--- a/tests/measure_bound.c
+++ b/tests/measure_bound.c
@@ -681,7 +681,7 @@
            "role", "disp.", "superv.", "messages", "bytes sent", "cpu us",
            "KB");
     measure_idle(1, 4, seconds);
-    measure_idle(1, 16, seconds);
+    measure_idle(1, 28, seconds);
     measure_idle(4, 4, seconds);
     measure_idle(8, 4, seconds);
     return EXIT_SUCCESS;
