Refuse a job that every worker declined

Change: a job of which nothing was started is placed again under the same limit as at first, or refused with when to come back, which is true: it did not run. The test of a task that is always declined expects this refusal where it expected 504; it is as strict.

--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -597,12 +597,25 @@
     free_job(job);
 }
 
+/* Whether a task of the job was started, or may have been. */
+static bool
+has_started(const BwBoundJob *job)
+{
+    if (job->may_have_run)
+        return true;
+    for (uint32_t i = 0; i < job->piece_count; i++) {
+        if (job->pieces[i].state != BW_PIECE_WAITING)
+            return true;
+    }
+    return false;
+}
+
 static void
 end_job(BwDispatcher *d, BwBoundJob *job, BwBoundEnd end, const char *reason)
 {
     void *data = job->data;
 
-    if (end == BW_BOUND_EXPIRED && !job->was_placed)
+    if (end == BW_BOUND_EXPIRED && (!job->was_placed || !has_started(job)))
         end = BW_BOUND_REFUSED;
     d->counters.completed += end == BW_BOUND_COMPLETED;
     d->counters.failed += end == BW_BOUND_FAILED;
@@ -620,7 +633,14 @@
 replace_pieces(BwDispatcher *d, uint64_t now_us, BwBoundJob *job,
                const char *reason)
 {
-    if (!place_open(d, now_us, job, job->deadline_us))
+    uint64_t limit_us = job->deadline_us;
+
+    /* Declined by all: the job is where it was before it was taken. */
+    if (!has_started(job)) {
+        job->was_placed = false;
+        limit_us = limit_of(job);
+    }
+    if (!place_open(d, now_us, job, limit_us))
         end_job(d, job, BW_BOUND_EXPIRED, reason);
 }
 
@@ -657,6 +677,7 @@
     bool is_suspect = piece->view->failed_in_row > 0;
 
     note_failure(d, now_us, piece->view);
+    job->may_have_run = true;
     piece->state = BW_PIECE_WAITING;
     piece->avoid = piece->view;
     piece->view = NULL;
@@ -670,8 +691,10 @@
 }
 
 static BwBoundEnd
-on_moved(BwDispatcher *d, BwPiece *piece, uint32_t kind, uint32_t reason)
+on_moved(BwDispatcher *d, BwBoundJob *job, BwPiece *piece, uint32_t kind,
+         uint32_t reason)
 {
+    job->may_have_run |= kind != BW_OUTCOME_NOT_RUN;
     piece->state = BW_PIECE_WAITING;
     piece->avoid = reason == BW_DECLINE_BUSY ? NULL : piece->view;
     piece->view = NULL;
@@ -704,7 +727,7 @@
             end = on_failed(d, now_us, job, piece);
         }
         else {
-            end = on_moved(d, piece, task->kind, task->reason);
+            end = on_moved(d, job, piece, task->kind, task->reason);
         }
     }
     if (end != BW_BOUND_COMPLETED)
@@ -915,9 +938,9 @@
 
             if (piece->view != view || piece->state != BW_PIECE_UNKNOWN)
                 continue;
-            is_alive =
-                on_moved(d, piece, BW_OUTCOME_LOST, 0) == BW_BOUND_COMPLETED &&
-                is_alive;
+            is_alive = on_moved(d, job, piece, BW_OUTCOME_LOST, 0) ==
+                           BW_BOUND_COMPLETED &&
+                       is_alive;
             piece->avoid = NULL;
             is_freed = true;
         }
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -65,7 +65,8 @@
     BwPiece *pieces;
     uint32_t piece_count;
     uint32_t done_count;
-    bool was_placed; /* a supervisor may have started a task */
+    bool was_placed;   /* a task is at a supervisor, or was started */
+    bool may_have_run; /* a task was started and did not end as done */
     UT_hash_handle hh;
     UT_hash_handle by_name;
 } BwBoundJob;
