--- a/tests/test_status.c
+++ b/tests/test_status.c
@@ -142,6 +142,7 @@
     BwDispatcher_PeerUp(&dispatcher, NOW_US, 8, BwSpan_FromString("s-2"));
     tell_worker(&dispatcher, 7);
     BwDispatcher_PeerDown(&dispatcher, NOW_US, 8);
+    request.spec = BwSpan_FromString("spec");
     request.steps[0].task_count = 2;
     request.steps[0].room = (BwRoom){100, 10, 0};
     request.steps[0].declared_us = 50000;
