--- a/packages/daemon/nodestatus.c
+++ b/packages/daemon/nodestatus.c
@@ -38,8 +38,9 @@
         "ejected", (int)is_ejected, "capacity", write_room(&view->capacity),
         "free", write_room(&view->free));
     json_t *rest = json_pack(
-        "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "queued",
-        (json_int_t)view->queued, "in_flight",
+        "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "queued",
+        (json_int_t)view->queued, "release_ms",
+        (json_int_t)(view->release_us / 1000), "in_flight",
         (json_int_t)view->in_flight_count, "pace_permille",
         (json_int_t)view->pace_permille, "slow_permille",
         (json_int_t)view->slow_permille, "failed_permille",
--- a/tests/measure_bound.c
+++ b/tests/measure_bound.c
@@ -323,6 +323,7 @@
     place->spec = BwSpan_FromString("spec");
     place->service = BwSpan_FromString("render");
     place->room = (BwRoom){1000, 1, 0};
+    place->wait_us = 10000000;
     place->expected_us = 200000;
     place->due_in_us = 10000000;
     place->deadline_in_us = 60000000;
@@ -466,6 +467,7 @@
     place->requirement = BwSpan_FromString("kind-a");
     place->room = (BwRoom){500, 256, 1};
     place->priority = 1;
+    place->wait_us = 100000;
     place->expected_us = 200000;
     place->due_in_us = 1000000;
     place->deadline_in_us = 2000000;
