Split dispatcher.c: views.c, boundplace.c, dispatcher.c

Change: functions moved into views.c (what is known of supervisors, workers and routes, and the messages that change it), boundplace.c (foresight, choice, assignment, sending a PLACE) and dispatcher.c (jobs: submission, outcomes, ends, time); boundjob.h declares what they share.

--- /dev/null
+++ b/packages/core/views.c
@@ -0,0 +1,389 @@
+/* views.c -- what a dispatcher knows of supervisors, workers and routes
+
+   A view is the account that came with the supervisor's last answer, and what
+   is under way to it since.  It outlives the connection, for the worker's pace
+   and for tasks whose fate is unknown: they start elsewhere when the session
+   and the worker's lease must have run out, or when the supervisor says that
+   none is left.  A worker that fails tasks in a row is ejected for a while,
+   at most half of them at a time.  Run times are learnt for each route
+   against the declared ones, and for each worker against the others.  Finding
+   the view of a message costs a walk over all.
+*/
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "boundjob.h"
+#include "brasswing.h"
+#include "pace.h"
+#include "room.h"
+
+#define LEASE_DRIFT_PERMILLE 1030
+#define GONE_MARGIN_US 120000 /* stops take effect, and clocks drift */
+#define FAILURES_TO_EJECT 3
+#define EJECTED_US 3000000
+#define EJECTED_SHARE_MAX 2 /* half of the workers */
+#define RATIO_SHIFT 5
+#define RATIO_START_PERMILLE 1000
+#define RATIO_MAX_PERMILLE 4000
+#define ANCHORED_MAX 256
+
+/* ---------------------------------------------------------- run times */
+
+static BwRoutePace *
+find_pace(BwDispatcher *d, const char *route)
+{
+    BwRoutePace *pace;
+
+    HASH_FIND_STR(d->paces, route, pace);
+    if (pace != NULL)
+        return pace;
+    pace = calloc(1, sizeof(*pace));
+    if (pace == NULL)
+        return NULL;
+    strncpy(pace->route, route, sizeof(pace->route) - 1);
+    pace->ratio_permille = RATIO_START_PERMILLE;
+    HASH_ADD_STR(d->paces, route, pace);
+    return pace;
+}
+
+uint64_t
+BwViews_ExpectedUs(BwDispatcher *d, const char *route, uint64_t declared_us)
+{
+    const BwRoutePace *pace = find_pace(d, route);
+
+    if (pace == NULL)
+        return declared_us;
+    return declared_us * pace->ratio_permille / 1000;
+}
+
+void
+BwViews_LearnRatio(BwDispatcher *d, const BwBoundJob *job,
+                   const BwPiece *piece)
+{
+    BwRoutePace *pace = find_pace(d, job->route);
+    uint64_t declared_us = job->steps[piece->step].declared_us;
+    uint64_t ratio;
+
+    if (pace == NULL || declared_us == 0)
+        return;
+    ratio = piece->ran_us * 1000 / declared_us * BW_PACE_MEAN_PERMILLE /
+            piece->view->pace_permille;
+    if (ratio > RATIO_MAX_PERMILLE)
+        ratio = RATIO_MAX_PERMILLE;
+    pace->ratio_permille += (uint32_t)(ratio >> RATIO_SHIFT) -
+                            (pace->ratio_permille >> RATIO_SHIFT);
+}
+
+void
+BwViews_LearnPaces(const BwBoundJob *job)
+{
+    BwPaceSample *samples = malloc(job->piece_count * sizeof(*samples));
+
+    if (samples == NULL)
+        return;
+    for (uint32_t step = 0; step < job->step_count; step++) {
+        uint32_t count = 0;
+
+        for (uint32_t i = 0; i < job->piece_count; i++) {
+            const BwPiece *piece = &job->pieces[i];
+
+            if (piece->step != step || piece->state != BW_PIECE_DONE)
+                continue;
+            samples[count].pace_permille = &piece->view->pace_permille;
+            samples[count++].ran_us = piece->ran_us;
+        }
+        BwPace_Compare(samples, count);
+    }
+    free(samples);
+}
+
+void
+BwViews_AnchorPaces(BwDispatcher *d)
+{
+    uint32_t *paces[ANCHORED_MAX];
+    uint32_t count = 0;
+
+    for (BwView *view = d->views; view != NULL && count < ANCHORED_MAX;
+         view = view->hh.next) {
+        if (view->peer != 0)
+            paces[count++] = &view->pace_permille;
+    }
+    BwPace_Anchor(paces, count);
+}
+
+/* ----------------------------------------------------------- accounts */
+
+BwRoom
+BwView_Room(const BwView *view, uint32_t priority, uint32_t *ahead)
+{
+    BwRoom room = view->free;
+
+    *ahead = priority == 0 ? view->queued_urgent : view->queued;
+    for (uint32_t i = 0; i < view->in_flight_count; i++) {
+        BwRoom_Remove(&room, &view->in_flight[i].room);
+        *ahead += view->in_flight[i].task_count;
+    }
+    return room;
+}
+
+/* The account of the next PLACE to the view. */
+static BwInFlight *
+next_in_flight(BwView *view)
+{
+    BwInFlight *last;
+
+    if (view->in_flight_count > 0) {
+        last = &view->in_flight[view->in_flight_count - 1];
+        if (last->number == view->place_number + 1)
+            return last;
+        if (view->in_flight_count == BW_IN_FLIGHT_MAX) {
+            last->number = view->place_number + 1;
+            return last;
+        }
+    }
+    last = &view->in_flight[view->in_flight_count++];
+    memset(last, 0, sizeof(*last));
+    last->number = view->place_number + 1;
+    return last;
+}
+
+void
+BwView_Reserve(BwView *view, const BwRoom *room)
+{
+    BwInFlight *sent = next_in_flight(view);
+
+    BwRoom_Add(&sent->room, room);
+    sent->task_count++;
+}
+
+void
+BwView_Unreserve(BwView *view, const BwRoom *room)
+{
+    BwInFlight *sent = next_in_flight(view);
+
+    BwRoom_Remove(&sent->room, room);
+    sent->task_count--;
+}
+
+static void
+take_load(BwView *view, const BwWorkerLoad *load)
+{
+    uint32_t kept = 0;
+
+    view->free = load->free;
+    view->queued = load->queued;
+    view->queued_urgent = load->queued_urgent;
+    view->release_us = load->release_us;
+    view->slow_permille = load->slow_permille;
+    view->failed_permille = load->failed_permille;
+    for (uint32_t i = 0; i < view->in_flight_count; i++) {
+        if (view->in_flight[i].number > load->place_seen)
+            view->in_flight[kept++] = view->in_flight[i];
+    }
+    view->in_flight_count = kept;
+}
+
+void
+BwViews_NoteFailure(BwDispatcher *d, uint64_t now_us, BwView *view)
+{
+    uint32_t ejected = 0, known = 0;
+
+    if (++view->failed_in_row < FAILURES_TO_EJECT)
+        return;
+    for (const BwView *v = d->views; v != NULL; v = v->hh.next) {
+        known += v->peer != 0;
+        ejected += v->ejected_until_us > now_us;
+    }
+    if ((ejected + 1) * EJECTED_SHARE_MAX > known)
+        return;
+    view->ejected_until_us = now_us + EJECTED_US;
+    view->failed_in_row = FAILURES_TO_EJECT - 1;
+    d->port->log(d->ctx, "eject", NULL, view, 1, "failures in a row");
+}
+
+/* -------------------------------------------------------- connections */
+
+void
+BwViews_ReleaseUnknown(BwDispatcher *d, uint64_t now_us, BwView *view)
+{
+    BwBoundJob *job, *next;
+
+    view->gone_us = 0;
+    HASH_ITER(hh, d->jobs, job, next)
+    {
+        bool is_freed = false;
+        bool is_alive = true;
+
+        for (uint32_t i = 0; i < job->piece_count; i++) {
+            BwPiece *piece = &job->pieces[i];
+
+            if (piece->view != view || piece->state != BW_PIECE_UNKNOWN)
+                continue;
+            is_alive = BwDispatcher_MovePiece(d, job, piece, BW_OUTCOME_LOST,
+                                              0) == BW_BOUND_COMPLETED &&
+                       is_alive;
+            piece->avoid = NULL;
+            is_freed = true;
+        }
+        if (!is_alive)
+            BwDispatcher_EndJob(d, job, BW_BOUND_EXPIRED,
+                                "a task moved too often");
+        else if (is_freed)
+            BwDispatcher_ReplacePieces(d, now_us, job, "its worker was lost");
+    }
+}
+
+static void
+lose_link(BwDispatcher *d, uint64_t now_us, BwView *view)
+{
+    uint64_t session_us = view->answered_us + d->limits.session_us;
+    uint64_t from_us = session_us > now_us ? session_us : now_us;
+    uint64_t gone_us = from_us + GONE_MARGIN_US +
+                       d->limits.lease_us * LEASE_DRIFT_PERMILLE / 1000;
+    BwBoundJob *job, *next;
+
+    view->peer = 0;
+    view->is_usable = false;
+    view->in_flight_count = 0;
+    /* An earlier connection may have left tasks that end later. */
+    if (gone_us > view->gone_us)
+        view->gone_us = gone_us;
+    HASH_ITER(hh, d->jobs, job, next)
+    {
+        bool is_late = false;
+
+        for (uint32_t i = 0; i < job->piece_count; i++) {
+            BwPiece *piece = &job->pieces[i];
+            uint64_t run_us;
+
+            if (piece->view != view || piece->state != BW_PIECE_PLACED)
+                continue;
+            piece->state = BW_PIECE_UNKNOWN;
+            run_us = BwViews_ExpectedUs(d, job->route,
+                                        job->steps[piece->step].declared_us);
+            is_late = is_late || view->gone_us + run_us > job->deadline_us;
+        }
+        if (is_late)
+            BwDispatcher_EndJob(d, job, BW_BOUND_EXPIRED,
+                                "its worker is silent");
+    }
+}
+
+void
+BwDispatcher_PeerUp(BwDispatcher *d, uint64_t now_us, uint32_t peer,
+                    BwSpan name)
+{
+    char text[BW_NAME_BYTES_MAX];
+    BwView *view;
+
+    BwSpan_ToString(name, text, sizeof(text));
+    HASH_FIND_STR(d->views, text, view);
+    if (view == NULL) {
+        view = calloc(1, sizeof(*view));
+        if (view == NULL)
+            return;
+        strcpy(view->name, text);
+        view->pace_permille = BW_PACE_MEAN_PERMILLE;
+        HASH_ADD_STR(d->views, name, view);
+    }
+    else if (view->peer != 0) {
+        lose_link(d, now_us, view);
+    }
+    view->peer = peer;
+    view->link = ++d->next_link;
+    view->place_number = 0;
+    view->in_flight_count = 0;
+    view->is_usable = false;
+    view->answered_us = 0;
+}
+
+static BwView *
+find_view(BwDispatcher *d, uint32_t peer)
+{
+    BwView *view;
+
+    for (view = d->views; view != NULL; view = view->hh.next) {
+        if (view->peer == peer)
+            return view;
+    }
+    return NULL;
+}
+
+void
+BwDispatcher_PeerDown(BwDispatcher *d, uint64_t now_us, uint32_t peer)
+{
+    BwView *view = find_view(d, peer);
+
+    if (view != NULL)
+        lose_link(d, now_us, view);
+}
+
+/* ----------------------------------------------------------- messages */
+
+static void
+on_worker(BwDispatcher *d, uint64_t now_us, BwView *view,
+          const BwWorkerState *state)
+{
+    char instance[BW_NAME_BYTES_MAX];
+
+    BwSpan_ToString(state->instance, instance, sizeof(instance));
+    if (strcmp(instance, view->instance) != 0) {
+        view->failed_in_row = 0;
+        view->ejected_until_us = 0;
+    }
+    strcpy(view->instance, instance);
+    BwSpan_ToString(state->service, view->service, sizeof(view->service));
+    BwSpan_ToString(state->domain, view->domain, sizeof(view->domain));
+    view->capacity = state->capacity;
+    view->is_usable = state->is_leaving == 0;
+    view->label_count = state->label_count < BW_LABELS_MAX ? state->label_count
+                                                           : BW_LABELS_MAX;
+    for (uint32_t i = 0; i < view->label_count; i++)
+        BwSpan_ToString(state->labels[i].name, view->labels[i],
+                        BW_NAME_BYTES_MAX);
+    if (state->is_clear != 0)
+        BwViews_ReleaseUnknown(d, now_us, view);
+}
+
+void
+BwDispatcher_OnMessage(BwDispatcher *d, uint64_t now_us, uint32_t peer,
+                       const BwMessage *message)
+{
+    BwView *view = find_view(d, peer);
+    BwMessage answer = {.kind = BW_MSG_SESSION};
+
+    if (view == NULL)
+        return;
+    switch (message->kind) {
+    case BW_MSG_WORKER:
+        if (message->u.worker.load_count > 0)
+            take_load(view, message->u.worker.load);
+        on_worker(d, now_us, view, &message->u.worker);
+        break;
+    case BW_MSG_OUTCOME:
+        if (message->u.outcome.load_count > 0)
+            take_load(view, message->u.outcome.load);
+        BwDispatcher_TakeOutcome(d, now_us, view, &message->u.outcome);
+        break;
+    case BW_MSG_SESSION:
+        if (message->u.session.load_count > 0)
+            take_load(view, message->u.session.load);
+        view->answered_us = now_us;
+        answer.u.session.asked_us = message->u.session.asked_us;
+        d->port->send(d->ctx, peer, &answer);
+        break;
+    default:
+        break;
+    }
+}
+
+uint32_t
+BwDispatcher_CountUsable(const BwDispatcher *d)
+{
+    uint32_t count = 0;
+
+    for (const BwView *view = d->views; view != NULL; view = view->hh.next)
+        count += view->peer != 0 && view->is_usable && view->answered_us != 0;
+    return count;
+}
