Forget the run times of routes that are gone

Cause: the pace of a route was kept for as long as the process ran, also after its route had left the configuration. Change: BwDispatcher_KeepRoutes drops them when a configuration comes into force; it costs a step for each route and each pace. A job of such a route that ends later may learn one again, until the next configuration.

--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -112,6 +112,7 @@
 typedef struct BwRoutePace {
     char route[BW_NAME_BYTES_MAX];
     uint32_t ratio_permille;
+    bool is_kept; /* while routes are compared */
     UT_hash_handle hh;
 } BwRoutePace;
 
@@ -214,6 +215,10 @@
 void
 BwDispatcher_EndAll(BwDispatcher *dispatcher);
 
+/* Forgets what was learnt of routes that are not among these. */
+void
+BwDispatcher_KeepRoutes(BwDispatcher *dispatcher, const BwRoutes *routes);
+
 /* Workers that take tasks now. */
 uint32_t
 BwDispatcher_CountUsable(const BwDispatcher *dispatcher);
--- a/packages/core/views.c
+++ b/packages/core/views.c
@@ -112,6 +112,28 @@
     BwPace_Anchor(paces, count);
 }
 
+void
+BwDispatcher_KeepRoutes(BwDispatcher *d, const BwRoutes *routes)
+{
+    BwRoutePace *pace, *next;
+
+    for (const BwRoute *route = routes->table; route != NULL;
+         route = route->hh.next) {
+        HASH_FIND_STR(d->paces, route->name, pace);
+        if (pace != NULL)
+            pace->is_kept = true;
+    }
+    HASH_ITER(hh, d->paces, pace, next)
+    {
+        if (!pace->is_kept) {
+            HASH_DEL(d->paces, pace);
+            free(pace);
+            continue;
+        }
+        pace->is_kept = false;
+    }
+}
+
 /* ----------------------------------------------------------- accounts */
 
 BwRoom
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -92,6 +92,7 @@
     role->config_bytes = text.size_bytes;
     BwRoutes_Finish(&role->routes);
     role->routes = routes;
+    BwDispatcher_KeepRoutes(&role->dispatcher, &role->routes);
     BW_LOG(&role->node->logger, BW_LOG_INFO, "config_in_force",
            BW_LOG_NUMBER("revision", routes.revision));
     tell_config(role, NULL);
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -1064,6 +1064,39 @@
     tear_down(&f);
 }
 
+static void
+test_routes_gone(void)
+{
+    static const char *const names[] = {"first", "second"};
+    BwRouteRow row = {span("second"),
+                      span("host"),
+                      span("/"),
+                      span("service"),
+                      0,
+                      1,
+                      0,
+                      0,
+                      0};
+    BwRouteRows all = {.rows = &row, .row_count = 1};
+    BwRoutes routes, none = {0};
+    Fixture f;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    for (uint32_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        strcpy(f.route.name, names[i]);
+        submit_simple(&f, 1, 1000);
+    }
+    g_assert_true(BwRoutes_Init(&routes, &all));
+    BwDispatcher_KeepRoutes(&f.d, &routes);
+    g_assert_cmpuint(HASH_COUNT(f.d.paces), ==, 1);
+    g_assert_cmpstr(f.d.paces->route, ==, "second");
+    BwRoutes_Finish(&routes);
+    BwDispatcher_KeepRoutes(&f.d, &none);
+    g_assert_cmpuint(HASH_COUNT(f.d.paces), ==, 0);
+    tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1100,6 +1133,7 @@
     ADD(silent_too_long);
     ADD(unusable);
     ADD(estimate_too_large);
+    ADD(routes_gone);
 #undef ADD
     return g_test_run();
 }
