Drop views that are long disconnected, and bound callers' deadlines

Cause: the view of a supervisor that never came back was kept for as long as the process ran. A caller's deadline had no bound, and one of many digits ran over when it was turned into microseconds. Change: the tick drops a view 20 minutes after its connection ended, unless a job still refers to it.

--- a/packages/core/boundjob.h
+++ b/packages/core/boundjob.h
@@ -68,6 +68,10 @@
 BwViews_ReleaseUnknown(BwDispatcher *dispatcher, uint64_t now_us,
                        BwView *view);
 
+/* Drops views that are long disconnected and that no job refers to. */
+void
+BwViews_DropOld(BwDispatcher *dispatcher, uint64_t now_us);
+
 /* The functions below are boundplace.c's. */
 
 /* When the last task has to end, as far as can be foreseen, for the job to be
--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -403,6 +403,7 @@
         if (view->gone_us != 0 && now_us >= view->gone_us)
             BwViews_ReleaseUnknown(d, now_us, view);
     }
+    BwViews_DropOld(d, now_us);
     HASH_ITER(hh, d->jobs, job, next)
     {
         if (now_us >= job->deadline_us)
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -100,6 +100,7 @@
     uint64_t ejected_until_us;
     bool is_usable;
     uint64_t answered_us; /* the last session */
+    uint64_t down_us;     /* when the last connection ended */
     uint64_t gone_us;     /* what it ran is over then; 0 while connected */
     uint32_t there;       /* tasks of the step that is being assigned */
     uint64_t place_number;
--- a/packages/core/views.c
+++ b/packages/core/views.c
@@ -1,13 +1,14 @@
 /* views.c -- what a dispatcher knows of supervisors, workers and routes
 
    A view is the account that came with the supervisor's last answer, and what
-   is under way to it since.  It outlives the connection, for the worker's pace
-   and for tasks whose fate is unknown: they start elsewhere when the session
-   and the worker's lease must have run out, or when the supervisor says that
-   none is left.  A worker that fails tasks in a row is ejected for a while,
-   at most half of them at a time.  Run times are learnt for each route
-   against the declared ones, and for each worker against the others.  Finding
-   the view of a message costs a walk over all.
+   is under way to it since.  It outlives the connection by 20 minutes, for the
+   worker's pace, and as long as a job refers to it.  Tasks whose fate is
+   unknown start elsewhere when the session and the worker's lease must have
+   run out, or when the supervisor says that none is left.  A worker that fails
+   tasks in a row is ejected for a while, at most half of them at a time.  Run
+   times are learnt for each route against the declared ones, and for each
+   worker against the others.  Finding the view of a message costs a walk over
+   all.
 */
 
 #include <stdlib.h>
@@ -27,6 +28,7 @@
 #define RATIO_START_PERMILLE 1000
 #define RATIO_MAX_PERMILLE 4000
 #define ANCHORED_MAX 256
+#define KEPT_US 1200000000ull /* a view without a connection */
 
 /* ---------------------------------------------------------- run times */
 
@@ -266,6 +268,7 @@
     BwBoundJob *job, *next;
 
     view->peer = 0;
+    view->down_us = now_us;
     view->is_usable = false;
     view->in_flight_count = 0;
     /* An earlier connection may have left tasks that end later. */
@@ -341,6 +344,33 @@
         lose_link(d, now_us, view);
 }
 
+static bool
+is_referred_to(const BwDispatcher *d, const BwView *view)
+{
+    for (const BwBoundJob *job = d->jobs; job != NULL; job = job->hh.next) {
+        for (uint32_t i = 0; i < job->piece_count; i++) {
+            if (job->pieces[i].view == view || job->pieces[i].avoid == view)
+                return true;
+        }
+    }
+    return false;
+}
+
+void
+BwViews_DropOld(BwDispatcher *d, uint64_t now_us)
+{
+    BwView *view, *next;
+
+    HASH_ITER(hh, d->views, view, next)
+    {
+        if (view->peer != 0 || now_us - view->down_us <= KEPT_US ||
+            is_referred_to(d, view))
+            continue;
+        HASH_DEL(d->views, view);
+        free(view);
+    }
+}
+
 /* ----------------------------------------------------------- messages */
 
 static void
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -21,6 +21,7 @@
 #define UNREADY_US 2500000
 #define LAST_ANSWER_US 150000 /* before the end of a planned stop */
 #define DEFAULT_DEADLINE_US 30000000
+#define DEADLINE_MAX_US 600000000
 #define STATE_BYTES 64
 #define RETRY_AFTER_S 1
 
@@ -198,6 +199,8 @@
         return now_us + DEFAULT_DEADLINE_US;
     memcpy(number, text.base, text.size_bytes);
     deadline_ms = strtoull(number, NULL, 10);
+    if (deadline_ms > DEADLINE_MAX_US / 1000)
+        return now_us + DEADLINE_MAX_US;
     return now_us +
            (deadline_ms > 0 ? deadline_ms * 1000 : DEFAULT_DEADLINE_US);
 }
--- a/tests/test_bound.c
+++ b/tests/test_bound.c
@@ -691,6 +691,22 @@
     g_free(text);
 }
 
+/* Its microseconds are a few hundred more than 64 bits hold. */
+static void
+test_deadline_too_far(void)
+{
+    char *text = Standin_JobText(4, 20, 1000, 1000, 0);
+    BoundCall call;
+    Job job;
+
+    set_up();
+    name_job(&job, "checks");
+    BoundCall_Start(&call, fleet.front_ports[0], "POST", job.path,
+                    STANDIN_DEADLINE_HEADER ": 18446744073709552\r\n", text);
+    expect_completed(&call);
+    g_free(text);
+}
+
 /* ------------------------------------------------------- planned stops */
 
 static void
@@ -1095,6 +1111,7 @@
         {"/bound/twin", test_twin},
         {"/bound/cancelled", test_cancelled},
         {"/bound/deadline", test_deadline},
+        {"/bound/deadline_too_far", test_deadline_too_far},
         {"/bound/dispatcher_stopped", test_dispatcher_stopped},
         {"/bound/dispatcher_stopped_late", test_dispatcher_stopped_late},
         {"/bound/supervisor_stopped", test_supervisor_stopped},
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -1097,6 +1097,39 @@
     tear_down(&f);
 }
 
+/* A view goes 20 minutes after its connection, unless a job refers to it. */
+static void
+test_view_dropped(void)
+{
+    BwBoundStep steps[2] = {step_of(1, 1000), step_of(1, 1000)};
+    uint64_t ref;
+    Fixture f;
+
+    set_up(&f);
+    f.deadline_us = 3600 * SECOND_US;
+    steps[1].after = 1;
+    steps[0].requirement = span("kind");
+    steps[1].requirement = span("other");
+    connect_worker(&f, 1, "a");
+    connect_labelled(&f, 2, "b", "other");
+    ref = submit(&f, steps, 2);
+    tell_outcome(&f, 1, ref, 0, 0, BW_OUTCOME_DONE);
+    g_assert_cmpuint(last_peer(&f), ==, 2);
+    BwDispatcher_PeerDown(&f.d, f.now_us, 1);
+    f.now_us += 1201 * SECOND_US;
+    BwDispatcher_Tick(&f.d, f.now_us);
+    g_assert_cmpuint(HASH_COUNT(f.d.views), ==, 2);
+    tell_outcome(&f, 2, ref, 1, 0, BW_OUTCOME_DONE);
+    assert_answer(&f, 0, BW_BOUND_COMPLETED);
+    BwDispatcher_Tick(&f.d, f.now_us);
+    g_assert_cmpuint(HASH_COUNT(f.d.views), ==, 1);
+    BwDispatcher_PeerDown(&f.d, f.now_us, 2);
+    f.now_us += 1199 * SECOND_US;
+    BwDispatcher_Tick(&f.d, f.now_us);
+    g_assert_cmpuint(HASH_COUNT(f.d.views), ==, 1);
+    tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1134,6 +1167,7 @@
     ADD(unusable);
     ADD(estimate_too_large);
     ADD(routes_gone);
+    ADD(view_dropped);
 #undef ADD
     return g_test_run();
 }
