--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -100,6 +100,7 @@
     uint64_t ejected_until_us;
     bool is_usable;
     uint64_t answered_us; /* the last session */
+    uint64_t down_us;     /* when the last connection ended */
     uint64_t gone_us;     /* what it ran is over then; 0 while connected */
     uint32_t there;       /* tasks of the step that is being assigned */
     uint64_t place_number;
@@ -112,6 +113,7 @@
 typedef struct BwRoutePace {
     char route[BW_NAME_BYTES_MAX];
     uint32_t ratio_permille;
+    bool is_kept; /* while routes are compared */
     UT_hash_handle hh;
 } BwRoutePace;
 
@@ -214,6 +216,10 @@
 void
 BwDispatcher_EndAll(BwDispatcher *dispatcher);
 
+/* Forgets what was learnt of routes that are not among these. */
+void
+BwDispatcher_KeepRoutes(BwDispatcher *dispatcher, const BwRoutes *routes);
+
 /* Workers that take tasks now. */
 uint32_t
 BwDispatcher_CountUsable(const BwDispatcher *dispatcher);
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -21,6 +21,7 @@
 #define UNREADY_US 2500000
 #define LAST_ANSWER_US 150000 /* before the end of a planned stop */
 #define DEFAULT_DEADLINE_US 30000000
+#define DEADLINE_MAX_US 600000000
 #define STATE_BYTES 64
 #define RETRY_AFTER_S 1
 
@@ -92,6 +93,7 @@
     role->config_bytes = text.size_bytes;
     BwRoutes_Finish(&role->routes);
     role->routes = routes;
+    BwDispatcher_KeepRoutes(&role->dispatcher, &role->routes);
     BW_LOG(&role->node->logger, BW_LOG_INFO, "config_in_force",
            BW_LOG_NUMBER("revision", routes.revision));
     tell_config(role, NULL);
@@ -197,6 +199,8 @@
         return now_us + DEFAULT_DEADLINE_US;
     memcpy(number, text.base, text.size_bytes);
     deadline_ms = strtoull(number, NULL, 10);
+    if (deadline_ms > DEADLINE_MAX_US / 1000)
+        return now_us + DEADLINE_MAX_US;
     return now_us +
            (deadline_ms > 0 ? deadline_ms * 1000 : DEFAULT_DEADLINE_US);
 }
