Look before stopping a start that was not answered

Change: an unanswered start is followed by a look; a task that it lists goes on, one that it does not is stopped, as is one in doubt for 50 ms.

--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -15,6 +15,7 @@
 #include "seats.h"
 
 #define SESSION_RENEWALS 3 /* in the time of a session */
+#define DOUBT_US 50000     /* until an unanswered start is stopped unseen */
 
 /* -------------------------------------------------------- dispatchers */
 
@@ -278,6 +279,10 @@
             if (!seat->is_stop_in_flight && seat->stopped_us == 0)
                 BwSeats_SendStop(s, now_us, seat);
         }
+        else if (seat->state == BW_SEAT_STARTING && seat->doubted_us != 0 &&
+                 now_us - seat->doubted_us > DOUBT_US) {
+            BwSeats_End(s, now_us, seat, BW_OUTCOME_LOST, 0);
+        }
         else if (seat->state == BW_SEAT_QUEUED &&
                  now_us >= seat->patience_us) {
             BwSeats_Remove(s, now_us, seat, BW_OUTCOME_NOT_RUN,
--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -206,6 +206,17 @@
                                              : BW_DECLINE_REFUSED);
 }
 
+/* A start without an answer may run: its work is kept if the next look lists
+   it, and it is stopped if that does not. */
+static void
+doubt_start(BwSupervisor *s, uint64_t now_us, BwSeat *seat)
+{
+    s->port->log(s->ctx, "unanswered", seat, "start");
+    seat->doubted_us = now_us;
+    if (s->holds_in_flight < LOOKS_MAX)
+        send_hold(s, now_us, 0);
+}
+
 void
 BwSupervisor_OnStarted(BwSupervisor *s, uint64_t now_us, uint64_t number,
                        const BwWorkerAnswer *answer)
@@ -229,10 +240,8 @@
         break;
     case BW_WORKER_NO_ANSWER:
         s->counters.unanswered++;
-        if (seat->state == BW_SEAT_STARTING) {
-            s->port->log(s->ctx, "unanswered", seat, "start");
-            BwSeats_End(s, now_us, seat, BW_OUTCOME_LOST, 0);
-        }
+        if (seat->state == BW_SEAT_STARTING)
+            doubt_start(s, now_us, seat);
         break;
     default:
         on_refused_start(s, now_us, seat, answer->verdict);
@@ -354,6 +363,9 @@
             (is_stop_settled(seat, sent_us) ||
              (!seat->is_confirmed && clock_ms > seat->start_ms)))
             BwSeats_Remove(s, now_us, seat, seat->outcome, seat->reason);
+        else if (seat->state == BW_SEAT_STARTING && seat->doubted_us != 0 &&
+                 sent_us >= seat->doubted_us)
+            BwSeats_End(s, now_us, seat, BW_OUTCOME_LOST, 0);
         else if (seat->state == BW_SEAT_RUNNING && seat->listed_us != 0 &&
                  sent_us > seat->listed_us + STOP_SETTLES_US)
             BwSeats_End(s, now_us, seat, BW_OUTCOME_LOST, 0);
