--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -346,6 +346,16 @@
     }
 }
 
+/* Whether a task that should be there is not listed by a look sent then. */
+static bool
+is_missing(const BwSeat *seat, uint64_t sent_us)
+{
+    if (seat->state == BW_SEAT_STARTING)
+        return seat->doubted_us != 0 && sent_us >= seat->doubted_us;
+    return seat->state == BW_SEAT_RUNNING && seat->listed_us != 0 &&
+           sent_us > seat->listed_us + STOP_SETTLES_US;
+}
+
 /* Seats that a look does not list although it was sent after they were known
    to be there, or after their stop has taken effect, or was made when their
    start, which nobody confirmed, could no longer be carried out. */
@@ -363,11 +373,7 @@
             (is_stop_settled(seat, sent_us) ||
              (!seat->is_confirmed && clock_ms > seat->start_ms)))
             BwSeats_Remove(s, now_us, seat, seat->outcome, seat->reason);
-        else if (seat->state == BW_SEAT_STARTING && seat->doubted_us != 0 &&
-                 sent_us >= seat->doubted_us)
-            BwSeats_End(s, now_us, seat, BW_OUTCOME_LOST, 0);
-        else if (seat->state == BW_SEAT_RUNNING && seat->listed_us != 0 &&
-                 sent_us > seat->listed_us + STOP_SETTLES_US)
+        else if (is_missing(seat, sent_us))
             BwSeats_End(s, now_us, seat, BW_OUTCOME_LOST, 0);
     }
 }
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -80,7 +80,8 @@
 
     World_Run(&w, 100000);
     w.fate[CALL_START] = FATE_UNSAID;
-    task = World_Place(&w, peer, &(Order){.job = "a", .cpu = 4000});
+    task = World_Place(&w, peer,
+                       &(Order){.job = "a", .cpu = 4000, .run_us = 1000000});
     World_Run(&w, 2 * ANSWER_US);
     World_AssertKind(&w, task, 0);
     g_assert_cmpuint(w.supervisor.counters.unanswered, ==, 1);
