Take requests on old connections while a planned stop lasts

Ruled out: workers, balancer, links; see docs/INCIDENTS.md.

Change: they are taken until 1.5 s before the stop's last answer, which is their deadline.

--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -16,10 +16,10 @@
 #include "nodestatus.h"
 #include "storereader.h"
 
-/* Until the balancer has noticed that this process is not ready; what comes
-   later, on old connections, is refused. */
+/* Until the balancer has noticed that this process is not ready. */
 #define UNREADY_US 2500000
 #define LAST_ANSWER_US 150000 /* before the end of a planned stop */
+#define LAST_TAKEN_US 1500000 /* before that, requests are still taken */
 #define DEFAULT_DEADLINE_US 30000000
 #define DEADLINE_MAX_US 600000000
 #define STATE_BYTES 64
@@ -205,6 +205,17 @@
            (deadline_ms > 0 ? deadline_ms * 1000 : DEFAULT_DEADLINE_US);
 }
 
+/* The caller's deadline, or the end of this process if that is earlier: what
+   cannot end by then is refused and goes to another. */
+static uint64_t
+job_deadline_us(const Role *role, const BwExchange *exchange, uint64_t now_us)
+{
+    uint64_t deadline_us = read_deadline(role, exchange, now_us);
+    uint64_t last_us = last_answer_us(role->node);
+
+    return deadline_us < last_us ? deadline_us : last_us;
+}
+
 static void
 submit(Role *role, BwExchange *exchange, const BwRoute *route, BwSpan name)
 {
@@ -231,9 +242,9 @@
     else {
         waiter->exchange = exchange;
         exchange->data = waiter;
-        ref = BwDispatcher_Submit(&role->dispatcher, now_us, name, &request,
-                                  route, read_deadline(role, exchange, now_us),
-                                  waiter);
+        ref = BwDispatcher_Submit(
+            &role->dispatcher, now_us, name, &request, route,
+            job_deadline_us(role, exchange, now_us), waiter);
         if (ref != 0)
             waiter->ref = ref;
     }
@@ -300,7 +311,7 @@
                             "no configuration is known yet; come back");
         return;
     }
-    if (role->is_front_closed) {
+    if (BwClock_Now() + LAST_TAKEN_US > last_answer_us(role->node)) {
         BwDaemon_ReplyError(exchange, BW_ERR_LEAVING,
                             "this process is stopping; ask another");
         return;
