--- a/packages/daemon/storereader.c
+++ b/packages/daemon/storereader.c
@@ -50,11 +50,14 @@
     return reply->outcome == BW_HTTP_ANSWERED && reply->status == 200;
 }
 
+/* The pause grows, but not while there is no configuration: nothing is served
+   until it is known that the store answers again. */
 static void
 note_failure(BwStoreReader *reader)
 {
-    uint32_t shift = reader->failures < RETRY_SHIFT_MAX ? reader->failures
-                                                        : RETRY_SHIFT_MAX;
+    uint32_t shift_max = reader->has_config ? RETRY_SHIFT_MAX : 0;
+    uint32_t shift =
+        reader->failures < shift_max ? reader->failures : shift_max;
 
     reader->is_up = false;
     reader->failures++;
