Take out what stands twice and what nothing reads

Cause: a last reading of the change. HOST:PORT was split in four places, labels searched in two, the drift of a worker's lease stood as two constants that have to agree; fields, functions and a parameter that nothing read or called; two conditions that another one implied.

Change: BwNet_SplitAddress, BwLabel_IsMet and BW_LEASE_DRIFT_PERMILLE serve all; the dead parts are gone. A replay refuses an entry whose port is not a number, where it took 0.

--- a/packages/adapters/net.c
+++ b/packages/adapters/net.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -30,6 +31,26 @@
     return 0;
 }
 
+bool
+BwNet_SplitAddress(const char *address, char *host, size_t host_bytes,
+                   uint16_t *port)
+{
+    const char *colon = strrchr(address, ':');
+    size_t length = colon != NULL ? (size_t)(colon - address) : 0;
+    unsigned long number;
+    char *end;
+
+    if (length == 0 || length >= host_bytes)
+        return false;
+    number = strtoul(colon + 1, &end, 10);
+    if (end == colon + 1 || *end != '\0' || number > UINT16_MAX)
+        return false;
+    memcpy(host, address, length);
+    host[length] = '\0';
+    *port = (uint16_t)number;
+    return true;
+}
+
 static uint16_t
 local_port(int fd)
 {
--- a/packages/adapters/net.h
+++ b/packages/adapters/net.h
@@ -14,6 +14,12 @@
 socklen_t
 BwNet_Parse(const char *host, uint16_t port, struct sockaddr_storage *address);
 
+/* Splits "HOST:PORT".  Returns false when it is none, or the host has no room
+   in `host_bytes` bytes. */
+bool
+BwNet_SplitAddress(const char *address, char *host, size_t host_bytes,
+                   uint16_t *port);
+
 /* Opens a listening socket and calls `cb` for each connection that can be
    accepted with h2o_evloop_socket_accept.  Port 0 takes a free one; the port
    is returned in *port.  Returns NULL with errno set. */
--- a/packages/adapters/settings.c
+++ b/packages/adapters/settings.c
@@ -155,22 +155,12 @@
 static bool
 split_address(BwEndpoint *endpoint)
 {
-    char *colon = strrchr(endpoint->address, ':');
-    size_t length;
-    char *end;
-    unsigned long port;
+    uint16_t port;
 
-    if (colon == NULL)
+    if (!BwNet_SplitAddress(endpoint->address, endpoint->host,
+                            sizeof(endpoint->host), &port))
         return false;
-    length = (size_t)(colon - endpoint->address);
-    if (length == 0 || length >= sizeof(endpoint->host))
-        return false;
-    port = strtoul(colon + 1, &end, 10);
-    if (end == colon + 1 || *end != '\0' || port > 65535)
-        return false;
-    memcpy(endpoint->host, endpoint->address, length);
-    endpoint->host[length] = '\0';
-    endpoint->port = (uint32_t)port;
+    endpoint->port = port;
     return true;
 }
 
--- a/packages/cli/call.c
+++ b/packages/cli/call.c
@@ -6,29 +6,11 @@
 
 #include "cli.h"
 #include "keys.h"
+#include "net.h"
 
 #define HEADER_BYTES_MAX 384
 #define FILE_BYTES_MAX (64u * 1024 * 1024)
 
-static bool
-split_address(const char *address, char *host, size_t room, uint16_t *port)
-{
-    const char *colon = strrchr(address, ':');
-    size_t length = colon != NULL ? (size_t)(colon - address) : 0;
-    unsigned long number;
-    char *end;
-
-    if (length == 0 || length >= room)
-        return false;
-    memcpy(host, address, length);
-    host[length] = '\0';
-    number = strtoul(colon + 1, &end, 10);
-    if (*end != '\0' || number == 0 || number > 65535)
-        return false;
-    *port = (uint16_t)number;
-    return true;
-}
-
 /* `options` gives TLS and the token; NULL for neither. */
 static uint32_t
 call(const BwCliOptions *options, const char *address, const char *method,
@@ -42,7 +24,7 @@
 
     memset(reply, 0, sizeof(*reply));
     if (address == NULL ||
-        !split_address(address, host, sizeof(host), &port) ||
+        !BwNet_SplitAddress(address, host, sizeof(host), &port) || port == 0 ||
         !BwCaller_Init(&caller, host, port))
         return 0;
     if (options != NULL && options->authority != NULL) {
--- a/packages/cli/replay.c
+++ b/packages/cli/replay.c
@@ -12,6 +12,7 @@
 
 #include "clock.h"
 #include "keys.h"
+#include "net.h"
 #include "replay.h"
 
 #define CONNECTIONS_MAX 4096
@@ -284,15 +285,12 @@
 static bool
 add_entry(BwReplay *replay, const char *address)
 {
-    const char *colon = strrchr(address, ':');
-    char host[64] = "";
+    char host[64];
+    uint16_t port;
 
-    if (colon != NULL && (size_t)(colon - address) < sizeof(host))
-        memcpy(host, address, (size_t)(colon - address));
-    if (host[0] == '\0' ||
+    if (!BwNet_SplitAddress(address, host, sizeof(host), &port) ||
         !BwHttpClient_Init(&replay->entries[replay->entry_count], replay->loop,
-                           host, (uint16_t)strtoul(colon + 1, NULL, 10),
-                           CONNECTIONS_MAX, REPLY_BYTES_MAX)) {
+                           host, port, CONNECTIONS_MAX, REPLY_BYTES_MAX)) {
         snprintf(replay->fault, sizeof(replay->fault),
                  "'%s' is not HOST:PORT; give an IP number and a port",
                  address);
--- a/packages/core/boundplace.c
+++ b/packages/core/boundplace.c
@@ -46,13 +46,7 @@
 static bool
 view_has_label(const BwView *view, BwSpan label)
 {
-    if (label.size_bytes == 0)
-        return true;
-    for (uint32_t i = 0; i < view->label_count; i++) {
-        if (BwSpan_Equal(label, BwSpan_FromString(view->labels[i])))
-            return true;
-    }
-    return false;
+    return BwLabel_IsMet(label, view->labels, view->label_count);
 }
 
 static uint64_t
@@ -214,7 +208,6 @@
             continue;
         piece->state = BW_PIECE_PLACED;
         piece->link = view->link;
-        piece->placed_us = now_us;
         if (piece->wait_us > place->wait_us)
             place->wait_us = piece->wait_us;
         tasks[count++].index = piece->index;
--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -78,7 +78,7 @@
 {
     void *data = job->data;
 
-    if (end == BW_BOUND_EXPIRED && (!job->was_placed || !has_started(job)))
+    if (end == BW_BOUND_EXPIRED && !has_started(job))
         end = BW_BOUND_REFUSED;
     d->counters.completed += end == BW_BOUND_COMPLETED;
     d->counters.failed += end == BW_BOUND_FAILED;
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -42,7 +42,6 @@
     struct BwView *view;
     struct BwView *avoid; /* the last that refused or failed it */
     uint64_t link;        /* generation of the view's connection */
-    uint64_t placed_us;
 } BwPiece;
 
 typedef struct BwBoundJob {
--- a/packages/core/room.c
+++ b/packages/core/room.c
@@ -1,6 +1,7 @@
-/* room.c -- processors, memory and accelerators as one quantity */
+/* room.c -- what a task needs of a worker */
 
 #include "room.h"
+#include "brasswing.h"
 
 static uint64_t
 take_away(uint64_t from, uint64_t amount)
@@ -30,3 +31,16 @@
     return need->cpu_milli <= free->cpu_milli &&
            need->mem_mb <= free->mem_mb && need->gpu <= free->gpu;
 }
+
+bool
+BwLabel_IsMet(BwSpan label, const char (*labels)[BW_NAME_BYTES_MAX],
+              uint32_t label_count)
+{
+    if (label.size_bytes == 0)
+        return true;
+    for (uint32_t i = 0; i < label_count; i++) {
+        if (BwSpan_Equal(label, BwSpan_FromString(labels[i])))
+            return true;
+    }
+    return false;
+}
--- a/packages/core/seats.c
+++ b/packages/core/seats.c
@@ -23,7 +23,6 @@
 #define PACE_MAX_PERMILLE 8000
 #define PROGRESS_AFTER_US 80000
 #define STUCK_FACTOR 4
-#define LEASE_DRIFT_PERMILLE 1030
 #define LEASE_MARGIN_US 20000
 
 bool
@@ -237,7 +236,7 @@
 BwSeats_ExtendLease(BwSupervisor *s, uint64_t now_us)
 {
     uint64_t end_us = now_us +
-                      s->limits.lease_us * LEASE_DRIFT_PERMILLE / 1000 +
+                      s->limits.lease_us * BW_LEASE_DRIFT_PERMILLE / 1000 +
                       LEASE_MARGIN_US;
 
     if (end_us > s->lease_end_us)
@@ -259,11 +258,10 @@
 }
 
 void
-BwSeats_SendStop(BwSupervisor *s, uint64_t now_us, BwSeat *seat)
+BwSeats_SendStop(BwSupervisor *s, BwSeat *seat)
 {
     BwTaskOrder order = make_order(s, seat);
 
-    seat->stop_sent_us = now_us;
     seat->is_stop_in_flight = true;
     s->port->stop(s->ctx, seat->number, &order);
 }
@@ -282,7 +280,7 @@
     seat->outcome = kind;
     seat->reason = reason;
     s->counters.stopped++;
-    BwSeats_SendStop(s, now_us, seat);
+    BwSeats_SendStop(s, seat);
 }
 
 /* -------------------------------------------------------------- queue */
--- a/packages/core/seats.h
+++ b/packages/core/seats.h
@@ -61,7 +61,7 @@
 BwSeats_SendStart(BwSupervisor *supervisor, uint64_t now_us, BwSeat *seat);
 
 void
-BwSeats_SendStop(BwSupervisor *supervisor, uint64_t now_us, BwSeat *seat);
+BwSeats_SendStop(BwSupervisor *supervisor, BwSeat *seat);
 
 /* Queues a task of the PLACE.  Returns 0, or why it was not queued. */
 uint32_t
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -123,31 +123,19 @@
     return count;
 }
 
-static bool
-has_label(const BwSupervisor *s, BwSpan label)
-{
-    if (label.size_bytes == 0)
-        return true;
-    for (uint32_t i = 0; i < s->label_count; i++) {
-        if (BwSpan_Equal(label, BwSpan_FromString(s->labels[i])))
-            return true;
-    }
-    return false;
-}
-
 /* Returns 0 when the task may be queued, or why not. */
 static uint32_t
 check_place(const BwSupervisor *s, uint64_t now_us,
             const BwSupervisorPeer *peer, const BwPlace *place,
             uint32_t spread)
 {
-    if (s->is_leaving || s->is_worker_leaving || !BwSeats_IsUsable(s, now_us))
+    if (!BwSeats_IsUsable(s, now_us))
         return BW_DECLINE_LEAVING;
     if (now_us >= peer->valid_until_us)
         return BW_DECLINE_NO_SESSION;
     if (!BwSpan_Equal(place->service, BwSpan_FromString(s->service)))
         return BW_DECLINE_NO_SERVICE;
-    if (!has_label(s, place->requirement) ||
+    if (!BwLabel_IsMet(place->requirement, s->labels, s->label_count) ||
         !BwRoom_Fits(&place->room, &s->capacity) ||
         (place->spread_max > 0 && spread >= place->spread_max))
         return BW_DECLINE_UNSUITED;
@@ -277,7 +265,7 @@
     {
         if (seat->state == BW_SEAT_STOPPING) {
             if (!seat->is_stop_in_flight && seat->stopped_us == 0)
-                BwSeats_SendStop(s, now_us, seat);
+                BwSeats_SendStop(s, seat);
         }
         else if (seat->state == BW_SEAT_STARTING && seat->doubted_us != 0 &&
                  now_us - seat->doubted_us > DOUBT_US) {
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -66,7 +66,6 @@
     uint64_t deadline_us;
     uint64_t started_us;
     uint64_t doubted_us; /* since when its start is unanswered; 0: it is not */
-    uint64_t stop_sent_us;
     uint64_t stopped_us; /* when the worker acknowledged the stop; 0 */
     uint64_t listed_us;  /* when the last look that listed it was sent */
     uint64_t start_ms;   /* a start that comes later, on the worker's clock, is
--- a/packages/core/views.c
+++ b/packages/core/views.c
@@ -19,7 +19,6 @@
 #include "pace.h"
 #include "room.h"
 
-#define LEASE_DRIFT_PERMILLE 1030
 #define GONE_MARGIN_US 120000 /* stops take effect, and clocks drift */
 #define FAILURES_TO_EJECT 3
 #define EJECTED_US 3000000
@@ -264,7 +263,7 @@
     uint64_t session_us = view->answered_us + d->limits.session_us;
     uint64_t from_us = session_us > now_us ? session_us : now_us;
     uint64_t gone_us = from_us + GONE_MARGIN_US +
-                       d->limits.lease_us * LEASE_DRIFT_PERMILLE / 1000;
+                       d->limits.lease_us * BW_LEASE_DRIFT_PERMILLE / 1000;
     BwBoundJob *job, *next;
 
     view->peer = 0;
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -12,6 +12,7 @@
 #include "brasswing.h"
 #include "daemon.h"
 #include "dispatcher.h"
+#include "net.h"
 #include "node.h"
 #include "nodestatus.h"
 #include "storereader.h"
@@ -23,7 +24,6 @@
 #define DEFAULT_DEADLINE_US 30000000
 #define DEADLINE_MAX_US 600000000
 #define STATE_BYTES 64
-#define RETRY_AFTER_S 1
 
 typedef struct Role {
     BwNode *node;
@@ -103,19 +103,14 @@
 take_member(void *ctx, BwSpan name, BwSpan address)
 {
     Role *role = ctx;
-    char text[BW_ADDRESS_BYTES_MAX] = {0};
-    char *colon;
-
-    if (address.size_bytes == 0 || address.size_bytes >= sizeof(text))
-        return;
-    memcpy(text, address.base, address.size_bytes);
-    colon = strrchr(text, ':');
-    if (colon == NULL)
-        return;
-    *colon = '\0';
-    BwMesh_AddMember(&role->node->mesh, BwClock_Now(), name,
-                     BwSpan_FromString(text),
-                     (uint32_t)strtoul(colon + 1, NULL, 10), false);
+    char text[BW_ADDRESS_BYTES_MAX];
+    char host[BW_HOST_BYTES_MAX];
+    uint16_t port;
+
+    BwSpan_ToString(address, text, sizeof(text));
+    if (BwNet_SplitAddress(text, host, sizeof(host), &port))
+        BwMesh_AddMember(&role->node->mesh, BwClock_Now(), name,
+                         BwSpan_FromString(host), port, false);
 }
 
 static const BwStoreReaderEvents store_events = {take_config, take_member};
@@ -123,20 +118,18 @@
 /* ------------------------------------------------------------ callers */
 
 static void
-reply_text(BwExchange *exchange, int status, const char *text, uint32_t length,
-           uint32_t retry_after_s)
+reply_text(BwExchange *exchange, int status, const char *text, uint32_t length)
 {
     BwSpan body = {text, length};
 
-    BwExchange_Reply(exchange, status, "application/json", body,
-                     retry_after_s);
+    BwExchange_Reply(exchange, status, "application/json", body, 0);
 }
 
 /* A job that is not here, whether it ended or never was. */
 static void
 reply_gone(BwExchange *exchange)
 {
-    reply_text(exchange, 410, "{}", 2, 0);
+    reply_text(exchange, 410, "{}", 2);
 }
 
 static void
@@ -145,7 +138,7 @@
     char text[STATE_BYTES];
 
     reply_text(exchange, 200, text,
-               role->node->driver->write_state(state, text, sizeof(text)), 0);
+               role->node->driver->write_state(state, text, sizeof(text)));
 }
 
 static void
@@ -263,7 +256,7 @@
             BwDispatcher_CountWaiting(&role->dispatcher, route->name);
 
         reply_text(exchange, 200, text,
-                   driver->write_waiting(count, text, sizeof(text)), 0);
+                   driver->write_waiting(count, text, sizeof(text)));
         return;
     }
     job = BwDispatcher_FindName(&role->dispatcher, name);
--- a/packages/daemon/mesh.c
+++ b/packages/daemon/mesh.c
@@ -1,9 +1,7 @@
 /* mesh.c -- connections between dispatchers and supervisors */
 
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include <utlist.h>
 
@@ -274,26 +272,6 @@
     }
 }
 
-void
-BwMesh_Close(BwMesh *mesh, BwMeshLink *link)
-{
-    (void)mesh;
-    end_link(link);
-}
-
-uint32_t
-BwMesh_CountUp(const BwMesh *mesh, BwRole role)
-{
-    const BwMeshLink *link;
-    uint32_t count = 0;
-
-    DL_FOREACH(mesh->links, link)
-    {
-        count += link->is_up && link->role == role;
-    }
-    return count;
-}
-
 static void
 reap_links(BwMesh *mesh)
 {
--- a/packages/daemon/mesh.h
+++ b/packages/daemon/mesh.h
@@ -98,13 +98,6 @@
 void
 BwMesh_TellDispatchers(BwMesh *mesh, const BwMessage *message);
 
-/* Closes a connection; `down` is called. */
-void
-BwMesh_Close(BwMesh *mesh, BwMeshLink *link);
-
-uint32_t
-BwMesh_CountUp(const BwMesh *mesh, BwRole role);
-
 void
 BwMesh_Tick(BwMesh *mesh, uint64_t now_us);
 
--- a/packages/daemon/storereader.c
+++ b/packages/daemon/storereader.c
@@ -38,12 +38,6 @@
     BwHttpClient_Finish(&reader->http);
 }
 
-void
-BwStoreReader_WantMembers(BwStoreReader *reader)
-{
-    reader->has_members = false;
-}
-
 static bool
 is_good(const BwHttpReply *reply)
 {
--- a/packages/daemon/storereader.h
+++ b/packages/daemon/storereader.h
@@ -32,7 +32,6 @@
     bool is_announcing;
     uint64_t next; /* offset to read from */
     uint64_t retry_us;
-    uint64_t members_us; /* when to read the members again */
     uint32_t failures;
     bool is_up;
     char name[BW_NAME_BYTES_MAX];
@@ -48,10 +47,6 @@
 void
 BwStoreReader_Finish(BwStoreReader *reader);
 
-/* Asks for the list of dispatchers once more. */
-void
-BwStoreReader_WantMembers(BwStoreReader *reader);
-
 void
 BwStoreReader_Tick(BwStoreReader *reader, uint64_t now_us);
 
--- a/packages/ports/driver.h
+++ b/packages/ports/driver.h
@@ -99,6 +99,11 @@
     uint32_t body_bytes;
 } BwCallText;
 
+/* A lease that was asked for counts as over after so much of its time: the
+   worker's clock may be slow.  Who gives a lease and who waits for its end
+   reckon alike. */
+#define BW_LEASE_DRIFT_PERMILLE 1030
+
 typedef struct BwTaskOrder {
     BwSpan instance; /* the worker that is meant */
     BwSpan job;
