Move a task that stands still, and try its worker with one at a time

Ruled out: lost starts (none unanswered), dispatchers that were cut off (every open job had tasks on hanging workers).

Change: a supervisor that sees no progress for half of the expected run, at least 100 ms and four steps of the progress so far, stops the task and reports it lost, so that its dispatcher places it elsewhere. Where nothing else went on meanwhile the worker is left alone for 250 ms, up to 1 s, then tried with one task until one is done. Room that is free on a worker that stands still is taken only within the objective. test_stalled and test_suspect fail without it; both stand-ins now list progress.

--- a/packages/core/boundplace.c
+++ b/packages/core/boundplace.c
@@ -23,6 +23,7 @@
 #define CROWDED_PERMILLE 100
 #define URGENT_LIMIT_PERMILLE 1200
 #define LIMIT_PERMILLE 850
+#define STILL_PERMILLE 6000
 #define NEVER UINT64_MAX
 
 /* ---------------------------------------------------------- foresight */
@@ -135,10 +136,13 @@
     for (BwView *view = d->views; view != NULL; view = view->hh.next) {
         Foresight foresight = foresee(job, piece, view, run_us, now_us);
 
-        /* Room that is free is given: only waiting keeps others waiting. */
+        /* Room that is free is given: only waiting keeps others waiting, and
+           on a worker that stands still nothing is gained. */
         if (foresight.end_us == NEVER ||
             foresight.end_us >
-                (foresight.wait_us == 0 ? job->deadline_us : limit_us))
+                (foresight.wait_us == 0 && view_pace(view) < STILL_PERMILLE
+                     ? job->deadline_us
+                     : limit_us))
             continue;
         if (view == piece->avoid) {
             last = view;
--- a/packages/core/seats.c
+++ b/packages/core/seats.c
@@ -44,6 +44,14 @@
            !s->is_leaving && BwSeats_IsResponsive(s, now_us);
 }
 
+/* A worker that stood still is tried with one task at a time. */
+static bool
+may_start(const BwSupervisor *s, uint64_t now_us)
+{
+    return s->suspect_us == 0 || (now_us >= s->suspect_until_us &&
+                                  HASH_COUNT(s->seats) == s->queued_count);
+}
+
 /* --------------------------------------------------------------- load */
 
 /* The run times against the expected ones, of tasks that ended and of those
@@ -56,6 +64,8 @@
     uint64_t count = ENDED_WEIGHT;
     uint64_t mean;
 
+    if (now_us < s->suspect_until_us)
+        return PACE_MAX_PERMILLE;
     for (const BwSeat *seat = s->seats; seat != NULL; seat = seat->hh.next) {
         uint64_t ran_us = now_us - seat->started_us;
         uint64_t whole_us, pace;
@@ -98,8 +108,10 @@
     BwWorkerLoad load = {0};
 
     load.place_seen = peer->place_seen;
-    load.free = s->capacity;
-    BwRoom_Remove(&load.free, &s->used);
+    if (may_start(s, now_us)) {
+        load.free = s->capacity;
+        BwRoom_Remove(&load.free, &s->used);
+    }
     load.queued = s->queued_count;
     load.queued_urgent = s->queued_urgent;
     load.release_us = release_us(s, now_us);
@@ -181,6 +193,8 @@
     if (kind == BW_OUTCOME_DONE) {
         uint64_t pace = ran_us * 1000 / expected;
 
+        if (seat->started_us > s->suspect_until_us)
+            s->suspect_us = 0;
         if (pace > PACE_MAX_PERMILLE)
             pace = PACE_MAX_PERMILLE;
         s->pace_permille +=
@@ -385,7 +399,7 @@
         BwRoom room = s->capacity;
 
         BwRoom_Remove(&room, &s->used);
-        if (!BwRoom_Fits(&seat->room, &room) ||
+        if (!may_start(s, now_us) || !BwRoom_Fits(&seat->room, &room) ||
             !BwSeats_IsInTime(s, now_us, seat))
             continue;
         DL_DELETE(s->queue, seat);
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -58,6 +58,7 @@
     uint32_t priority;
     uint32_t run;
     uint32_t percent;
+    uint64_t moved_us; /* when it was last seen to go on; 0: not yet */
     uint32_t tries;
     uint64_t number; /* of this seat, never used again */
     uint64_t expected_us;
@@ -115,6 +116,7 @@
     uint64_t stopped;
     uint64_t declined;
     uint64_t unanswered;
+    uint64_t stalled;
     uint64_t holds;
 } BwSupervisorCounters;
 
@@ -166,6 +168,10 @@
     uint32_t queued_urgent; /* of priority 0 */
     uint32_t pace_permille; /* run times of the last few tasks */
     uint32_t failed_permille;
+    uint64_t
+        progress_us;     /* when a task was last seen to go on or to be done */
+    uint64_t suspect_us; /* pause after all stood still; 0: it is sound */
+    uint64_t suspect_until_us;
     uint32_t orphan_count; /* seats whose dispatcher is gone */
     bool was_usable;       /* as last told */
 } BwSupervisor;
--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -28,6 +28,10 @@
 #define RUNS_PER_SEAT 512 /* more than the steps of all tries */
 #define TRIES_MAX 4
 #define RUN_STEP 16
+#define STALL_MIN_US 100000
+#define STALL_STEPS 4 /* of the progress so far */
+#define SUSPECT_MIN_US 250000
+#define SUSPECT_MAX_US 1000000
 
 static void
 send_hold(BwSupervisor *s, uint64_t now_us, uint64_t wait_us)
@@ -248,6 +252,8 @@
         if (seat->state == BW_SEAT_STARTING)
             seat->state = BW_SEAT_RUNNING;
         seat->is_confirmed = true;
+        if (seat->moved_us == 0)
+            seat->moved_us = now_us;
         break;
     case BW_WORKER_NO_ANSWER:
         note_lost_answer(s, now_us);
@@ -312,8 +318,10 @@
         seat = find_listed(s, task);
         if (seat == NULL)
             continue;
-        if (task->end == BW_END_DONE)
+        if (task->end == BW_END_DONE) {
+            s->progress_us = now_us;
             BwSeats_Remove(s, now_us, seat, BW_OUTCOME_DONE, 0);
+        }
         else if (seat->state == BW_SEAT_STOPPING)
             BwSeats_Remove(s, now_us, seat, seat->outcome, seat->reason);
         else if (task->end == BW_END_FAILED)
@@ -338,8 +346,53 @@
     s->port->stop(s->ctx, ++s->next_number, &order);
 }
 
+/* Whether a look sent then should have seen progress: half of the expected
+   run has passed, and more than progress has taken so far. */
+static bool
+is_stalled(const BwSeat *seat, uint64_t sent_us)
+{
+    uint64_t limit_us = seat->expected_us / 2;
+    uint64_t step_us = 0;
+
+    if (seat->percent > 0)
+        step_us = (seat->moved_us - seat->started_us) / seat->percent;
+    if (limit_us < step_us * STALL_STEPS)
+        limit_us = step_us * STALL_STEPS;
+    if (limit_us < STALL_MIN_US)
+        limit_us = STALL_MIN_US;
+    return sent_us > seat->moved_us + limit_us;
+}
+
+/* Nothing goes on at the worker: it gets no task for a while, twice as long
+   each time, and then one at a time until one is done. */
+static void
+suspect_worker(BwSupervisor *s, uint64_t now_us)
+{
+    if (now_us >= s->suspect_until_us) {
+        s->suspect_us *= 2;
+        if (s->suspect_us < SUSPECT_MIN_US)
+            s->suspect_us = SUSPECT_MIN_US;
+        if (s->suspect_us > SUSPECT_MAX_US)
+            s->suspect_us = SUSPECT_MAX_US;
+        s->suspect_until_us = now_us + s->suspect_us;
+    }
+    BwSeats_DeclineQueue(s, now_us, BW_DECLINE_BUSY);
+}
+
+/* The task may go on elsewhere. */
+static void
+end_stalled(BwSupervisor *s, uint64_t now_us, BwSeat *seat)
+{
+    s->counters.stalled++;
+    s->port->log(s->ctx, "stalled", seat, "no progress");
+    if (s->progress_us <= seat->moved_us)
+        suspect_worker(s, now_us);
+    BwSeats_End(s, now_us, seat, BW_OUTCOME_LOST, 0);
+}
+
 static void
-take_running(BwSupervisor *s, uint64_t sent_us, const BwWorkerAnswer *answer)
+take_running(BwSupervisor *s, uint64_t now_us, uint64_t sent_us,
+             const BwWorkerAnswer *answer)
 {
     for (uint32_t i = 0; i < answer->running_count; i++) {
         const BwListedTask *task = &answer->running[i];
@@ -349,11 +402,17 @@
             stop_stranger(s, task);
             continue;
         }
+        if (task->percent > seat->percent)
+            s->progress_us = now_us;
+        if (task->percent > seat->percent || seat->moved_us == 0)
+            seat->moved_us = now_us;
         seat->percent = task->percent;
         seat->is_confirmed = true;
         seat->listed_us = sent_us;
         if (seat->state == BW_SEAT_STARTING)
             seat->state = BW_SEAT_RUNNING;
+        if (seat->state == BW_SEAT_RUNNING && is_stalled(seat, sent_us))
+            end_stalled(s, now_us, seat);
     }
 }
 
@@ -432,7 +491,7 @@
         take_cleared(s, now_us, answer);
         return;
     }
-    take_running(s, sent_us, answer);
+    take_running(s, now_us, sent_us, answer);
     take_ends(s, now_us, answer);
     take_absent(s, now_us, sent_us, answer->clock_ms);
     BwSeats_StartQueued(s, now_us);
--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -313,6 +313,8 @@
     ADD("brasswing_declined_total", "Tasks declined", c->declined);
     ADD("brasswing_unanswered_total", "Orders without an answer",
         c->unanswered);
+    ADD("brasswing_stalled_total", "Tasks stopped for want of progress",
+        c->stalled);
     ADD("brasswing_holds_total", "Looks at the worker", c->holds);
 #undef ADD
     return n;
--- a/tests/standins/worker_standin.c
+++ b/tests/standins/worker_standin.c
@@ -50,6 +50,7 @@
     uint32_t life;
     uint64_t cpu, mem;
     bool fails;
+    uint64_t whole_us;   /* its work */
     uint64_t left_us;    /* of its work, while it stands still */
     uint64_t due_us;     /* of its end */
     uint64_t stopped_us; /* a stop takes effect then; NEVER */
@@ -214,6 +215,7 @@
     run->mem = read_option(spec, "mem=", 0);
     run->fails = read_option(spec, "fail=", 0) != 0;
     run->left_us = read_option(spec, "run_ms=", 20) * me.slow_permille;
+    run->whole_us = run->left_us;
     run->started_us = BwClock_Now();
     run->due_us = me.is_still ? NEVER : run->started_us + run->left_us;
     run->stopped_us = NEVER;
@@ -343,9 +345,22 @@
     return 200;
 }
 
+static json_int_t
+percent_of(const Run *run, uint64_t now_us)
+{
+    uint64_t left_us = run->left_us;
+
+    if (run->due_us != NEVER)
+        left_us = run->due_us > now_us ? run->due_us - now_us : 0;
+    return run->whole_us > 0
+               ? (json_int_t)(100 - left_us * 100 / run->whole_us)
+               : 0;
+}
+
 static void
 list_runs(json_t *reply)
 {
+    uint64_t now_us = BwClock_Now();
     json_t *running = json_array();
     json_t *ended = json_array();
     const Run *run;
@@ -355,8 +370,9 @@
         if (run->life != me.life)
             continue;
         if (is_running(run))
-            json_array_append_new(
-                running, json_pack("[s,i,s,i]", run->task, run->run, "", 0));
+            json_array_append_new(running,
+                                  json_pack("[s,i,s,I]", run->task, run->run,
+                                            "", percent_of(run, now_us)));
         else if (run->number > me.seen)
             json_array_append_new(
                 ended, json_pack("[I,s,i,s,s]", (json_int_t)run->number,
--- a/tests/supervisor_world.c
+++ b/tests/supervisor_world.c
@@ -150,7 +150,11 @@
         return BW_WORKER_OLD_RUN;
     task.placement = call->spec.placement;
     task.cpu = call->spec.cpu;
+    task.starts_us = w->now_us;
     task.ends_us = w->now_us + call->spec.run_us;
+    task.is_stuck = w->worker.is_stuck;
+    if (task.is_stuck)
+        task.ends_us = UINT64_MAX;
     task.end = call->spec.end;
     g_array_append_val(w->worker.running, task);
     g_array_append_val(w->order, task.placement);
@@ -346,7 +350,7 @@
 }
 
 static BwListedTask *
-list_tasks(const GArray *tasks)
+list_tasks(const GArray *tasks, uint64_t now_us)
 {
     BwListedTask *list;
 
@@ -362,6 +366,9 @@
         list[i].run = task->run;
         list[i].number = task->number;
         list[i].end = task->end;
+        if (!task->is_stuck && task->ends_us > task->starts_us)
+            list[i].percent = (uint32_t)((now_us - task->starts_us) * 100 /
+                                         (task->ends_us - task->starts_us));
     }
     return list;
 }
@@ -371,8 +378,8 @@
 {
     if (call->life != w->life)
         return;
-    answer->running = list_tasks(call->running);
-    answer->ended = list_tasks(call->ended);
+    answer->running = list_tasks(call->running, w->now_us);
+    answer->ended = list_tasks(call->ended, w->now_us);
     if (answer->running != NULL) {
         answer->running_count = call->running->len;
         answer->ended_count = call->ended->len;
@@ -589,7 +596,7 @@
         out->step = order->step;
         out->priority = order->priority;
         out->spread_max = order->spread_max;
-        out->expected_us = order->run_us;
+        out->expected_us = spec.run_us;
         out->due_in_us = order->due_us;
         out->wait_us = order->wait_us != 0 ? order->wait_us : FOREVER_US;
         if (order->is_impatient)
--- a/tests/supervisor_world.h
+++ b/tests/supervisor_world.h
@@ -49,7 +49,9 @@
     uint32_t run;
     uint32_t placement; /* number in World.placements */
     uint32_t cpu;
+    uint64_t starts_us;
     uint64_t ends_us;
+    bool is_stuck; /* it makes no progress */
     BwEndKind end;
     uint64_t number; /* of an end */
 } Task;
@@ -76,6 +78,7 @@
     GArray *ended;
     GHashTable *stopped; /* name of a task to its highest run that ended */
     bool is_silent;      /* nothing arrives */
+    bool is_stuck;       /* what starts makes no progress and never ends */
     bool is_unhealthy;
     bool is_leaving;
 } Worker;
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -3,6 +3,7 @@
    Directed cases, then random schedules of failures with fixed seeds; see
    supervisor_world.h for what is checked all along. */
 
+#include "seats.h"
 #include "supervisor_world.h"
 
 /* ----------------------------------------------------------- directed */
@@ -114,6 +115,63 @@
     }
 }
 
+/* A task without progress is reported as lost; others go on, also slow ones,
+   and speak for the worker. */
+static void
+test_stalled(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), task, slow;
+
+    slow = World_Place(&w, peer, &(Order){.job = "a", .run_us = 3000000});
+    w.supervisor.seats->expected_us = 100000;
+    World_Run(&w, 5000);
+    w.worker.is_stuck = true;
+    task = World_Place(&w, peer, &(Order){.job = "b", .run_us = 200000});
+    World_Run(&w, 50000);
+    World_AssertKind(&w, task, 0);
+    World_Run(&w, 500000);
+    World_AssertKind(&w, task, BW_OUTCOME_LOST);
+    g_assert_cmpuint(w.supervisor.suspect_us, ==, 0);
+    World_Run(&w, 3000000);
+    World_AssertKind(&w, slow, BW_OUTCOME_DONE);
+    World_Finish(&w);
+}
+
+/* A worker where nothing goes on is left alone, longer each time, then tried
+   with one task until one is done. */
+static void
+test_suspect(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), task, suspect_us = 0;
+
+    w.worker.is_stuck = true;
+    for (uint32_t i = 0; i < 3; i++) {
+        task = World_Place(&w, peer,
+                           &(Order){.job = "a", .step = i, .run_us = 200000});
+        World_Run(&w, 400000);
+        World_AssertKind(&w, task, BW_OUTCOME_LOST);
+        g_assert_cmpuint(w.supervisor.suspect_us, >=, 2 * suspect_us);
+        suspect_us = (uint32_t)w.supervisor.suspect_us;
+        task = World_Place(
+            &w, peer, &(Order){.job = "b", .step = i, .is_impatient = true});
+        World_AssertDeclined(&w, task, BW_DECLINE_BUSY);
+        World_Run(&w, suspect_us);
+    }
+    w.worker.is_stuck = false;
+    task = World_Place(&w, peer, &(Order){.job = "c", .run_us = 100000});
+    World_Place(&w, peer, &(Order){.job = "d", .run_us = 100000});
+    World_Run(&w, 50000);
+    g_assert_cmpuint(w.worker.running->len, ==, 1);
+    World_Run(&w, 400000);
+    World_AssertKind(&w, task, BW_OUTCOME_DONE);
+    g_assert_cmpuint(w.supervisor.suspect_us, ==, 0);
+    World_Run(&w, 400000);
+    World_AssertEmpty(&w);
+    World_Finish(&w);
+}
+
 /* Once the stop of an unanswered start is acknowledged, one look settles that
    the task is not there; nothing waits for the stop to take effect. */
 static void
@@ -1022,6 +1080,8 @@
     g_test_add_func("/supervisor/start_unanswered", test_start_unanswered);
     g_test_add_func("/supervisor/start_unsaid", test_start_unsaid);
     g_test_add_func("/supervisor/end_unsaid", test_end_unsaid);
+    g_test_add_func("/supervisor/stalled", test_stalled);
+    g_test_add_func("/supervisor/suspect", test_suspect);
     g_test_add_func("/supervisor/stop_settles", test_stop_settles);
     g_test_add_func("/supervisor/peer_down", test_peer_down);
     g_test_add_func("/supervisor/clear_again", test_clear_again);
