--- a/packages/cli/main.c
+++ b/packages/cli/main.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "cli.h"
+#include "lab.h"
 
 #define DEFAULT_TIMEOUT_US 30000000
 #define DEFAULT_TLS_NAME "localhost"
@@ -41,7 +42,8 @@
     for (size_t i = 0; i < COMMAND_COUNT; i++)
         fprintf(out, "  %-8s %-9s  %s\n", commands[i].name,
                 commands[i].operands, commands[i].help);
-    fprintf(out, "\n"
+    fprintf(out, "  lab                 experiments with real processes; see "
+                 "`brasswing lab`\n\n"
                  "  -e, --entry HOST:PORT  a brasswingd process (replay: "
                  "several)\n"
                  "  -f, --fleet FILE       processes that a replay acts on\n"
@@ -155,6 +157,8 @@
     BwCliOptions options = {0};
     int option;
 
+    if (argc > 1 && strcmp(argv[1], "lab") == 0)
+        return BwLab_Main(argc - 2, argv + 2);
     options.stream = "brasswing";
     options.output = "text";
     options.tls_name = DEFAULT_TLS_NAME;
--- /dev/null
+++ b/packages/emulator/labfleet.c
@@ -0,0 +1,352 @@
+/* labfleet.c -- dispatchers, supervisors, workers, a store and an ingress */
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "brasswing.h"
+#include "clock.h"
+#include "labfleet.h"
+
+#define START_TIMEOUT_US 20000000
+#define CONTROL_TIMEOUT_US 5000000
+#define PORT_FIRST 10000 /* below those that the system hands out */
+#define PORT_SPAN 20000
+#define PORT_STRIDE 64
+#define ARGUMENTS_MAX (8 + 2 * BW_FLEET_DISPATCHERS_MAX)
+#define NUMBER_BYTES 24
+
+static const char *const domains[] = {"charguia-a", "charguia-b", "ariana-c"};
+
+#define DOMAIN_COUNT (sizeof(domains) / sizeof(domains[0]))
+
+/* --------------------------------------------------------------- ports */
+
+static bool
+is_port_free(uint32_t port)
+{
+    struct sockaddr_in address = {.sin_family = AF_INET,
+                                  .sin_port = htons((uint16_t)port)};
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int on = 1;
+    bool is_free;
+
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    is_free = bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
+    close(fd);
+    return is_free;
+}
+
+/* A free port, or 0; fleets of the same time start at different ones. */
+static uint32_t
+take_port(BwFleet *fleet)
+{
+    if (fleet->next_port == 0)
+        fleet->next_port = (uint32_t)getpid() * PORT_STRIDE % PORT_SPAN;
+    for (uint32_t i = 0; i < PORT_SPAN; i++) {
+        uint32_t port = PORT_FIRST + fleet->next_port++ % PORT_SPAN;
+
+        if (is_port_free(port))
+            return port;
+    }
+    return 0;
+}
+
+static void
+take_ports(BwFleet *fleet)
+{
+    for (uint32_t i = 0; i < 1 + fleet->plan.dispatchers; i++)
+        fleet->door_ports[i] = take_port(fleet);
+    for (uint32_t i = 0; i < fleet->plan.dispatchers; i++) {
+        fleet->front_ports[i] = take_port(fleet);
+        fleet->ready_ports[i] = take_port(fleet);
+        fleet->peer_ports[i] = take_port(fleet);
+    }
+    for (uint32_t i = 0; i < fleet->plan.workers; i++) {
+        fleet->control_ports[i] = take_port(fleet);
+        fleet->worker_ports[i] = take_port(fleet);
+    }
+    fleet->ingress_port = take_port(fleet);
+    fleet->ingress_control_port = take_port(fleet);
+}
+
+/* ----------------------------------------------------------- processes */
+
+static bool
+fail(BwFleet *fleet, const char *what, const char *name)
+{
+    snprintf(fleet->fault, sizeof(fleet->fault), "%s: %s; see %s", name, what,
+             fleet->dir);
+    return false;
+}
+
+static bool
+write_settings(const BwFleet *fleet, const char *path, const char *role,
+               const char *name, uint32_t i, uint32_t door,
+               const char *addresses)
+{
+    FILE *file = fopen(path, "w");
+
+    if (file == NULL)
+        return false;
+    fprintf(file,
+            "role: %s\nname: %s\nregion: tunis-nord\ndomain: %s\n"
+            "log: {address: '127.0.0.1:%u'}\n%s"
+            "limits: {stop_ms: %llu, session_ms: %llu, "
+            "worker_lease_ms: %llu}\npeers:\n",
+            role, name, domains[i % DOMAIN_COUNT], fleet->door_ports[door],
+            addresses, (unsigned long long)fleet->plan.stop_ms,
+            (unsigned long long)fleet->plan.session_ms,
+            (unsigned long long)fleet->plan.worker_lease_ms);
+    for (uint32_t j = 0; j < fleet->plan.dispatchers; j++)
+        fprintf(file, "  - {address: '127.0.0.1:%u'}\n", fleet->peer_ports[j]);
+    return fclose(file) == 0;
+}
+
+static bool
+start_daemon(BwFleet *fleet, BwProcess *process, const char *role, uint32_t i,
+             uint32_t door, const char *addresses)
+{
+    char name[64], path[512];
+    char *argv[] = {(char *)fleet->plan.daemon, "--settings", path, NULL};
+
+    snprintf(name, sizeof(name), "%s-%u", role, i);
+    snprintf(path, sizeof(path), "%s/%s.yaml", fleet->dir, name);
+    if (!write_settings(fleet, path, role, name, i, door, addresses) ||
+        !BwProcess_Start(process, fleet->dir, name, argv))
+        return fail(fleet, strerror(errno), name);
+    return true;
+}
+
+bool
+BwFleet_StartDispatcher(BwFleet *fleet, uint32_t i)
+{
+    char addresses[256];
+
+    snprintf(addresses, sizeof(addresses),
+             "http: {address: '127.0.0.1:%u'}\n"
+             "ready: {address: '127.0.0.1:%u'}\n"
+             "peer: {address: '127.0.0.1:%u'}\n",
+             fleet->front_ports[i], fleet->ready_ports[i],
+             fleet->peer_ports[i]);
+    return start_daemon(fleet, &fleet->dispatchers[i], "dispatcher", i, 1 + i,
+                        addresses);
+}
+
+bool
+BwFleet_StartSupervisor(BwFleet *fleet, uint32_t i)
+{
+    char addresses[256];
+
+    snprintf(addresses, sizeof(addresses),
+             "http: {address: '127.0.0.1:%u'}\n"
+             "worker: {address: '127.0.0.1:%u'}\n",
+             fleet->control_ports[i], fleet->worker_ports[i]);
+    return start_daemon(fleet, &fleet->supervisors[i], "supervisor", i, 0,
+                        addresses);
+}
+
+bool
+BwFleet_WaitUp(BwFleet *fleet, const BwProcess *process)
+{
+    return BwProcess_WaitOutput(process, " started ", START_TIMEOUT_US) ||
+           fail(fleet, "it did not start", process->name);
+}
+
+/* Starts `brasswing lab PART NUMBERS... TEXTS...`. */
+static bool
+start_part(BwFleet *fleet, BwProcess *process, const char *name,
+           const char *part, const char *const *operands, uint32_t count)
+{
+    char *argv[ARGUMENTS_MAX + 4] = {(char *)fleet->plan.lab, "lab",
+                                     (char *)part};
+
+    for (uint32_t i = 0; i < count && i < ARGUMENTS_MAX; i++)
+        argv[3 + i] = (char *)operands[i];
+    if (!BwProcess_Start(process, fleet->dir, name, argv))
+        return fail(fleet, strerror(errno), name);
+    if (!BwProcess_WaitStarted(process, START_TIMEOUT_US))
+        return fail(fleet, "it did not start", name);
+    return true;
+}
+
+static const char *
+write_number(char out[NUMBER_BYTES], uint64_t number)
+{
+    snprintf(out, NUMBER_BYTES, "%llu", (unsigned long long)number);
+    return out;
+}
+
+static bool
+start_store(BwFleet *fleet)
+{
+    char numbers[1 + BW_FLEET_DOORS_MAX][NUMBER_BYTES];
+    const char *operands[1 + BW_FLEET_DOORS_MAX];
+    uint32_t count = 0;
+
+    operands[count] = write_number(numbers[count], fleet->plan.seed);
+    count++;
+    for (uint32_t i = 0; i < 1 + fleet->plan.dispatchers; i++, count++)
+        operands[count] = write_number(numbers[count], fleet->door_ports[i]);
+    return start_part(fleet, &fleet->store, "store", "store", operands, count);
+}
+
+static bool
+start_ingress(BwFleet *fleet)
+{
+    char numbers[2 + 2 * BW_FLEET_DISPATCHERS_MAX][NUMBER_BYTES];
+    const char *operands[2 + 2 * BW_FLEET_DISPATCHERS_MAX];
+    uint32_t count = 0;
+
+    operands[count] = write_number(numbers[count], fleet->ingress_port);
+    count++;
+    operands[count] =
+        write_number(numbers[count], fleet->ingress_control_port);
+    count++;
+    for (uint32_t i = 0; i < fleet->plan.dispatchers; i++) {
+        operands[count] = write_number(numbers[count], fleet->front_ports[i]);
+        count++;
+        operands[count] = write_number(numbers[count], fleet->ready_ports[i]);
+        count++;
+    }
+    return start_part(fleet, &fleet->ingress, "ingress", "ingress", operands,
+                      count);
+}
+
+/* The clock of every second worker runs at another rate. */
+static bool
+start_worker(BwFleet *fleet, uint32_t i)
+{
+    char name[32], rack[32], numbers[6][NUMBER_BYTES];
+    const char *operands[] = {
+        write_number(numbers[0], fleet->worker_ports[i]),
+        write_number(numbers[1], fleet->control_ports[i]),
+        name,
+        fleet->plan.service,
+        write_number(numbers[2], fleet->plan.cpu),
+        write_number(numbers[3], fleet->plan.mem),
+        rack,
+        write_number(numbers[4],
+                     i % 2 == 0 ? fleet->plan.clock_permille : 1000),
+        write_number(numbers[5], fleet->plan.seed + i),
+    };
+
+    snprintf(name, sizeof(name), "worker-%u", i);
+    snprintf(rack, sizeof(rack), "r1-%u", i / 2);
+    return start_part(fleet, &fleet->workers[i], name, "worker", operands,
+                      sizeof(operands) / sizeof(operands[0]));
+}
+
+bool
+BwFleet_Init(BwFleet *fleet, const BwFleetPlan *plan, char *dir)
+{
+    bool is_up;
+
+    memset(fleet, 0, sizeof(*fleet));
+    fleet->plan = *plan;
+    fleet->dir = dir;
+    if (plan->dispatchers > BW_FLEET_DISPATCHERS_MAX ||
+        plan->workers > BW_FLEET_WORKERS_MAX)
+        return fail(fleet, "too many processes", "fleet");
+    take_ports(fleet);
+    is_up = start_store(fleet);
+    if (is_up && plan->store[0] != '\0' &&
+        !BwFleet_Control(fleet->door_ports[0], plan->store))
+        is_up = fail(fleet, "it does not take its setting", "store");
+    for (uint32_t i = 0; is_up && i < plan->dispatchers; i++)
+        is_up = BwFleet_StartDispatcher(fleet, i);
+    for (uint32_t i = 0; is_up && i < plan->workers; i++)
+        is_up = BwFleet_StartSupervisor(fleet, i);
+    for (uint32_t i = 0; is_up && i < plan->dispatchers; i++)
+        is_up = BwFleet_WaitUp(fleet, &fleet->dispatchers[i]);
+    for (uint32_t i = 0; is_up && i < plan->workers; i++)
+        is_up = BwFleet_WaitUp(fleet, &fleet->supervisors[i]) &&
+                start_worker(fleet, i);
+    return is_up && (!plan->has_ingress || start_ingress(fleet));
+}
+
+void
+BwFleet_Finish(BwFleet *fleet)
+{
+    for (uint32_t i = 0; i < BW_FLEET_DISPATCHERS_MAX; i++)
+        BwProcess_Finish(&fleet->dispatchers[i]);
+    for (uint32_t i = 0; i < BW_FLEET_WORKERS_MAX; i++) {
+        BwProcess_Finish(&fleet->supervisors[i]);
+        BwProcess_Finish(&fleet->workers[i]);
+    }
+    BwProcess_Finish(&fleet->ingress);
+    BwProcess_Finish(&fleet->store);
+}
+
+/* --------------------------------------------------------------- calls */
+
+uint32_t
+BwFleet_Call(uint32_t port, const char *method, const char *path,
+             const char *body, uint64_t timeout_us, BwCallReply *reply)
+{
+    BwCaller caller;
+
+    memset(reply, 0, sizeof(*reply));
+    if (!BwCaller_Init(&caller, "127.0.0.1", (uint16_t)port))
+        return 0;
+    BwCaller_Call(&caller, method, path, "", BwSpan_FromString(body),
+                  timeout_us, reply);
+    BwCaller_Finish(&caller);
+    return reply->status;
+}
+
+bool
+BwFleet_Control(uint32_t port, const char *text)
+{
+    BwCallReply reply;
+    uint32_t status = BwFleet_Call(port, "POST", "/control", text,
+                                   CONTROL_TIMEOUT_US, &reply);
+
+    free(reply.body);
+    return status == 200;
+}
+
+uint64_t
+BwFleet_Counter(uint32_t port, const char *name)
+{
+    char line[128];
+    BwCallReply reply;
+    const char *place = NULL;
+    uint64_t value = 0;
+
+    snprintf(line, sizeof(line), "\n%s ", name);
+    if (BwFleet_Call(port, "GET", "/metrics", "", CONTROL_TIMEOUT_US,
+                     &reply) == 200)
+        place = strstr(reply.body, line);
+    if (place != NULL)
+        value = strtoull(place + strlen(line), NULL, 10);
+    free(reply.body);
+    return value;
+}
+
+static bool
+has_counter(const BwFleet *fleet, const char *name, uint64_t value)
+{
+    for (uint32_t i = 0; i < fleet->plan.dispatchers; i++) {
+        if (fleet->dispatchers[i].pid != 0 &&
+            BwFleet_Counter(fleet->ready_ports[i], name) != value)
+            return false;
+    }
+    return true;
+}
+
+bool
+BwFleet_HasWorkers(const BwFleet *fleet, uint32_t count)
+{
+    return has_counter(fleet, "brasswing_workers_usable", count);
+}
+
+bool
+BwFleet_HasVersion(const BwFleet *fleet, uint64_t version)
+{
+    return has_counter(fleet, "brasswing_config_revision", version);
+}
--- /dev/null
+++ b/packages/emulator/rules.c
@@ -0,0 +1,530 @@
+/* rules.c -- what is counted of a played experiment, and the rules
+
+   Limits of the rules: what a lost dispatcher or supervisor, or a caller that
+   went, had started must have ended when a caller may send its job again.  A
+   configuration counts as known, and a drain as heard, a while after it was
+   told.
+*/
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "rules.h"
+
+#define RESEND_US 1300000
+#define FORBID_US 1500000
+#define DRAIN_US 600000
+#define STOP_US 6000000
+#define NAME_BASE 16
+
+/* --------------------------------------------------------------- facts */
+
+static uint64_t
+number_of(const json_t *object, const char *field)
+{
+    return (uint64_t)json_integer_value(json_object_get(object, field));
+}
+
+static const char *
+text_of(const json_t *object, const char *field)
+{
+    return json_string_value(json_object_get(object, field));
+}
+
+static const BwLabJob *
+find_job(const BwPlayer *player, const char *name)
+{
+    uint64_t number = strtoull(name, NULL, NAME_BASE);
+
+    return number > 0 && number <= player->job_count ? player->jobs[number - 1]
+                                                     : NULL;
+}
+
+static int
+compare_runs(const void *left, const void *right)
+{
+    const BwLabRun *a = left, *b = right;
+    int order = strcmp(a->task, b->task);
+
+    if (order != 0)
+        return order;
+    return a->started_us < b->started_us ? -1 : a->started_us > b->started_us;
+}
+
+bool
+BwLabFacts_Init(BwLabFacts *facts, const BwPlayer *player)
+{
+    size_t worker, i, count = 0;
+    json_t *ledger, *row;
+
+    memset(facts, 0, sizeof(*facts));
+    facts->player = player;
+    json_array_foreach(player->workers, worker, ledger)
+    {
+        count += json_array_size(json_object_get(ledger, "rows"));
+    }
+    facts->runs = calloc(count + 1, sizeof(*facts->runs));
+    if (facts->runs == NULL)
+        return false;
+    json_array_foreach(player->workers, worker, ledger)
+    {
+        json_array_foreach(json_object_get(ledger, "rows"), i, row)
+        {
+            BwLabRun *run = &facts->runs[facts->run_count++];
+
+            run->task = text_of(row, "task");
+            run->job = find_job(player, run->task);
+            run->worker = (uint32_t)worker;
+            run->started_us = number_of(row, "started_us");
+            run->ended_us = number_of(row, "ended_us");
+            run->drained_us = number_of(row, "drained_us");
+            run->how = text_of(row, "how");
+        }
+    }
+    qsort(facts->runs, facts->run_count, sizeof(*facts->runs), compare_runs);
+    return true;
+}
+
+void
+BwLabFacts_Finish(BwLabFacts *facts)
+{
+    free(facts->runs);
+}
+
+/* --------------------------------------------------------------- rules */
+
+static uint32_t
+count_over_capacity(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    uint32_t count = 0;
+    size_t i;
+    json_t *ledger;
+
+    (void)outcome;
+    json_array_foreach(facts->player->workers, i, ledger)
+    {
+        count += number_of(ledger, "peak_cpu") > number_of(ledger, "cpu") ||
+                 number_of(ledger, "peak_mem") > number_of(ledger, "mem");
+    }
+    return count;
+}
+
+static uint32_t
+count_overlaps(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    uint32_t count = 0;
+    uint64_t last_us = 0;
+
+    (void)outcome;
+    for (uint32_t i = 0; i < facts->run_count; i++) {
+        const BwLabRun *run = &facts->runs[i];
+        uint64_t end_us = run->ended_us != 0 ? run->ended_us : UINT64_MAX;
+        bool is_next =
+            i > 0 && strcmp(run->task, facts->runs[i - 1].task) == 0;
+
+        count += is_next && run->started_us < last_us;
+        last_us = is_next && last_us > end_us ? last_us : end_us;
+    }
+    return count;
+}
+
+static uint32_t
+count_forbidden(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    const BwPlayer *player = facts->player;
+    uint32_t count = 0;
+
+    (void)outcome;
+    for (uint32_t i = 0; i < player->done_count; i++) {
+        const BwLabDone *done = &player->done[i];
+
+        if (done->fault->deed != BW_LAB_FORBID)
+            continue;
+        for (uint32_t j = 0; j < facts->run_count; j++) {
+            const BwLabJob *job = facts->runs[j].job;
+
+            count += job != NULL && job->sent_us > done->at_us + FORBID_US &&
+                     strcmp(player->experiment->classes[job->job_class].name,
+                            done->fault->target) == 0;
+        }
+    }
+    return count;
+}
+
+static uint32_t
+count_drained(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    uint32_t count = 0;
+
+    (void)outcome;
+    for (uint32_t i = 0; i < facts->run_count; i++)
+        count += facts->runs[i].drained_us > DRAIN_US;
+    return count;
+}
+
+static uint32_t
+count_lost(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    const BwPlayer *player = facts->player;
+    uint32_t count = 0;
+    size_t i;
+    json_t *row;
+
+    (void)outcome;
+    json_array_foreach(json_object_get(player->ingress, "rows"), i, row)
+    {
+        const char *how = text_of(row, "how");
+        uint64_t ended_us = number_of(row, "ended_us");
+
+        if (strcmp(how, "broken") != 0 && strcmp(how, "given_up") != 0)
+            continue;
+        for (uint32_t j = 0; j < player->done_count; j++) {
+            const BwLabDone *done = &player->done[j];
+
+            count +=
+                done->fault->deed == BW_LAB_STOP &&
+                BwLabTarget_Matches(done->fault->target, "dispatcher",
+                                    (uint32_t)number_of(row, "dispatcher")) &&
+                ended_us > done->at_us && ended_us < done->at_us + STOP_US;
+        }
+    }
+    return count;
+}
+
+/* Whether the fault took this one away for long enough. */
+static bool
+is_loss(const BwPlayer *player, uint32_t i, const char *kind, uint32_t number)
+{
+    const BwLabDone *loss = &player->done[i];
+
+    if (!BwLabTarget_Matches(loss->fault->target, kind, number))
+        return false;
+    if (loss->fault->deed == BW_LAB_KILL)
+        return true;
+    if (loss->fault->deed != BW_LAB_FREEZE)
+        return false;
+    for (uint32_t j = i + 1; j < player->done_count; j++) {
+        const BwLabDone *done = &player->done[j];
+
+        if (done->fault->deed == BW_LAB_THAW &&
+            BwLabTarget_Matches(done->fault->target, kind, number) &&
+            done->at_us < loss->at_us + RESEND_US)
+            return false;
+    }
+    return true;
+}
+
+/* Whether the run was there before the loss and long after it. */
+static bool
+is_outliving(const BwLabRun *run, uint64_t lost_us)
+{
+    return run->started_us < lost_us + RESEND_US &&
+           (run->ended_us == 0 || run->ended_us > lost_us + RESEND_US);
+}
+
+static uint32_t
+count_outliving_runs(const BwLabFacts *facts, const BwLabJob *job,
+                     uint64_t lost_us)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < facts->run_count; i++)
+        count += facts->runs[i].job == job &&
+                 is_outliving(&facts->runs[i], lost_us);
+    return count;
+}
+
+/* Of jobs that were at a dispatcher when it was lost. */
+static uint32_t
+count_outlived_dispatcher(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    const BwPlayer *player = facts->player;
+    uint32_t count = 0;
+    size_t i;
+    json_t *row;
+
+    (void)outcome;
+    json_array_foreach(json_object_get(player->ingress, "rows"), i, row)
+    {
+        uint32_t number = (uint32_t)number_of(row, "dispatcher");
+        uint64_t ended_us = number_of(row, "ended_us");
+        const BwLabJob *job = find_job(player, text_of(row, "job"));
+
+        for (uint32_t j = 0; job != NULL && j < player->done_count; j++) {
+            uint64_t lost_us = player->done[j].at_us;
+
+            if (is_loss(player, j, "dispatcher", number) &&
+                number_of(row, "started_us") < lost_us &&
+                (ended_us == 0 || ended_us > lost_us))
+                count += count_outliving_runs(facts, job, lost_us);
+        }
+    }
+    return count;
+}
+
+/* Of tasks that ran at a supervisor's worker when it was lost. */
+static uint32_t
+count_outlived_supervisor(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    const BwPlayer *player = facts->player;
+    uint32_t count = 0;
+
+    (void)outcome;
+    for (uint32_t i = 0; i < facts->run_count; i++) {
+        const BwLabRun *run = &facts->runs[i];
+
+        for (uint32_t j = 0; j < player->done_count; j++)
+            count += run->started_us < player->done[j].at_us &&
+                     is_loss(player, j, "supervisor", run->worker) &&
+                     is_outliving(run, player->done[j].at_us);
+    }
+    return count;
+}
+
+static uint32_t
+count_outlived_caller(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    uint32_t count = 0;
+
+    (void)outcome;
+    for (uint32_t i = 0; i < facts->run_count; i++) {
+        const BwLabRun *run = &facts->runs[i];
+
+        count += run->job != NULL && run->job->end == BW_LAB_GAVE_UP &&
+                 is_outliving(run, run->job->ended_us);
+    }
+    return count;
+}
+
+static uint32_t
+count_running(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    uint32_t count = 0;
+
+    (void)outcome;
+    for (uint32_t i = 0; i < facts->run_count; i++)
+        count += facts->runs[i].ended_us == 0;
+    return count;
+}
+
+/* --------------------------------------------------------------- counts */
+
+static bool
+is_class(const BwLabFacts *facts, const BwLabJob *job,
+         const BwLabOutcome *outcome)
+{
+    const BwExperiment *experiment = facts->player->experiment;
+
+    return outcome->job_class[0] == '\0' ||
+           (job != NULL && strcmp(experiment->classes[job->job_class].name,
+                                  outcome->job_class) == 0);
+}
+
+static uint32_t
+count_jobs(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < facts->player->job_count; i++)
+        count += is_class(facts, facts->player->jobs[i], outcome);
+    return count;
+}
+
+static uint32_t
+count_ends(const BwLabFacts *facts, const BwLabOutcome *outcome, BwLabEnd end)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < facts->player->job_count; i++) {
+        const BwLabJob *job = facts->player->jobs[i];
+
+        count += job->end == end && is_class(facts, job, outcome);
+    }
+    return count;
+}
+
+#define COUNT_END(function, end)                                              \
+    static uint32_t function(const BwLabFacts *facts,                         \
+                             const BwLabOutcome *outcome)                     \
+    {                                                                         \
+        return count_ends(facts, outcome, end);                               \
+    }
+
+COUNT_END(count_completed, BW_LAB_COMPLETED)
+COUNT_END(count_refused, BW_LAB_REFUSED)
+COUNT_END(count_failed, BW_LAB_FAILED)
+COUNT_END(count_timed_out, BW_LAB_TIMED_OUT)
+COUNT_END(count_not_found, BW_LAB_NOT_FOUND)
+COUNT_END(count_unanswered, BW_LAB_UNANSWERED)
+COUNT_END(count_gave_up, BW_LAB_GAVE_UP)
+
+static uint32_t
+count_completed_permille(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    uint32_t jobs = count_jobs(facts, outcome);
+
+    return jobs > 0 ? count_completed(facts, outcome) * 1000 / jobs : 0;
+}
+
+static uint32_t
+count_starts(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < facts->run_count; i++)
+        count += is_class(facts, facts->runs[i].job, outcome);
+    return count;
+}
+
+static uint32_t
+count_worker_starts(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < facts->run_count; i++)
+        count += facts->runs[i].worker == outcome->worker;
+    return count;
+}
+
+static uint32_t
+count_how(const BwLabFacts *facts, const char *how)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < facts->run_count; i++)
+        count += strcmp(facts->runs[i].how, how) == 0;
+    return count;
+}
+
+#define COUNT_HOW(function, how)                                              \
+    static uint32_t function(const BwLabFacts *facts,                         \
+                             const BwLabOutcome *outcome)                     \
+    {                                                                         \
+        (void)outcome;                                                        \
+        return count_how(facts, how);                                         \
+    }
+
+COUNT_HOW(count_run_done, "done")
+COUNT_HOW(count_run_failed, "failed")
+COUNT_HOW(count_run_stopped, "stopped")
+COUNT_HOW(count_run_lapsed, "lapsed")
+COUNT_HOW(count_run_crashed, "crashed")
+
+/* Connections to a dispatcher that broke under a job. */
+static uint32_t
+count_broken(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    uint32_t count = 0;
+    size_t i;
+    json_t *row;
+
+    (void)outcome;
+    json_array_foreach(json_object_get(facts->player->ingress, "rows"), i, row)
+    {
+        const char *how = text_of(row, "how");
+
+        count += strcmp(how, "broken") == 0 || strcmp(how, "given_up") == 0;
+    }
+    return count;
+}
+
+static uint32_t
+count_late_orders(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    uint32_t count = 0;
+    size_t i;
+    json_t *ledger;
+
+    (void)outcome;
+    json_array_foreach(facts->player->workers, i, ledger)
+    {
+        count += (uint32_t)number_of(ledger, "late");
+    }
+    return count;
+}
+
+static uint32_t
+count_usable(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    (void)outcome;
+    return facts->player->usable_workers;
+}
+
+/* --------------------------------------------------------------- table */
+
+static const BwLabCounter counters[] = {
+    {"over_capacity", true, "workers that ever ran more than they hold",
+     count_over_capacity},
+    {"overlaps", true, "runs that began while the task still ran",
+     count_overlaps},
+    {"starts_after_forbid", true,
+     "starts of jobs sent after a configuration forbade them",
+     count_forbidden},
+    {"starts_after_drain", true, "starts on a worker that was leaving",
+     count_drained},
+    {"lost_at_planned_stop", true,
+     "answers lost by a dispatcher that was asked to stop", count_lost},
+    {"outlived_dispatcher", true,
+     "tasks that ran on past the resend time after their dispatcher's loss",
+     count_outlived_dispatcher},
+    {"outlived_supervisor", true, "the same after their supervisor's loss",
+     count_outlived_supervisor},
+    {"outlived_caller", true, "the same after their caller went",
+     count_outlived_caller},
+    {"running", true, "tasks that still run in the end", count_running},
+    {"jobs", false, "jobs sent", count_jobs},
+    {"completed", false, "jobs answered as completed", count_completed},
+    {"completed_permille", false, "of the jobs", count_completed_permille},
+    {"refused", false, "jobs refused before anything ran", count_refused},
+    {"failed", false, "jobs answered as failed", count_failed},
+    {"timed_out", false, "jobs whose deadline passed", count_timed_out},
+    {"not_found", false, "jobs whose route is not known", count_not_found},
+    {"unanswered", false, "jobs without an answer", count_unanswered},
+    {"gave_up", false, "jobs whose caller went", count_gave_up},
+    {"starts", false, "runs of tasks", count_starts},
+    {"worker_starts", false, "runs at one worker", count_worker_starts},
+    {"runs_done", false, "runs that were done", count_run_done},
+    {"runs_failed", false, "runs that failed", count_run_failed},
+    {"runs_stopped", false, "runs that were stopped", count_run_stopped},
+    {"runs_lapsed", false, "runs ended by the worker's lease",
+     count_run_lapsed},
+    {"runs_crashed", false, "runs ended by a crash", count_run_crashed},
+    {"broken", false, "connections that broke under a job", count_broken},
+    {"late_orders", false, "orders that workers kept", count_late_orders},
+    {"usable_workers", false, "workers usable in the end", count_usable},
+    {NULL, false, NULL, NULL},
+};
+
+const BwLabCounter *
+BwLabCounters(void)
+{
+    return counters;
+}
+
+const BwLabCounter *
+BwLabCounter_Find(const char *name)
+{
+    for (const BwLabCounter *counter = counters; counter->name != NULL;
+         counter++) {
+        if (strcmp(counter->name, name) == 0)
+            return counter;
+    }
+    return NULL;
+}
+
+const char *
+BwLabEnd_Name(BwLabEnd end)
+{
+    static const char *const names[BW_LAB_END_COUNT] = {
+        [BW_LAB_OPEN] = "open",
+        [BW_LAB_COMPLETED] = "completed",
+        [BW_LAB_REFUSED] = "refused",
+        [BW_LAB_FAILED] = "failed",
+        [BW_LAB_TIMED_OUT] = "timed_out",
+        [BW_LAB_NOT_FOUND] = "not_found",
+        [BW_LAB_UNANSWERED] = "unanswered",
+        [BW_LAB_GAVE_UP] = "gave_up",
+    };
+
+    return names[end];
+}
--- a/tests/standins/platform_standin.c
+++ b/packages/emulator/store.c
@@ -1,20 +1,22 @@
-/* platform_standin.c -- stands in for the store of the users' platform
+/* store.c -- the emulated store
 
-   usage: platform_standin PORT...
+   usage: brasswing lab store SEED PORT...
 
    Keeps topics of keyed records in memory: append, read with waiting, and the
    newest record of each key.  Every port is a door of its own to the same
    records, so that a test gives each caller a door and disturbs one of them:
 
      POST /control {"door": N, "mode": "ok|down|refuse|silent|lost",
-                    "delay_ms": N}        without "door": all doors
+                    "delay_ms": N,
+                    "permille": N}        without "door": all doors
                    {"config": {...}}      the operators write it
                    {"forget": true}       all but the newest records expire
      GET /stats    {"calls": [N, ...]}    calls taken at each door
 
    "down" answers 503 and "refuse" 429; "silent" never answers and does
-   nothing; "lost" does what is asked and never answers.  Control works on the
-   first door in every mode.
+   nothing; "lost" does what is asked and never answers.  A mode holds for so
+   many of the calls, drawn with the seed.  Control works on the first door in
+   every mode.
 */
 
 #include <openssl/evp.h>
@@ -25,8 +27,8 @@
 #include <utlist.h>
 
 #include "clock.h"
+#include "emulator.h"
 #include "httpserver.h"
-#include "standin.h"
 
 #define DOORS_MAX 16
 #define TOPICS_MAX 8
@@ -59,6 +61,7 @@
 typedef struct Door {
     BwHttpServer http;
     Mode mode;
+    uint32_t permille; /* of the calls that it holds for */
     uint64_t delay_us;
     uint64_t calls;
 } Door;
@@ -66,7 +69,8 @@
 typedef struct Waiting {
     BwExchange *exchange;
     Door *door;
-    Topic *topic; /* of a read that waits; NULL: the reply stands */
+    uint32_t draw; /* whether the mode holds for it */
+    Topic *topic;  /* of a read that waits; NULL: the reply stands */
     uint64_t from;
     uint64_t give_up_us;
     uint64_t reply_at_us;
@@ -83,6 +87,7 @@
     Topic topics[TOPICS_MAX];
     uint32_t topic_count;
     Waiting *waiting;
+    uint64_t seed;
 } me;
 
 /* ------------------------------------------------------------- records */
@@ -238,11 +243,19 @@
     free(waiting);
 }
 
+static Mode
+mode_of(const Waiting *waiting)
+{
+    const Door *door = waiting->door;
+
+    return waiting->draw < door->permille ? door->mode : MODE_OK;
+}
+
 static void
 tick_waiting(Waiting *waiting, uint64_t now_us)
 {
     Topic *topic = waiting->topic;
-    Mode mode = waiting->door->mode;
+    Mode mode = mode_of(waiting);
 
     if (mode == MODE_SILENT || mode == MODE_LOST ||
         now_us < waiting->reply_at_us)
@@ -271,7 +284,7 @@
     {
         tick_waiting(waiting, BwClock_Now());
     }
-    if (standin_stop)
+    if (BwEmulator_IsStopping())
         BwTaskLoop_Stop(&me.task);
 }
 
@@ -334,6 +347,7 @@
 {
     Waiting *waiting = calloc(1, sizeof(*waiting));
     uint64_t now_us = BwClock_Now();
+    Mode mode;
     char name[64];
     Topic *topic;
 
@@ -341,11 +355,13 @@
     waiting->exchange = exchange;
     waiting->door = door;
     waiting->reply_at_us = now_us + door->delay_us;
+    waiting->draw = BwEmulator_Draw(&me.seed, 1000);
+    mode = mode_of(waiting);
     exchange->data = waiting;
     DL_APPEND(me.waiting, waiting);
     query_text(exchange, "topic=", name, sizeof(name));
     topic = find_topic(name);
-    if (door->mode != MODE_OK && door->mode != MODE_LOST)
+    if (mode != MODE_OK && mode != MODE_LOST)
         topic = NULL;
     else if (topic == NULL)
         set_json(waiting, 400, json_object());
@@ -369,12 +385,16 @@
 {
     const char *mode = json_string_value(json_object_get(root, "mode"));
     const json_t *delay = json_object_get(root, "delay_ms");
+    const json_t *permille = json_object_get(root, "permille");
 
     for (size_t i = 0;
          mode != NULL && i < sizeof(mode_names) / sizeof(mode_names[0]); i++) {
         if (strcmp(mode, mode_names[i]) == 0)
             door->mode = (Mode)i;
     }
+    if (mode != NULL)
+        door->permille =
+            permille != NULL ? (uint32_t)json_integer_value(permille) : 1000;
     if (delay != NULL)
         door->delay_us = (uint64_t)json_integer_value(delay) * 1000;
 }
@@ -462,35 +482,29 @@
     free(waiting);
 }
 
-static void
-on_mail(void *ctx, BwMail *mail)
-{
-    (void)ctx;
-    free(mail);
-}
-
 int
-main(int argc, char **argv)
+BwEmulator_RunStore(int argc, char **argv)
 {
     static const BwHttpEvents http_events = {on_request, on_abort, on_request};
-    static const BwTaskEvents task_events = {on_mail, on_tick};
+    static const BwTaskEvents task_events = {BwEmulator_DropMail, on_tick};
 
+    if (argc < 2) {
+        fprintf(stderr, "usage: brasswing lab store SEED PORT...\n");
+        return 2;
+    }
+    me.seed = strtoull(argv[0], NULL, 10);
     BwTaskLoop_Init(&me.task, &task_events, NULL);
     for (int i = 1; i < argc && me.door_count < DOORS_MAX; i++) {
         Door *door = &me.doors[me.door_count++];
 
         if (!BwHttpServer_Init(&door->http, me.task.loop, "127.0.0.1",
-                               (uint16_t)atoi(argv[i]), 1u << 22, &http_events,
-                               door)) {
-            perror("platform_standin");
+                               (uint16_t)strtoul(argv[i], NULL, 10), 1u << 22,
+                               &http_events, door)) {
+            perror("store");
             return 1;
         }
     }
-    if (me.door_count == 0) {
-        fprintf(stderr, "usage: platform_standin PORT...\n");
-        return 2;
-    }
-    standin_ready("platform", me.doors[0].http.port);
+    BwEmulator_Ready("store", me.doors[0].http.port);
     BwTaskLoop_Run(&me.task);
     return 0;
 }
--- a/tests/standins/worker_standin.c
+++ b/packages/emulator/worker.c
@@ -1,7 +1,7 @@
-/* worker_standin.c -- stands in for a worker of the users' platform
+/* worker.c -- an emulated worker
 
-   usage: worker_standin PORT SUPERVISOR_PORT NAME SERVICE CPU MEM RACK
-                         [CLOCK_PERMILLE]
+   usage: brasswing lab worker PORT SUPERVISOR_PORT NAME SERVICE CPU MEM RACK
+                               [CLOCK_PERMILLE [SEED]]
 
    Announces itself to its supervisor and runs tasks under a lease on its own
    clock, which runs at CLOCK_PERMILLE of the real one.  It starts whatever it
@@ -10,15 +10,20 @@
      POST /control {"still": BOOL}       tasks stand still, and go on again
                    {"fail": BOOL}        every task ends as failed
                    {"slow_permille": N}  of the run time of tasks that start
+                   {"fail_permille": N}  so many of the tasks that start fail
+                   {"stuck_permille": N} or run on until they are stopped
+                   {"answer_ms": N}      answers to orders come so much later
                    {"late_starts": BOOL} starts are kept without an answer
                    {"late_stops": BOOL}  stops too
                    {"carry_out": true}   does what was kept
                    {"silent": BOOL}      no call is answered or done
+                   {"percent": BOOL}     lists how far each task is
                    {"draining": BOOL}    says that it leaves
                    {"crash": true}       everything there ends; it is silent
                    {"revive": true}      and comes back as another instance
      GET /ledger   every run in the order of the starts, over all its lives,
-                   and the greatest room that was ever in use
+                   the greatest room that was ever in use, and for a run that
+                   started while the worker was leaving, how long it had been
 
    Times of the ledger are of the host's monotonic clock, so those of several
    workers can be put in one order.
@@ -32,9 +37,9 @@
 #include <utlist.h>
 
 #include "clock.h"
+#include "emulator.h"
 #include "httpclient.h"
 #include "httpserver.h"
-#include "standin.h"
 
 #define BEAT_US 200000
 #define BEAT_TIMEOUT_US 1000000
@@ -43,6 +48,7 @@
 #define CLOCK_START_MS 100000
 #define TASK_BYTES 128
 #define NEVER UINT64_MAX
+#define STUCK_US 3600000000u
 
 typedef struct Run {
     char task[TASK_BYTES];
@@ -50,7 +56,9 @@
     uint32_t life;
     uint64_t cpu, mem;
     bool fails;
+    uint64_t work_us;    /* it takes, by this worker's speed */
     uint64_t left_us;    /* of its work, while it stands still */
+    uint64_t drained_us; /* the worker had been leaving so long */
     uint64_t due_us;     /* of its end */
     uint64_t stopped_us; /* a stop takes effect then; NEVER */
     uint64_t started_us;
@@ -67,10 +75,12 @@
     UT_hash_handle hh;
 } Mark;
 
-/* A call whose answer waits for an end. */
+/* A call whose answer waits: for an end, or only for its time. */
 typedef struct Hold {
     BwExchange *exchange;
     uint64_t give_up_us;
+    json_t *reply; /* that stands; NULL: what runs then */
+    int status;
     struct Hold *prev, *next;
 } Hold;
 
@@ -104,11 +114,14 @@
     Late *late;
     uint64_t beat_sequence;
     uint64_t beat_at_us;
-    uint64_t slow_permille;
+    uint64_t slow_permille, fail_permille, stuck_permille;
+    uint64_t answer_us;
+    uint64_t drain_us; /* since when it leaves; 0: it does not */
+    uint64_t seed;
     uint64_t peak_cpu, peak_mem;
     uint64_t late_count;
     bool is_still, is_failing, is_silent, is_draining, is_crashed;
-    bool keeps_starts, keeps_stops;
+    bool keeps_starts, keeps_stops, tells_percent;
 } me;
 
 static uint64_t
@@ -202,6 +215,12 @@
     me.peak_mem = mem > me.peak_mem ? mem : me.peak_mem;
 }
 
+static bool
+is_drawn(uint64_t permille)
+{
+    return permille > 0 && BwEmulator_Draw(&me.seed, 1000) < permille;
+}
+
 static void
 begin_run(const char *task, uint32_t number, const char *spec)
 {
@@ -212,9 +231,15 @@
     run->life = me.life;
     run->cpu = read_option(spec, "cpu=", 0);
     run->mem = read_option(spec, "mem=", 0);
-    run->fails = read_option(spec, "fail=", 0) != 0;
-    run->left_us = read_option(spec, "run_ms=", 20) * me.slow_permille;
+    run->fails =
+        read_option(spec, "fail=", 0) != 0 || is_drawn(me.fail_permille);
+    run->work_us = read_option(spec, "run_ms=", 20) * me.slow_permille;
+    if (is_drawn(me.stuck_permille))
+        run->work_us = STUCK_US;
+    run->left_us = run->work_us;
     run->started_us = BwClock_Now();
+    if (me.drain_us != 0)
+        run->drained_us = run->started_us - me.drain_us;
     run->due_us = me.is_still ? NEVER : run->started_us + run->left_us;
     run->stopped_us = NEVER;
     DL_APPEND(me.runs, run);
@@ -343,6 +368,21 @@
     return 200;
 }
 
+static int
+percent_of(const Run *run)
+{
+    uint64_t left_us = run->left_us;
+    uint64_t now_us = BwClock_Now();
+
+    if (!me.tells_percent)
+        return 0;
+    if (run->due_us != NEVER)
+        left_us = run->due_us > now_us ? run->due_us - now_us : 0;
+    return run->work_us > 0
+               ? (int)((run->work_us - left_us) * 100 / run->work_us)
+               : 0;
+}
+
 static void
 list_runs(json_t *reply)
 {
@@ -355,8 +395,9 @@
         if (run->life != me.life)
             continue;
         if (is_running(run))
-            json_array_append_new(
-                running, json_pack("[s,i,s,i]", run->task, run->run, "", 0));
+            json_array_append_new(running,
+                                  json_pack("[s,i,s,i]", run->task, run->run,
+                                            "", percent_of(run)));
         else if (run->number > me.seen)
             json_array_append_new(
                 ended, json_pack("[I,s,i,s,s]", (json_int_t)run->number,
@@ -383,6 +424,25 @@
     return json_pack("{s:I}", "clockMs", (json_int_t)clock_ms());
 }
 
+/* Answers at once, or as late as this worker does. */
+static void
+answer(BwExchange *exchange, int status, json_t *reply)
+{
+    Hold *hold;
+
+    if (me.answer_us == 0) {
+        reply_json(exchange, status, reply);
+        return;
+    }
+    hold = calloc(1, sizeof(*hold));
+    hold->exchange = exchange;
+    hold->give_up_us = BwClock_Now() + me.answer_us;
+    hold->status = status;
+    hold->reply = reply;
+    exchange->data = hold;
+    DL_APPEND(me.holds, hold);
+}
+
 static bool
 has_end(void)
 {
@@ -400,7 +460,7 @@
     Hold *hold;
 
     if (!take_fence(order)) {
-        reply_json(exchange, refuse(reply, "fence"), reply);
+        answer(exchange, refuse(reply, "fence"), reply);
         return;
     }
     take_lease(order);
@@ -408,7 +468,7 @@
         me.seen = seen;
     if (wait_ms == 0 || has_end()) {
         list_runs(reply);
-        reply_json(exchange, 200, reply);
+        answer(exchange, 200, reply);
         return;
     }
     json_decref(reply);
@@ -430,13 +490,17 @@
     {
         json_t *reply;
 
-        if (!has_end() && now_us < hold->give_up_us)
+        if (now_us < hold->give_up_us && (hold->reply != NULL || !has_end()))
             continue;
-        reply = make_reply();
-        list_runs(reply);
+        reply = hold->reply;
+        if (reply == NULL) {
+            reply = make_reply();
+            list_runs(reply);
+            hold->status = 200;
+        }
         DL_DELETE(me.holds, hold);
         hold->exchange->data = NULL;
-        reply_json(hold->exchange, 200, reply);
+        reply_json(hold->exchange, hold->status, reply);
         free(hold);
     }
 }
@@ -522,7 +586,7 @@
     else {
         reply = make_reply();
         status = carry_out(path, expected, order, reply);
-        reply_json(exchange, status, reply);
+        answer(exchange, status, reply);
     }
     json_decref(order);
 }
@@ -551,17 +615,20 @@
 static void
 revive(void)
 {
-    Hold *hold;
+    Hold *hold, *next;
 
     if (!me.is_crashed)
         return;
-    DL_FOREACH(me.holds, hold)
+    DL_FOREACH_SAFE(me.holds, hold, next)
     {
         hold->exchange->data = NULL;
+        json_decref(hold->reply);
+        free(hold);
     }
     me.holds = NULL;
     me.is_crashed = false;
     me.is_draining = false;
+    me.drain_us = 0;
     me.life++;
     me.fence = 0;
     me.lease_ms = 0;
@@ -580,12 +647,21 @@
         *flag = json_is_true(value);
 }
 
+static void
+take_number(const json_t *root, const char *name, uint64_t *number,
+            uint64_t unit)
+{
+    const json_t *value = json_object_get(root, name);
+
+    if (value != NULL)
+        *number = (uint64_t)json_integer_value(value) * unit;
+}
+
 static void
 serve_control(BwExchange *exchange)
 {
     json_t *root =
         json_loadb(exchange->body.base, exchange->body.size_bytes, 0, NULL);
-    const json_t *slow = json_object_get(root, "slow_permille");
     bool is_still = me.is_still;
 
     take_flag(root, "still", &is_still);
@@ -594,10 +670,17 @@
     take_flag(root, "late_starts", &me.keeps_starts);
     take_flag(root, "late_stops", &me.keeps_stops);
     take_flag(root, "silent", &me.is_silent);
+    take_flag(root, "percent", &me.tells_percent);
     take_flag(root, "draining", &me.is_draining);
+    if (!me.is_draining)
+        me.drain_us = 0;
+    else if (me.drain_us == 0)
+        me.drain_us = BwClock_Now();
     me.beat_at_us = 0;
-    if (slow != NULL)
-        me.slow_permille = (uint64_t)json_integer_value(slow);
+    take_number(root, "slow_permille", &me.slow_permille, 1);
+    take_number(root, "fail_permille", &me.fail_permille, 1);
+    take_number(root, "stuck_permille", &me.stuck_permille, 1);
+    take_number(root, "answer_ms", &me.answer_us, 1000);
     if (json_is_true(json_object_get(root, "carry_out")))
         carry_out_late();
     if (json_is_true(json_object_get(root, "crash")))
@@ -620,11 +703,12 @@
     {
         running += is_running(run);
         json_array_append_new(
-            rows,
-            json_pack("{s:s, s:i, s:I, s:I, s:s}", "task", run->task, "run",
-                      run->run, "started_us", (json_int_t)run->started_us,
-                      "ended_us", (json_int_t)run->ended_us, "how",
-                      is_running(run) ? "" : run->how));
+            rows, json_pack("{s:s, s:i, s:I, s:I, s:I, s:s}", "task",
+                            run->task, "run", run->run, "started_us",
+                            (json_int_t)run->started_us, "ended_us",
+                            (json_int_t)run->ended_us, "drained_us",
+                            (json_int_t)run->drained_us, "how",
+                            is_running(run) ? "" : run->how));
     }
     reply_json(exchange, 200,
                json_pack("{s:i, s:I, s:I, s:I, s:I, s:I, s:o}", "running",
@@ -656,6 +740,7 @@
     if (hold == NULL)
         return;
     DL_DELETE(me.holds, hold);
+    json_decref(hold->reply);
     free(hold);
 }
 
@@ -706,47 +791,42 @@
     tick_holds(now_us);
     if (!me.is_crashed && now_us >= me.beat_at_us)
         beat(now_us);
-    if (standin_stop)
+    if (BwEmulator_IsStopping())
         BwTaskLoop_Stop(&me.task);
 }
 
-static void
-on_mail(void *ctx, BwMail *mail)
-{
-    (void)ctx;
-    free(mail);
-}
-
 int
-main(int argc, char **argv)
+BwEmulator_RunWorker(int argc, char **argv)
 {
     static const BwHttpEvents http_events = {on_request, on_abort, on_request};
-    static const BwTaskEvents task_events = {on_mail, on_tick};
+    static const BwTaskEvents task_events = {BwEmulator_DropMail, on_tick};
 
-    if (argc < 8) {
-        fprintf(stderr, "usage: worker_standin PORT SUPERVISOR_PORT NAME "
-                        "SERVICE CPU MEM RACK [CLOCK_PERMILLE]\n");
+    if (argc < 7) {
+        fprintf(stderr, "usage: brasswing lab worker PORT SUPERVISOR_PORT "
+                        "NAME SERVICE CPU MEM RACK [CLOCK_PERMILLE "
+                        "[SEED]]\n");
         return 2;
     }
-    me.name = argv[3];
-    me.service = argv[4];
-    me.cpu = strtoull(argv[5], NULL, 10);
-    me.mem = strtoull(argv[6], NULL, 10);
-    me.rack = argv[7];
-    me.clock_permille = argc > 8 ? strtoull(argv[8], NULL, 10) : 1000;
+    me.name = argv[2];
+    me.service = argv[3];
+    me.cpu = strtoull(argv[4], NULL, 10);
+    me.mem = strtoull(argv[5], NULL, 10);
+    me.rack = argv[6];
+    me.clock_permille = argc > 7 ? strtoull(argv[7], NULL, 10) : 1000;
+    me.seed = argc > 8 ? strtoull(argv[8], NULL, 10) : 1;
     me.slow_permille = 1000;
     me.born_us = BwClock_Now();
     me.life = 1;
     BwTaskLoop_Init(&me.task, &task_events, NULL);
     if (!BwHttpServer_Init(&me.http, me.task.loop, "127.0.0.1",
-                           (uint16_t)atoi(argv[1]), 1u << 22, &http_events,
-                           NULL) ||
+                           (uint16_t)strtoul(argv[0], NULL, 10), 1u << 22,
+                           &http_events, NULL) ||
         !BwHttpClient_Init(&me.supervisor, me.task.loop, "127.0.0.1",
-                           (uint16_t)atoi(argv[2]), 2, 65536)) {
-        perror("worker_standin");
+                           (uint16_t)strtoul(argv[1], NULL, 10), 2, 65536)) {
+        perror("worker");
         return 1;
     }
-    standin_ready("worker", me.http.port);
+    BwEmulator_Ready("worker", me.http.port);
     BwTaskLoop_Run(&me.task);
     return 0;
 }
--- a/tests/boundfleet.c
+++ b/tests/boundfleet.c
@@ -8,190 +8,63 @@
 #include <jansson.h>
 
 #include "boundfleet.h"
+#include "calls.h"
 #include "clock.h"
-#include "standins/wording.h"
+#include "wording.h"
 
 #define WAIT_US 30000000
 #define POLL_US 20000
-#define PORT_FIRST 10000 /* below those that the system hands out */
-#define PORT_SPAN 20000
-#define PORT_STRIDE 64
 #define ANSWER_BYTES_MAX 65536
 
-static const char *const domains[] = {"charguia-a", "charguia-b", "ariana-c"};
-
-/* --------------------------------------------------------------- ports */
-
-static bool
-is_port_free(uint32_t port)
-{
-    GInetAddress *host = g_inet_address_new_from_string("127.0.0.1");
-    GSocketAddress *address = g_inet_socket_address_new(host, (guint16)port);
-    GSocket *sock = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-                                 G_SOCKET_PROTOCOL_TCP, NULL);
-    bool is_free = g_socket_bind(sock, address, TRUE, NULL);
-
-    g_object_unref(sock);
-    g_object_unref(address);
-    g_object_unref(host);
-    return is_free;
-}
-
-/* A free port; tests that run at the same time start at different ones. */
-static uint32_t
-take_port(BoundFleet *fleet)
-{
-    if (fleet->next_port == 0)
-        fleet->next_port = (uint32_t)getpid() * PORT_STRIDE % PORT_SPAN;
-    for (uint32_t i = 0; i < PORT_SPAN; i++) {
-        uint32_t port = PORT_FIRST + fleet->next_port++ % PORT_SPAN;
-
-        if (is_port_free(port))
-            return port;
-    }
-    g_error("no port is free");
-}
-
-static void
-take_ports(BoundFleet *fleet)
-{
-    for (uint32_t i = 0; i < 1 + BOUND_DISPATCHERS; i++)
-        fleet->door_ports[i] = take_port(fleet);
-    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++) {
-        fleet->front_ports[i] = take_port(fleet);
-        fleet->ready_ports[i] = take_port(fleet);
-        fleet->peer_ports[i] = take_port(fleet);
-    }
-    for (uint32_t i = 0; i < BOUND_WORKERS; i++) {
-        fleet->control_ports[i] = take_port(fleet);
-        fleet->worker_ports[i] = take_port(fleet);
-    }
-}
-
 /* ----------------------------------------------------------- processes */
 
-static void
-start_daemon(BoundFleet *fleet, FleetProcess *process, const char *role,
-             uint32_t i, uint32_t door, const char *addresses)
-{
-    char *name = g_strdup_printf("%s-%u", role, i);
-    char *path = g_strdup_printf("%s/%s.yaml", fleet->dir, name);
-    GString *text = g_string_new(NULL);
-    char *argv[] = {BW_DAEMON_PATH, "--settings", path, NULL};
-
-    g_string_printf(
-        text,
-        "role: %s\nname: %s\nregion: tunis-nord\ndomain: %s\n"
-        "log: {address: '127.0.0.1:%u'}\n%s"
-        "limits: {stop_ms: 4000, session_ms: 500, worker_lease_ms: 400}\n"
-        "peers:\n",
-        role, name, domains[i % G_N_ELEMENTS(domains)],
-        fleet->door_ports[door], addresses);
-    for (uint32_t j = 0; j < BOUND_DISPATCHERS; j++)
-        g_string_append_printf(text, "  - {address: '127.0.0.1:%u'}\n",
-                               fleet->peer_ports[j]);
-    g_file_set_contents(path, text->str, -1, NULL);
-    FleetProcess_Start(process, fleet->dir, name, argv);
-    BoundFleet_WaitOutput(process, " started ", 1);
-    g_string_free(text, TRUE);
-    g_free(path);
-    g_free(name);
-}
-
 void
 BoundFleet_StartDispatcher(BoundFleet *fleet, uint32_t i)
 {
-    char *addresses = g_strdup_printf(
-        "http: {address: '127.0.0.1:%u'}\n"
-        "ready: {address: '127.0.0.1:%u'}\n"
-        "peer: {address: '127.0.0.1:%u'}\n",
-        fleet->front_ports[i], fleet->ready_ports[i], fleet->peer_ports[i]);
-
-    start_daemon(fleet, &fleet->dispatchers[i], "dispatcher", i, 1 + i,
-                 addresses);
-    g_free(addresses);
+    if (!BwFleet_StartDispatcher(fleet, i) ||
+        !BwFleet_WaitUp(fleet, &fleet->dispatchers[i]))
+        g_error("%s", fleet->fault);
 }
 
 void
 BoundFleet_StartSupervisor(BoundFleet *fleet, uint32_t i)
 {
-    char *addresses =
-        g_strdup_printf("http: {address: '127.0.0.1:%u'}\n"
-                        "worker: {address: '127.0.0.1:%u'}\n",
-                        fleet->control_ports[i], fleet->worker_ports[i]);
-
-    start_daemon(fleet, &fleet->supervisors[i], "supervisor", i, 0, addresses);
-    g_free(addresses);
-}
-
-static void
-start_store(BoundFleet *fleet)
-{
-    char *ports[1 + BOUND_DISPATCHERS];
-    char *argv[2 + G_N_ELEMENTS(ports)] = {BW_PLATFORM_PATH};
-
-    for (uint32_t i = 0; i < G_N_ELEMENTS(ports); i++)
-        argv[1 + i] = ports[i] = g_strdup_printf("%u", fleet->door_ports[i]);
-    FleetProcess_Start(&fleet->store, fleet->dir, "store", argv);
-    FleetProcess_WaitStarted(&fleet->store);
-    for (uint32_t i = 0; i < G_N_ELEMENTS(ports); i++)
-        g_free(ports[i]);
-}
-
-/* The workers' clocks run at different rates. */
-static void
-start_worker(BoundFleet *fleet, uint32_t i)
-{
-    char *name = g_strdup_printf("worker-%u", i);
-    char *port = g_strdup_printf("%u", fleet->worker_ports[i]);
-    char *control = g_strdup_printf("%u", fleet->control_ports[i]);
-    char *rack = g_strdup_printf("r1-%u", i / 2);
-    char *argv[] = {BW_WORKER_PATH,
-                    port,
-                    control,
-                    name,
-                    BOUND_SERVICE,
-                    G_STRINGIFY(BOUND_CPU),
-                    G_STRINGIFY(BOUND_MEM),
-                    rack,
-                    i % 2 == 0 ? "980" : "1000",
-                    NULL};
-
-    FleetProcess_Start(&fleet->workers[i], fleet->dir, name, argv);
-    FleetProcess_WaitStarted(&fleet->workers[i]);
-    g_free(name);
-    g_free(port);
-    g_free(control);
-    g_free(rack);
+    if (!BwFleet_StartSupervisor(fleet, i) ||
+        !BwFleet_WaitUp(fleet, &fleet->supervisors[i]))
+        g_error("%s", fleet->fault);
 }
 
 void
 BoundFleet_Init(BoundFleet *fleet)
 {
-    memset(fleet, 0, sizeof(*fleet));
-    fleet->dir = g_dir_make_tmp("brasswing-XXXXXX", NULL);
-    take_ports(fleet);
-    start_store(fleet);
-    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++)
-        BoundFleet_StartDispatcher(fleet, i);
-    for (uint32_t i = 0; i < BOUND_WORKERS; i++) {
-        BoundFleet_StartSupervisor(fleet, i);
-        start_worker(fleet, i);
-    }
+    static const BwFleetPlan plan = {
+        .dispatchers = BOUND_DISPATCHERS,
+        .workers = BOUND_WORKERS,
+        .cpu = BOUND_CPU,
+        .mem = BOUND_MEM,
+        .service = BOUND_SERVICE,
+        .daemon = BW_DAEMON_PATH,
+        .lab = BW_CLI_PATH,
+        .seed = 1,
+        .session_ms = 500,
+        .worker_lease_ms = 400,
+        .stop_ms = 4000,
+        .clock_permille = 980,
+        .store = "",
+    };
+
+    if (!BwFleet_Init(fleet, &plan, g_dir_make_tmp("brasswing-XXXXXX", NULL)))
+        g_error("%s", fleet->fault);
     BoundFleet_WaitWorkers(fleet, BOUND_WORKERS);
 }
 
 void
 BoundFleet_Finish(BoundFleet *fleet)
 {
-    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++)
-        FleetProcess_Finish(&fleet->dispatchers[i]);
-    for (uint32_t i = 0; i < BOUND_WORKERS; i++) {
-        FleetProcess_Finish(&fleet->supervisors[i]);
-        FleetProcess_Finish(&fleet->workers[i]);
-    }
-    FleetProcess_Finish(&fleet->store);
-    Fleet_RemoveFiles(fleet->dir);
+    char *dir = fleet->dir;
+
+    BwFleet_Finish(fleet);
+    Fleet_RemoveFiles(dir);
 }
 
 /* ------------------------------------------------------------- waiting */
@@ -223,7 +96,7 @@
         BwCallReply reply;
 
         seen = Fleet_Call(fleet->ready_ports[dispatcher], "GET",
-                          STANDIN_READY_PATH, "", &reply);
+                          BW_WORDING_READY_PATH, "", &reply);
         free(reply.body);
         if (BwClock_Now() > give_up_us)
             g_error("dispatcher %u says %u, see %s", dispatcher, seen,
@@ -291,11 +164,8 @@
 static void
 control(uint32_t port, const char *text)
 {
-    BwCallReply reply;
-
-    if (Fleet_Call(port, "POST", "/control", text, &reply) != 200)
+    if (!BwFleet_Control(port, text))
         g_error("control of port %u: %s", port, text);
-    free(reply.body);
 }
 
 void
@@ -489,29 +359,18 @@
 
 /* --------------------------------------------------------------- calls */
 
-/* Takes status, Retry-After and body; the answer must be whole. */
 static void
 read_answer(BoundCall *call, const char *text, size_t size)
 {
-    const char *body = strstr(text, "\r\n\r\n");
-    char *head;
-    const char *at;
+    BwAnswerHead head;
 
-    if (body == NULL)
+    BwAnswerHead_Read(&head, text, size);
+    if (head.body == NULL)
         return;
-    head = g_ascii_strdown(text, body - text + 2);
-    body += 4;
-    call->status = (uint32_t)strtoul(head + strlen("http/1.1 "), NULL, 10);
-    at = strstr(head, "\r\nretry-after:");
-    if (at != NULL)
-        call->retry_after_s =
-            (uint32_t)strtoul(at + strlen("\r\nretry-after:"), NULL, 10);
-    at = strstr(head, "\r\ncontent-length:");
-    call->is_complete =
-        at != NULL && strtoul(at + strlen("\r\ncontent-length:"), NULL, 10) ==
-                          size - (size_t)(body - text);
-    call->body = g_strdup(body);
-    g_free(head);
+    call->status = head.status;
+    call->retry_after_s = head.retry_after_s;
+    call->is_complete = head.is_complete;
+    call->body = g_strdup(head.body);
 }
 
 static gpointer
@@ -548,11 +407,7 @@
 {
     memset(call, 0, sizeof(*call));
     call->port = port;
-    call->request = g_strdup_printf("%s %s HTTP/1.1\r\nHost: 127.0.0.1\r\n"
-                                    "Connection: close\r\n"
-                                    "Content-Type: application/json\r\n"
-                                    "Content-Length: %zu\r\n%s\r\n%s",
-                                    method, path, strlen(body), headers, body);
+    call->request = BwCalls_RequestText(method, path, headers, body);
     call->cancellable = g_cancellable_new();
     call->thread = g_thread_new("call", run_call, call);
 }
--- a/tests/boundfleet.h
+++ b/tests/boundfleet.h
@@ -1,8 +1,7 @@
 /* boundfleet.h -- dispatchers, supervisors, workers and a store on loopback
 
-   Every dispatcher has a door of its own at the store stand-in: door 0 is the
-   test's, door 1 + i that of dispatcher i.  Ports are chosen once, so that a
-   process that is started again is found where it was.
+   The fleet of the emulator (packages/emulator/labfleet.h), for tests: what
+   fails there aborts the test.
 */
 
 #ifndef BW_BOUNDFLEET_H
@@ -11,6 +10,7 @@
 #include <gio/gio.h>
 
 #include "fleet.h"
+#include "labfleet.h"
 
 #define BOUND_DISPATCHERS 2
 #define BOUND_WORKERS 4
@@ -18,20 +18,7 @@
 #define BOUND_MEM 8000
 #define BOUND_SERVICE "tarif-engine"
 
-typedef struct BoundFleet {
-    char *dir;
-    uint32_t next_port;
-    FleetProcess store;
-    FleetProcess dispatchers[BOUND_DISPATCHERS];
-    FleetProcess supervisors[BOUND_WORKERS];
-    FleetProcess workers[BOUND_WORKERS];
-    uint32_t door_ports[1 + BOUND_DISPATCHERS];
-    uint32_t front_ports[BOUND_DISPATCHERS];
-    uint32_t ready_ports[BOUND_DISPATCHERS];
-    uint32_t peer_ports[BOUND_DISPATCHERS];
-    uint32_t control_ports[BOUND_WORKERS];
-    uint32_t worker_ports[BOUND_WORKERS];
-} BoundFleet;
+typedef BwFleet BoundFleet;
 
 /* Starts everything, without a configuration, and waits until the dispatchers
    know the workers.  Aborts the test on failure. */
@@ -77,7 +64,7 @@
 uint64_t
 BoundFleet_DoorCalls(BoundFleet *fleet, uint32_t door);
 
-/* Tells a worker stand-in, or each with -1. */
+/* Tells an emulated worker, or each with -1. */
 void
 BoundFleet_TellWorkers(BoundFleet *fleet, int worker, const char *control);
 
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -22,66 +22,19 @@
 
 static const char *const domains[] = {"charguia-a", "charguia-b", "ariana-c"};
 
-/* A test that aborts takes its processes with it. */
-static void
-end_with_parent(gpointer data)
-{
-    (void)data;
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
-}
-
 void
 FleetProcess_Start(FleetProcess *process, const char *dir, const char *name,
                    char **argv)
 {
-    GError *error = NULL;
-    char *script;
-    char *shell_argv[32] = {0};
-    int count = 0;
-
-    g_free(process->name);
-    g_free(process->output);
-    process->name = g_strdup(name);
-    process->output = g_strdup_printf("%s/%s.out", dir, name);
-    g_unlink(process->output);
-    script = g_strdup_printf("exec \"$@\" >'%s' 2>&1", process->output);
-    shell_argv[count++] = "/bin/sh";
-    shell_argv[count++] = "-c";
-    shell_argv[count++] = script;
-    shell_argv[count++] = "sh";
-    for (; *argv != NULL; argv++)
-        shell_argv[count++] = *argv;
-    if (!g_spawn_async(NULL, shell_argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
-                       end_with_parent, NULL, &process->pid, &error))
-        g_error("%s: %s", name, error->message);
-    g_free(script);
-}
-
-static uint32_t
-read_field(const FleetProcess *process, const char *field)
-{
-    char *text = NULL;
-    const char *place;
-    uint32_t value = 0;
-
-    if (g_file_get_contents(process->output, &text, NULL, NULL) &&
-        (place = strstr(text, field)) != NULL && strchr(place, '\n') != NULL)
-        value = (uint32_t)strtoul(place + strlen(field), NULL, 10);
-    g_free(text);
-    return value;
+    if (!BwProcess_Start(process, dir, name, argv))
+        g_error("%s: %s", name, g_strerror(errno));
 }
 
 void
 FleetProcess_WaitStarted(FleetProcess *process)
 {
-    uint64_t give_up_us = BwClock_Now() + START_TIMEOUT_US;
-
-    while ((process->http_port = read_field(process, "http_port=")) == 0) {
-        if (BwClock_Now() > give_up_us)
-            g_error("%s did not start, see %s", process->name,
-                    process->output);
-        g_usleep(POLL_US);
-    }
+    if (!BwProcess_WaitStarted(process, START_TIMEOUT_US))
+        g_error("%s did not start, see %s", process->name, process->output);
 }
 
 static char *
@@ -342,37 +295,19 @@
 void
 Fleet_Signal(FleetProcess *process, int number)
 {
-    if (process->pid == 0)
-        return;
-    kill(process->pid, number);
-    if (number == SIGKILL) {
-        waitpid(process->pid, NULL, 0);
-        process->pid = 0;
-    }
+    BwProcess_Signal(process, number);
 }
 
 bool
 Fleet_WaitEnd(FleetProcess *process, uint64_t timeout_us, int *exit_code)
 {
-    uint64_t give_up_us = BwClock_Now() + timeout_us;
-    int status;
-
-    while (waitpid(process->pid, &status, WNOHANG) == 0) {
-        if (BwClock_Now() > give_up_us)
-            return false;
-        g_usleep(POLL_US);
-    }
-    process->pid = 0;
-    *exit_code = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-    return true;
+    return BwProcess_WaitEnd(process, timeout_us, exit_code);
 }
 
 void
 FleetProcess_Finish(FleetProcess *process)
 {
-    Fleet_Signal(process, SIGKILL);
-    g_free(process->name);
-    g_free(process->output);
+    BwProcess_Finish(process);
 }
 
 void
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -11,16 +11,12 @@
 #include <glib.h>
 
 #include "caller.h"
+#include "process.h"
 
 #define FLEET_AGENTS_MAX 64
 #define FLEET_ENTRIES_MAX 8
 
-typedef struct FleetProcess {
-    GPid pid;
-    uint32_t http_port;
-    char *name;
-    char *output; /* path */
-} FleetProcess;
+typedef BwProcess FleetProcess;
 
 /* Starts a program, with its output in a file of `dir`. */
 void
--- a/tests/test_bound.c
+++ b/tests/test_bound.c
@@ -12,7 +12,7 @@
 
 #include "boundfleet.h"
 #include "clock.h"
-#include "standins/wording.h"
+#include "wording.h"
 
 #define WAIT_US 30000000
 #define PATIENT_MS 20000
@@ -42,12 +42,12 @@
 make_routes(bool has_added)
 {
     char *checks =
-        Standin_RouteText("checks", "127.0.0.1", BOUND_SERVICE, PATIENT_MS);
-    char *tight = Standin_RouteText("tight", "127.0.0.1", BOUND_SERVICE, 1);
-    char *other =
-        Standin_RouteText("other", "other.example", BOUND_SERVICE, PATIENT_MS);
+        BwWording_RouteText("checks", "127.0.0.1", BOUND_SERVICE, PATIENT_MS);
+    char *tight = BwWording_RouteText("tight", "127.0.0.1", BOUND_SERVICE, 1);
+    char *other = BwWording_RouteText("other", "other.example", BOUND_SERVICE,
+                                      PATIENT_MS);
     char *added =
-        Standin_RouteText("added", "127.0.0.1", BOUND_SERVICE, PATIENT_MS);
+        BwWording_RouteText("added", "127.0.0.1", BOUND_SERVICE, PATIENT_MS);
     char *routes =
         g_strjoin(",", checks, tight, other, has_added ? added : NULL, NULL);
 
@@ -63,7 +63,7 @@
 configure(uint32_t number, bool has_added)
 {
     char *routes = make_routes(has_added);
-    char *text = Standin_ConfigText(number, routes);
+    char *text = BwWording_ConfigText(number, routes);
 
     BoundFleet_Configure(&fleet, text);
     g_free(text);
@@ -108,7 +108,7 @@
 start_spread(BoundCall *call, uint32_t dispatcher, const Job *job,
              uint32_t tasks, uint32_t run_ms, uint32_t spread)
 {
-    char *text = Standin_JobText(tasks, run_ms, 1000, 1000, spread);
+    char *text = BwWording_JobText(tasks, run_ms, 1000, 1000, spread);
 
     BoundCall_Start(call, fleet.front_ports[dispatcher], "POST", job->path, "",
                     text);
@@ -128,7 +128,7 @@
     BoundCall_Wait(call);
     g_assert_cmpuint(call->status, ==, 200);
     g_assert_true(call->is_complete);
-    g_assert_nonnull(strstr(call->body, STANDIN_COMPLETED));
+    g_assert_nonnull(strstr(call->body, BW_WORDING_COMPLETED));
     BoundCall_Clear(call);
 }
 
@@ -250,7 +250,7 @@
 static void
 test_chain(void)
 {
-    char *text = Standin_ChainText(30, 1000);
+    char *text = BwWording_ChainText(30, 1000);
     BoundCall call;
     BoundCount first, second;
     Job job;
@@ -606,7 +606,7 @@
 static void
 test_same_connection(void)
 {
-    char *text = Standin_JobText(4, 20, 1000, 1000, 0);
+    char *text = BwWording_JobText(4, 20, 1000, 1000, 0);
     BwSpan body = {text, (uint32_t)strlen(text)};
     BwCallReply reply;
     BwCaller caller;
@@ -620,7 +620,7 @@
         g_assert_cmpuint(BwCaller_Call(&caller, "POST", job.path, "", body,
                                        WAIT_US, &reply),
                          ==, 200);
-        g_assert_nonnull(strstr(reply.body, STANDIN_COMPLETED));
+        g_assert_nonnull(strstr(reply.body, BW_WORDING_COMPLETED));
         free(reply.body);
     }
     BwCaller_Finish(&caller);
@@ -632,7 +632,7 @@
 static void
 test_twin(void)
 {
-    char *text = Standin_JobText(4, 20, 1000, 1000, 0);
+    char *text = BwWording_JobText(4, 20, 1000, 1000, 0);
     BoundCall call, twin;
     BoundCount count;
     Job job;
@@ -663,7 +663,7 @@
     expect_status(1, "DELETE", job.path, 200);
     BoundCall_Wait(&call);
     g_assert_cmpuint(call.status, ==, 200);
-    g_assert_nonnull(strstr(call.body, STANDIN_CANCELLED));
+    g_assert_nonnull(strstr(call.body, BW_WORDING_CANCELLED));
     BoundCall_Clear(&call);
     BoundFleet_WaitRunning(&fleet, job.name, 0);
     BoundFleet_Count(&fleet, job.name, &count);
@@ -675,7 +675,7 @@
 static void
 test_deadline(void)
 {
-    char *text = Standin_JobText(4, 50, 1000, 1000, 0);
+    char *text = BwWording_JobText(4, 50, 1000, 1000, 0);
     BoundCall call;
     Job job;
 
@@ -683,7 +683,7 @@
     BoundFleet_TellWorkers(&fleet, -1, "{\"still\":true}");
     name_job(&job, "checks");
     BoundCall_Run(&call, fleet.front_ports[0], "POST", job.path,
-                  STANDIN_DEADLINE_HEADER ": 1000\r\n", text);
+                  BW_WORDING_DEADLINE_HEADER ": 1000\r\n", text);
     g_assert_true(call.is_complete);
     BoundCall_Clear(&call);
     BoundFleet_WaitRunning(&fleet, job.name, 0);
@@ -695,14 +695,15 @@
 static void
 test_deadline_too_far(void)
 {
-    char *text = Standin_JobText(4, 20, 1000, 1000, 0);
+    char *text = BwWording_JobText(4, 20, 1000, 1000, 0);
     BoundCall call;
     Job job;
 
     set_up();
     name_job(&job, "checks");
     BoundCall_Start(&call, fleet.front_ports[0], "POST", job.path,
-                    STANDIN_DEADLINE_HEADER ": 18446744073709552\r\n", text);
+                    BW_WORDING_DEADLINE_HEADER ": 18446744073709552\r\n",
+                    text);
     expect_completed(&call);
     g_free(text);
 }
@@ -880,8 +881,8 @@
 static void
 test_refused(void)
 {
-    char *small = Standin_JobText(2, 5, 1000, 1000, 0);
-    char *huge = Standin_JobText(1, 50, BOUND_CPU + 1, 1000, 0);
+    char *small = BwWording_JobText(2, 5, 1000, 1000, 0);
+    char *huge = BwWording_JobText(1, 50, BOUND_CPU + 1, 1000, 0);
     BoundCall call;
     Job job;
 
@@ -891,7 +892,7 @@
         start_full(&call, i, &job);
         expect_refused(i, "tight", small);
         expect_refused(i, "checks", huge);
-        expect_refused(i, "checks", STANDIN_KEPT_JOB);
+        expect_refused(i, "checks", BW_WORDING_KEPT_JOB);
         go_on();
         expect_completed(&call);
     }
@@ -903,7 +904,7 @@
 static void
 test_bad_requests(void)
 {
-    const char *const *bodies = Standin_BadBodies();
+    const char *const *bodies = BwWording_BadBodies();
     BoundCount before, after;
     BoundCall call;
     Job job;
--- a/tests/test_boundaries.sh
+++ b/tests/test_boundaries.sh
@@ -55,10 +55,9 @@
 printf '%s\n' "$names" >"$scratch/names"
 
 # Files outside platform/, deploy/ and journal/ that may know these names: the
-# driver's page, its test and its stand-in.
+# driver's page, its test, and the platform's emulator.
 known='^(docs/PLATFORM\.md|tests/test_boundaries\.sh|tests/test_driver\.c'
-known="$known|tests/standins/(platform_standin\.c|worker_standin\.c"
-known="$known|wording\.h))\$"
+known="$known|packages/emulator/(store|worker|ingress|wording)\.[ch])\$"
 
 # Prints the files of a tree that name the platform and may not.
 find_names() {
@@ -108,18 +107,27 @@
     find_includes "$1" packages/core \
         packages/adapters packages/daemon packages/cli
     find_includes "$1" packages/adapters packages/daemon packages/cli
+    for part in ports core adapters daemon; do
+        find_includes "$1" "packages/$part" packages/emulator
+    done
+    find_includes "$1" platform packages/emulator
+    find_includes "$1" packages/cli packages/emulator |
+        grep -v ': lab\.h$' || true
 }
 
 # breaks WANTED FILE TEXT: a tree with this file must be found at fault.
 breaks() {
     tree=$scratch/tree
     rm -rf "$tree"
-    for part in ports core adapters daemon cli; do
+    for part in ports core adapters daemon cli emulator; do
         mkdir -p "$tree/packages/$part"
         echo '/* nothing */' >"$tree/packages/$part/$part.h"
     done
     mkdir -p "$tree/platform" "$tree/docs" "$tree/tests/standins"
     echo 'fenceToken' >"$tree/platform/platform.h"
+    echo 'fenceToken' >"$tree/packages/emulator/worker.c"
+    echo '/* nothing */' >"$tree/packages/emulator/lab.h"
+    echo '#include "lab.h"' >"$tree/packages/cli/main.c"
     echo 'lastSeen' >"$tree/docs/PLATFORM.md"
     echo 'bestEffort' >"$tree/tests/test_driver.c"
     if [ -n "$(check_tree "$tree")" ]; then
@@ -147,6 +155,13 @@
 breaks 'includes packages/core' packages/ports/a.h '#include "core.h"'
 breaks 'includes packages/daemon' packages/adapters/a.c \
     '#include "../daemon/daemon.h"'
+breaks 'names the platform' packages/emulator/player.c '"fenceToken"'
+for part in ports core adapters daemon cli; do
+    breaks 'includes packages/emulator' "packages/$part/a.c" \
+        '#include "emulator.h"'
+done
+breaks 'includes packages/emulator' packages/daemon/a.c '#include "lab.h"'
+breaks 'includes packages/emulator' platform/a.c '#include "emulator.h"'
 
 check_tree "$root" >"$scratch/found"
 if [ -s "$scratch/found" ]; then
