--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,8 @@
 BUILD ?= build
 SANITIZED ?= build-asan
 
-.PHONY: demo test build sanitized packages format lint replay measure faults
+.PHONY: demo test build sanitized packages format lint replay measure faults \
+	lab
 
 packages:
 	@sh scripts/packages.sh
@@ -39,6 +40,11 @@
 measure: build
 	@sh scripts/measure.sh $(BUILD)
 
+# Every experiment; the last line counts the outcomes.
+lab: build
+	@$(BUILD)/packages/cli/brasswing lab run --html $(BUILD)/lab.html \
+		tests/experiments/*.yaml
+
 # Failures of real processes under load; the last line counts the cases.
 faults: build
 	@$(BUILD)/tests/faults --known KNOWN-RED.txt
