Take out each lease in turn and see which experiment tells

Cause: an experiment that holds says little unless it fails without the lease it is about.

Ruled out: settings (the product refuses leases that are too long for the resend time) and build options in the core.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SANITIZED ?= build-asan
 
 .PHONY: demo test build sanitized packages format lint replay measure faults \
-	lab
+	lab mutations
 
 packages:
 	@sh scripts/packages.sh
@@ -45,6 +45,10 @@
 	@$(BUILD)/packages/cli/brasswing lab run --html $(BUILD)/lab.html \
 		tests/experiments/*.yaml
 
+# Each lease taken out, one at a time; an experiment must fail.
+mutations: build
+	@sh tests/mutations.sh $(BUILD)
+
 # Failures of real processes under load; the last line counts the cases.
 faults: build
 	@$(BUILD)/tests/faults --known KNOWN-RED.txt
--- /dev/null
+++ b/tests/mutations.sh
@@ -0,0 +1,64 @@
+#!/bin/sh
+# mutations.sh -- takes out each lease of the chain, one at a time
+#
+#   usage: mutations.sh BUILD [NAME...]
+#
+# Each file of tests/mutations changes a copy of the product; its experiments
+# are played with the changed brasswingd, and at least one outcome must not
+# hold.  A patch that does not fit any more is a failure too.  Prints a line for
+# each mutation and ends with a count; the product itself is not touched.
+set -eu
+
+build=$(realpath "$1")
+shift
+root=$(realpath "$(dirname "$0")/..")
+lab=$build/packages/cli/brasswing
+scratch=$(mktemp -d)
+trap 'rm -rf "$scratch"' EXIT
+missed=0
+count=0
+
+if [ $# -eq 0 ]; then
+    for patch in "$root"/tests/mutations/*.patch; do
+        set -- "$@" "$(basename "$patch" .patch)"
+    done
+fi
+
+mkdir "$scratch/tree"
+(cd "$root" && cp -r CMakeLists.txt packages platform "$scratch/tree")
+cmake -S "$scratch/tree" -B "$scratch/build" -G Ninja -DBW_TESTS=OFF >/dev/null
+
+# play NAME: prints the outcomes that did not hold, and where.
+play() {
+    for experiment in $(sed -n 's/^experiments: //p' "$patch"); do
+        "$lab" lab run --daemon "$scratch/build/packages/daemon/brasswingd" \
+            "$root/tests/experiments/$experiment.yaml" >"$scratch/out" 2>&1 ||
+            true
+        awk -v where="$experiment" '$1 == "VIOLATED" {
+            printf "%s %s (%s)", separator where, $2, \
+                substr($0, match($0, /seen [0-9]+/), RLENGTH)
+            where = ""; separator = ","
+        }
+        END { if (separator) print "" }' "$scratch/out"
+    done
+}
+
+for name in "$@"; do
+    patch=$root/tests/mutations/$name.patch
+    count=$((count + 1))
+    (cd "$scratch/tree" && git apply "$patch") || {
+        echo "$name: the patch does not fit"
+        exit 1
+    }
+    cmake --build "$scratch/build" -j 2 --target brasswingd >"$scratch/make" ||
+        {
+            cat "$scratch/make"
+            exit 1
+        }
+    found=$(play)
+    printf '%-13s %s\n' "$name" "${found:-NOT FOUND}"
+    [ -n "$found" ] || missed=$((missed + 1))
+    (cd "$scratch/tree" && git apply -R "$patch")
+done
+echo "mutations: $count, $missed not found"
+[ "$missed" = 0 ]
