--- a/docs/completion/brasswing.bash
+++ b/docs/completion/brasswing.bash
@@ -4,8 +4,8 @@
     local current=${COMP_WORDS[COMP_CWORD]}
     local previous=${COMP_WORDS[COMP_CWORD - 1]}
     local commands="check publish show history diff rollback status explain
-drain submit cancel replay"
-    local options="--entry --fleet --log --stream --member --base --publish-id
+drain submit cancel replay lab"
+    local options="--entry --fleet --log --logs --stream --member --base --publish-id
 --author --output --timeout --authority --tls-name --token --version --help"
 
     case $previous in
@@ -13,7 +13,7 @@
         COMPREPLY=($(compgen -W "text json" -- "$current"))
         return
         ;;
-    check | publish | submit | replay | -f | --fleet | -a | --authority)
+    check | publish | submit | replay | -f | --fleet | -L | --logs | -a | --authority)
         COMPREPLY=($(compgen -f -- "$current"))
         return
         ;;
--- a/packages/adapters/log.c
+++ b/packages/adapters/log.c
@@ -2,13 +2,17 @@
 
 #include <stdarg.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <time.h>
 #include <unistd.h>
 
+#include <jansson.h>
+
 #include "log.h"
 
 #define LINE_BYTES 2048
+#define AT_BYTES 96
 
 typedef struct Line {
     char text[LINE_BYTES];
@@ -50,24 +54,14 @@
     append(line, "\"");
 }
 
-void
-BwLog_Write(const BwLogger *logger, BwLogLevel level, const char *event,
-            const BwLogField *fields, uint32_t count)
+static void
+write_text(const BwLogger *logger, BwLogLevel level, const char *at,
+           const char *event, const BwLogField *fields, uint32_t count)
 {
-    Line line;
-    struct timespec now;
-    struct tm parts;
+    Line line = {.used = 0};
     ssize_t ignored;
 
-    if (level > logger->level)
-        return;
-    line.used = 0;
-    clock_gettime(CLOCK_REALTIME, &now);
-    gmtime_r(&now.tv_sec, &parts);
-    append(&line, "%04d-%02d-%02dT%02d:%02d:%02d.%06ldZ %s %s %s",
-           parts.tm_year + 1900, parts.tm_mon + 1, parts.tm_mday,
-           parts.tm_hour, parts.tm_min, parts.tm_sec, now.tv_nsec / 1000,
-           level_names[level], logger->name, event);
+    append(&line, "%s %s %s %s", at, level_names[level], logger->name, event);
     for (uint32_t i = 0; i < count; i++) {
         append(&line, " %s=", fields[i].key);
         if (fields[i].text != NULL)
@@ -79,3 +73,69 @@
     ignored = write(logger->fd, line.text, line.used);
     (void)ignored;
 }
+
+/* A text, with question marks for what is no UTF-8. */
+static json_t *
+make_string(const char *text)
+{
+    json_t *string = json_string(text);
+    char *plain;
+
+    if (string != NULL || (plain = strdup(text)) == NULL)
+        return string;
+    for (char *at = plain; *at != '\0'; at++) {
+        if ((unsigned char)*at >= 0x80)
+            *at = '?';
+    }
+    string = json_string(plain);
+    free(plain);
+    return string;
+}
+
+static void
+write_json(const BwLogger *logger, BwLogLevel level, const char *at,
+           const char *event, const BwLogField *fields, uint32_t count)
+{
+    json_t *object = json_pack("{s:s, s:s, s:o, s:s}", "at", at, "level",
+                               level_names[level], "name",
+                               make_string(logger->name), "event", event);
+    char *text;
+    size_t length;
+    ssize_t ignored;
+
+    for (uint32_t i = 0; i < count; i++)
+        json_object_set_new(object, fields[i].key,
+                            fields[i].text != NULL
+                                ? make_string(fields[i].text)
+                                : json_integer((json_int_t)fields[i].number));
+    text = json_dumps(object, JSON_COMPACT);
+    json_decref(object);
+    if (text == NULL)
+        return;
+    length = strlen(text);
+    text[length++] = '\n'; /* in place of the end of the text */
+    ignored = write(logger->fd, text, length);
+    (void)ignored;
+    free(text);
+}
+
+void
+BwLog_Write(const BwLogger *logger, BwLogLevel level, const char *event,
+            const BwLogField *fields, uint32_t count)
+{
+    char at[AT_BYTES];
+    struct timespec now;
+    struct tm parts;
+
+    if (level > logger->level)
+        return;
+    clock_gettime(CLOCK_REALTIME, &now);
+    gmtime_r(&now.tv_sec, &parts);
+    snprintf(at, sizeof(at), "%04d-%02d-%02dT%02d:%02d:%02d.%06ldZ",
+             parts.tm_year + 1900, parts.tm_mon + 1, parts.tm_mday,
+             parts.tm_hour, parts.tm_min, parts.tm_sec, now.tv_nsec / 1000);
+    if (logger->format == BW_LOG_JSON)
+        write_json(logger, level, at, event, fields, count);
+    else
+        write_text(logger, level, at, event, fields, count);
+}
--- a/packages/adapters/log.h
+++ b/packages/adapters/log.h
@@ -4,6 +4,11 @@
 
      2026-01-02T03:04:05.678901Z info agent-1 place key="k" count=3
 
+   or as JSON, with the same keys after those of the head:
+
+     {"at":"2026-01-02T03:04:05.678901Z","level":"info","name":"agent-1",
+      "event":"place","key":"k","count":3}
+
    A value that holds a space, quote or control character is quoted.  Lines go
    to a file descriptor in one write each, so lines of several threads do not
    mix.
@@ -23,9 +28,15 @@
     BW_LOG_DEBUG,
 } BwLogLevel;
 
+typedef enum BwLogFormat {
+    BW_LOG_KEY_VALUE,
+    BW_LOG_JSON,
+} BwLogFormat;
+
 typedef struct BwLogger {
     int fd;
     BwLogLevel level;
+    BwLogFormat format;
     const char *name; /* of the process */
 } BwLogger;
 
@@ -40,7 +51,8 @@
 #define BW_LOG_NUMBER(key, value) ((BwLogField){key, NULL, (uint64_t)(value)})
 
 /* Writes a line with `count` fields, unless `level` is below the logger's.  A
-   line over 2048 bytes is cut. */
+   line over 2048 bytes is cut, but not one of JSON.  Bytes that are no UTF-8
+   are question marks in JSON. */
 void
 BwLog_Write(const BwLogger *logger, BwLogLevel level, const char *event,
             const BwLogField *fields, uint32_t count);
--- a/packages/adapters/settings.c
+++ b/packages/adapters/settings.c
@@ -91,6 +91,8 @@
 static const char *const level_names[] = {"error", "warning", "info", "debug",
                                           NULL};
 
+static const char *const format_names[] = {"key_value", "json", NULL};
+
 static const BwYamlField settings_fields[] = {
     {.key = "role",
      .type = BW_YAML_CHOICE,
@@ -116,6 +118,11 @@
      .offset = offsetof(BwSettings, log_level),
      .choices = level_names,
      .remedy = "pick how much is logged"},
+    {.key = "log_format",
+     .type = BW_YAML_CHOICE,
+     .offset = offsetof(BwSettings, log_format),
+     .choices = format_names,
+     .remedy = "pick how a line is written"},
     {.key = "peers",
      .type = BW_YAML_LIST,
      .offset = offsetof(BwSettings, peers),
--- a/packages/adapters/settings.h
+++ b/packages/adapters/settings.h
@@ -54,6 +54,7 @@
     BwEndpoint log;
     char log_stream[BW_NAME_BYTES_MAX];
     uint32_t log_level;       /* BwLogLevel */
+    uint32_t log_format;      /* BwLogFormat */
     uint64_t log_retention_s; /* the log keeps a record at least this long */
     BwEndpoint *peers;        /* whom to ask while the log is down; the seeds
                                  of dispatchers and supervisors */
--- a/packages/cli/cli.h
+++ b/packages/cli/cli.h
@@ -22,14 +22,17 @@
 } BwExit;
 
 #define BW_CLI_ENTRIES_MAX 16
+#define BW_CLI_LOGS_MAX 256
 
 /* What the options say; strings are those of the command line. */
 typedef struct BwCliOptions {
     const char *entry;                       /* HOST:PORT of any brasswingd */
     const char *entries[BW_CLI_ENTRIES_MAX]; /* each --entry given */
     uint32_t entry_count;
-    const char *fleet; /* path of a fleet file */
-    const char *log;   /* HOST:PORT of the platform's log */
+    const char *fleet;                 /* path of a fleet file */
+    const char *logs[BW_CLI_LOGS_MAX]; /* log files of processes */
+    uint32_t log_count;
+    const char *log; /* HOST:PORT of the platform's log */
     const char *stream;
     const char *member;
     const char *base;
--- a/packages/cli/explain.c
+++ b/packages/cli/explain.c
@@ -1,5 +1,6 @@
 /* explain.c -- a job's story, from the decisions that processes kept */
 
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,8 +9,10 @@
 #include "cli.h"
 #include "clock.h"
 #include "configlog.h"
+#include "logstory.h"
 
 #define ASK_TIMEOUT_US 2000000
+#define TIME_OFFSET 11 /* of the time in a date */
 
 typedef struct Story {
     json_t *decisions;
@@ -108,6 +111,69 @@
     json_decref(sorted);
 }
 
+static void
+print_line(const json_t *line)
+{
+    const char *key;
+    json_t *value;
+
+    printf("%.15s  %-14s %-10s",
+           json_string_value(json_object_get(line, "at")) + TIME_OFFSET,
+           json_string_value(json_object_get(line, "name")),
+           json_string_value(json_object_get(line, "event")));
+    json_object_foreach((json_t *)line, key, value)
+    {
+        if (strcmp(key, "at") == 0 || strcmp(key, "level") == 0 ||
+            strcmp(key, "name") == 0 || strcmp(key, "event") == 0 ||
+            strcmp(key, "job") == 0)
+            continue;
+        if (json_is_integer(value))
+            printf(" %s=%lld", key, json_integer_value(value));
+        else if (json_string_length(value) > 0)
+            printf(" %s=%s", key, json_string_value(value));
+    }
+    printf("\n");
+}
+
+/* A bound job: nothing is kept of it but log lines. */
+static BwExit
+explain_logs(const BwCliOptions *options)
+{
+    const char *job = options->argv[0];
+    json_t *lines = json_array();
+    json_t *sorted = NULL, *line;
+    size_t index;
+    BwExit code = BW_EXIT_FAILED;
+
+    for (uint32_t i = 0; i < options->log_count; i++) {
+        if (BwLogStory_AddFile(lines, options->logs[i], job))
+            continue;
+        fprintf(stderr, "brasswing: %s: %s\n", options->logs[i],
+                strerror(errno));
+        code = BW_EXIT_USAGE;
+        goto finish;
+    }
+    if (json_array_size(lines) == 0) {
+        fprintf(stderr,
+                "brasswing: no line of these logs tells of job %s; give the "
+                "logs of every dispatcher, supervisor and worker\n",
+                job);
+        goto finish;
+    }
+    code = BW_EXIT_OK;
+    sorted = BwLogStory_Sort(lines);
+    if (BwCli_IsJson(options)) {
+        BwCli_PrintJson(json_pack("{s:s, s:O}", "job", job, "lines", sorted));
+        goto finish;
+    }
+    printf("job %s\n", job);
+    json_array_foreach(sorted, index, line) print_line(line);
+finish:
+    json_decref(sorted);
+    json_decref(lines);
+    return code;
+}
+
 BwExit
 BwCli_Explain(const BwCliOptions *options)
 {
@@ -120,8 +186,13 @@
     BwJobId job;
     BwExit code = BW_EXIT_OK;
 
+    if (options->log_count > 0) {
+        json_decref(story.decisions);
+        return explain_logs(options);
+    }
     if (options->member == NULL) {
-        fprintf(stderr, "brasswing: give --member, the job's owner\n");
+        fprintf(stderr, "brasswing: give --member, the job's owner, or --logs "
+                        "for a bound job\n");
         json_decref(story.decisions);
         return BW_EXIT_USAGE;
     }
--- /dev/null
+++ b/packages/cli/logstory.c
@@ -0,0 +1,152 @@
+/* logstory.c -- a bound job's story, from the log lines of its processes */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "logstory.h"
+
+static const char *const heads[] = {"at", "level", "name", "event"};
+
+#define HEAD_COUNT (sizeof(heads) / sizeof(heads[0]))
+
+/* Takes back what the logger escaped: a quote, a backslash, or \xNN. */
+static const char *
+read_quoted(const char *at, char *out)
+{
+    for (; *at != '"' && *at != '\0'; at++) {
+        unsigned code;
+
+        if (*at == '\\' && sscanf(at, "\\x%2x", &code) == 1) {
+            *out++ = (char)code;
+            at += 3;
+        }
+        else {
+            if (*at == '\\' && at[1] != '\0')
+                at++;
+            *out++ = *at;
+        }
+    }
+    *out = '\0';
+    return *at == '"' ? at + 1 : at;
+}
+
+/* Reads KEY=VALUE pairs; `word` has room for any of them. */
+static void
+read_fields(json_t *object, const char *at, char *word)
+{
+    while (*at != '\0') {
+        size_t length = strcspn(at, "= ");
+        char *value = word + length + 1;
+
+        if (at[length] != '=') {
+            at += length + (at[length] == ' ');
+            continue;
+        }
+        memcpy(word, at, length);
+        word[length] = '\0';
+        at += length + 1;
+        if (*at == '"') {
+            at = read_quoted(at + 1, value);
+        }
+        else {
+            length = strcspn(at, " ");
+            memcpy(value, at, length);
+            value[length] = '\0';
+            at += length;
+        }
+        json_object_set_new(object, word, json_string(value));
+        at += *at == ' ';
+    }
+}
+
+static json_t *
+read_text(const char *line)
+{
+    size_t size = strlen(line) + 2;
+    char *word = malloc(size);
+    json_t *object = json_object();
+    const char *at = line;
+
+    for (size_t i = 0; word != NULL && i < HEAD_COUNT; i++) {
+        size_t length = strcspn(at, " \n");
+
+        if (length == 0)
+            break;
+        json_object_set_new(object, heads[i], json_stringn(at, length));
+        at += length + (at[length] == ' ');
+    }
+    if (word != NULL)
+        read_fields(object, at, word);
+    free(word);
+    return object;
+}
+
+json_t *
+BwLogStory_ReadLine(const char *line)
+{
+    json_t *object =
+        line[0] == '{' ? json_loads(line, 0, NULL) : read_text(line);
+
+    for (size_t i = 0; i < HEAD_COUNT; i++) {
+        if (json_is_string(json_object_get(object, heads[i])))
+            continue;
+        json_decref(object);
+        return NULL;
+    }
+    return object;
+}
+
+bool
+BwLogStory_AddFile(json_t *lines, const char *path, const char *job)
+{
+    FILE *file = fopen(path, "r");
+    char *line = NULL;
+    size_t room = 0;
+    ssize_t length;
+
+    if (file == NULL)
+        return false;
+    while ((length = getline(&line, &room, file)) > 0) {
+        json_t *object;
+        const char *own;
+
+        if (line[length - 1] == '\n')
+            line[length - 1] = '\0';
+        if (strstr(line, job) == NULL)
+            continue;
+        object = BwLogStory_ReadLine(line);
+        own = json_string_value(json_object_get(object, "job"));
+        if (own != NULL && strcmp(own, job) == 0)
+            json_array_append(lines, object);
+        json_decref(object);
+    }
+    free(line);
+    fclose(file);
+    return true;
+}
+
+static int
+compare_times(const void *left, const void *right)
+{
+    return strcmp(
+        json_string_value(json_object_get(*(json_t *const *)left, "at")),
+        json_string_value(json_object_get(*(json_t *const *)right, "at")));
+}
+
+json_t *
+BwLogStory_Sort(const json_t *lines)
+{
+    size_t count = json_array_size(lines);
+    json_t **items = calloc(count + 1, sizeof(json_t *));
+    json_t *sorted = json_array();
+
+    for (size_t i = 0; items != NULL && i < count; i++)
+        items[i] = json_array_get(lines, i);
+    if (items != NULL)
+        qsort(items, count, sizeof(json_t *), compare_times);
+    for (size_t i = 0; items != NULL && i < count; i++)
+        json_array_append(sorted, items[i]);
+    free(items);
+    return sorted;
+}
--- a/packages/cli/main.c
+++ b/packages/cli/main.c
@@ -23,8 +23,8 @@
     {"rollback", "REV", "publish an old text again (--log, --entry)", 1,
      BwCli_Rollback},
     {"status", "", "show every process (--entry)", 0, BwCli_Status},
-    {"explain", "KEY", "tell the story of a job (--entry, --member)", 1,
-     BwCli_Explain},
+    {"explain", "KEY", "tell the story of a job (--entry, --member; --logs)",
+     1, BwCli_Explain},
     {"drain", "AGENT", "let an agent leave: its name, or HOST:PORT (--entry)",
      1, BwCli_Drain},
     {"submit", "FILE", "submit a job and wait for it (--entry)", 1,
@@ -48,6 +48,8 @@
                  "several)\n"
                  "  -f, --fleet FILE       processes that a replay acts on\n"
                  "  -l, --log HOST:PORT    the platform's log\n"
+                 "  -L, --logs FILE        log of a process, for a bound "
+                 "job (several)\n"
                  "  -S, --stream NAME      stream of the log (brasswing)\n"
                  "  -m, --member NAME      member that owns the job\n"
                  "  -b, --base REVISION    revision that the text replaces\n"
@@ -104,6 +106,7 @@
     {"entry", required_argument, NULL, 'e'},
     {"fleet", required_argument, NULL, 'f'},
     {"log", required_argument, NULL, 'l'},
+    {"logs", required_argument, NULL, 'L'},
     {"stream", required_argument, NULL, 'S'},
     {"member", required_argument, NULL, 'm'},
     {"base", required_argument, NULL, 'b'},
@@ -165,7 +168,7 @@
     options.token = getenv("BRASSWING_TOKEN");
     options.author = getenv("USER") != NULL ? getenv("USER") : "unknown";
     options.timeout_us = DEFAULT_TIMEOUT_US;
-    while ((option = getopt_long(argc, argv, "e:f:l:S:m:b:i:A:a:n:T:o:t:Vh",
+    while ((option = getopt_long(argc, argv, "e:f:l:L:S:m:b:i:A:a:n:T:o:t:Vh",
                                  long_options, NULL)) != -1) {
         const char **place = find_place(&options, option);
 
@@ -179,6 +182,10 @@
             if (options.entry_count < BW_CLI_ENTRIES_MAX)
                 options.entries[options.entry_count++] = optarg;
             break;
+        case 'L':
+            if (options.log_count < BW_CLI_LOGS_MAX)
+                options.logs[options.log_count++] = optarg;
+            break;
         case 't':
             options.timeout_us = strtoull(optarg, NULL, 10) * 1000000;
             break;
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -360,6 +360,7 @@
     daemon->incarnation = (number & INCARNATION_MASK) | 1;
     daemon->logger.fd = STDERR_FILENO;
     daemon->logger.level = (BwLogLevel)daemon->settings.log_level;
+    daemon->logger.format = (BwLogFormat)daemon->settings.log_format;
     daemon->logger.name = daemon->settings.name;
     daemon->ops = daemon->settings.role == BW_SETTINGS_AGENT ? &BwAgent_Ops
                                                              : &BwEntry_Ops;
--- a/packages/daemon/node.c
+++ b/packages/daemon/node.c
@@ -166,6 +166,7 @@
     node->incarnation = (number & INCARNATION_MASK) | 1;
     node->logger.fd = STDERR_FILENO;
     node->logger.level = (BwLogLevel)settings->log_level;
+    node->logger.format = (BwLogFormat)settings->log_format;
     node->logger.name = node->settings.name;
     node->driver = &BwPlatform_Driver;
     node->ops = settings->role == BW_SETTINGS_DISPATCHER
--- a/packages/emulator/player.c
+++ b/packages/emulator/player.c
@@ -26,6 +26,7 @@
 #define PROGRESS_US 200000
 #define CALL_TIMEOUT_US 5000000
 #define PLANNED_STOP_MS 4000
+#define ANSWER_US 500000 /* a caller waits past its deadline */
 
 static bool
 fail(BwPlayer *player, const char *what)
@@ -168,7 +169,7 @@
 {
     const BwLabClass *which = &player->experiment->classes[job_class];
     BwLabJob *job = add_job(player, job_class);
-    uint64_t wait_us = (uint64_t)which->deadline_ms * 1000;
+    uint64_t wait_us = (uint64_t)which->deadline_ms * 1000 + ANSWER_US;
     uint32_t client = BwEmulator_Draw(&player->seed, which->clients);
     char path[128], headers[64];
     char *body = BwWording_JobText(which->tasks, which->run_ms, which->cpu,
--- a/packages/emulator/process.c
+++ b/packages/emulator/process.c
@@ -51,17 +51,22 @@
 BwProcess_Start(BwProcess *process, const char *dir, const char *name,
                 char *const *argv)
 {
-    size_t room = strlen(dir) + strlen(name) + sizeof("/.out");
+    size_t room = strlen(dir) + strlen(name) + sizeof("/.out.old");
+    char *former = malloc(room);
     pid_t parent = getpid();
 
     free(process->name);
     free(process->output);
     process->name = strdup(name);
     process->output = malloc(room);
-    if (process->name == NULL || process->output == NULL)
+    if (process->name == NULL || process->output == NULL || former == NULL) {
+        free(former);
         return false;
+    }
     snprintf(process->output, room, "%s/%s.out", dir, name);
-    unlink(process->output);
+    snprintf(former, room, "%s.old", process->output);
+    rename(process->output, former);
+    free(former);
     process->pid = fork();
     if (process->pid == 0)
         run_child(process->output, argv, parent);
--- a/packages/emulator/process.h
+++ b/packages/emulator/process.h
@@ -17,8 +17,8 @@
     char *output; /* path */
 } BwProcess;
 
-/* Starts a program with its output in DIR/NAME.out.  Returns false with errno
-   set. */
+/* Starts a program with its output in DIR/NAME.out; that of a former one goes
+   to DIR/NAME.out.old.  Returns false with errno set. */
 bool
 BwProcess_Start(BwProcess *process, const char *dir, const char *name,
                 char *const *argv);
@@ -36,8 +36,8 @@
 void
 BwProcess_Signal(BwProcess *process, int number);
 
-/* Waits for the end, or with 0 only looks.  Returns whether it came in time, with *exit_code set, -1
-   after a signal. */
+/* Waits for the end, or with 0 only looks.  Returns whether it came in time,
+   with *exit_code set, -1 after a signal. */
 bool
 BwProcess_WaitEnd(BwProcess *process, uint64_t timeout_us, int *exit_code);
 
--- a/packages/emulator/worker.c
+++ b/packages/emulator/worker.c
@@ -31,6 +31,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <jansson.h>
 #include <uthash.h>
@@ -40,6 +41,7 @@
 #include "emulator.h"
 #include "httpclient.h"
 #include "httpserver.h"
+#include "log.h"
 
 #define BEAT_US 200000
 #define BEAT_TIMEOUT_US 1000000
@@ -191,6 +193,26 @@
     return NULL;
 }
 
+/* A line with the job's id, as dispatchers and supervisors write them. */
+static void
+log_run(const char *event, const Run *run, const char *how)
+{
+    BwLogger logger = {STDERR_FILENO, BW_LOG_INFO, BW_LOG_KEY_VALUE, me.name};
+    char job[TASK_BYTES];
+    char *dots[3] = {NULL, NULL, NULL}; /* ID.K.STEP.INDEX */
+
+    snprintf(job, sizeof(job), "%s", run->task);
+    for (int i = 2; i >= 0; i--) {
+        dots[i] = strrchr(job, '.');
+        if (dots[i] == NULL)
+            return;
+        *dots[i] = '\0';
+    }
+    BW_LOG(&logger, BW_LOG_INFO, event, BW_LOG_TEXT("job", job),
+           BW_LOG_TEXT("step", dots[1] + 1), BW_LOG_TEXT("index", dots[2] + 1),
+           BW_LOG_NUMBER("run", run->run), BW_LOG_TEXT("reason", how));
+}
+
 static void
 end_run(Run *run, const char *how)
 {
@@ -198,6 +220,7 @@
     run->how = how;
     run->number = ++me.next_end;
     set_mark(run->task, run->run);
+    log_run("ended", run, how);
 }
 
 static void
@@ -244,6 +267,7 @@
     run->stopped_us = NEVER;
     DL_APPEND(me.runs, run);
     note_peak();
+    log_run("running", run, "told to start");
 }
 
 static void
--- /dev/null
+++ b/tests/test_log.c
@@ -0,0 +1,132 @@
+/* test_log.c -- log lines of both formats, and a job's story from them */
+
+#include <fcntl.h>
+#include <string.h>
+
+#include <glib.h>
+#include <glib/gstdio.h>
+
+#include "log.h"
+#include "logstory.h"
+
+static const char *const texts[] = {
+    "plain", "",        "two words",   "a=b",      "say \"x\"",
+    "c:\\d", "\t\x01#", "caf\xc3\xa9", "newline\n"};
+
+static void
+write_line(const char *path, BwLogFormat format, const char *event,
+           const char *job, const char *text)
+{
+    BwLogger logger = {open(path, O_WRONLY | O_APPEND), BW_LOG_INFO, format,
+                       "dispatcher-0"};
+
+    g_assert_cmpint(logger.fd, >=, 0);
+    BW_LOG(&logger, BW_LOG_INFO, event, BW_LOG_TEXT("job", job),
+           BW_LOG_TEXT("reason", text), BW_LOG_NUMBER("count", 7));
+    BW_LOG(&logger, BW_LOG_DEBUG, "unseen", BW_LOG_TEXT("job", job));
+    g_close(logger.fd, NULL);
+}
+
+static char *
+make_file(void)
+{
+    char *path = NULL;
+    int fd = g_file_open_tmp("brasswing-XXXXXX", &path, NULL);
+
+    g_assert_cmpint(fd, >=, 0);
+    g_close(fd, NULL);
+    return path;
+}
+
+static const char *
+text_of(const json_t *object, const char *field)
+{
+    return json_string_value(json_object_get(object, field));
+}
+
+/* Every text comes back as it was, from either format. */
+static void
+test_formats(void)
+{
+    for (int format = BW_LOG_KEY_VALUE; format <= BW_LOG_JSON; format++) {
+        for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+            char *path = make_file();
+            json_t *lines = json_array();
+            const json_t *line;
+
+            write_line(path, (BwLogFormat)format, "place", "j-1", texts[i]);
+            g_assert_true(BwLogStory_AddFile(lines, path, "j-1"));
+            g_assert_cmpuint(json_array_size(lines), ==, 1);
+            line = json_array_get(lines, 0);
+            g_assert_cmpstr(text_of(line, "level"), ==, "info");
+            g_assert_cmpstr(text_of(line, "name"), ==, "dispatcher-0");
+            g_assert_cmpstr(text_of(line, "event"), ==, "place");
+            g_assert_cmpstr(text_of(line, "reason"), ==, texts[i]);
+            g_assert_cmpuint(strlen(text_of(line, "at")), ==, 27);
+            json_decref(lines);
+            g_remove(path);
+            g_free(path);
+        }
+    }
+}
+
+/* Bytes that are no text, and lines that are none. */
+static void
+test_strange(void)
+{
+    static const char *const bad[] = {
+        "", " ", "one two", "{", "{}", "[1]", "{\"at\":1,\"level\":\"info\"}"};
+    char *path = make_file();
+    json_t *lines = json_array();
+
+    write_line(path, BW_LOG_JSON, "place", "j-1", "bad \xff byte");
+    g_assert_true(BwLogStory_AddFile(lines, path, "j-1"));
+    g_assert_cmpstr(text_of(json_array_get(lines, 0), "reason"), ==,
+                    "bad ? byte");
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++)
+        g_assert_null(BwLogStory_ReadLine(bad[i]));
+    g_remove(path);
+    g_assert_false(BwLogStory_AddFile(lines, path, "j-1"));
+    json_decref(lines);
+    g_free(path);
+}
+
+/* Lines of several files and both formats, of one job only, by time. */
+static void
+test_story(void)
+{
+    static const char *const events[] = {"place", "start", "ended", "end"};
+    char *paths[] = {make_file(), make_file()};
+    json_t *lines = json_array();
+    json_t *sorted;
+
+    for (size_t i = 0; i < G_N_ELEMENTS(events); i++) {
+        write_line(paths[i % 2], (BwLogFormat)(i / 2), events[i], "j-1", "x");
+        write_line(paths[i % 2], (BwLogFormat)(i % 2), events[i], "j-11",
+                   "not j-1");
+        g_usleep(1000);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(paths); i++)
+        g_assert_true(BwLogStory_AddFile(lines, paths[1 - i], "j-1"));
+    sorted = BwLogStory_Sort(lines);
+    g_assert_cmpuint(json_array_size(sorted), ==, G_N_ELEMENTS(events));
+    for (size_t i = 0; i < G_N_ELEMENTS(events); i++)
+        g_assert_cmpstr(text_of(json_array_get(sorted, i), "event"), ==,
+                        events[i]);
+    json_decref(lines);
+    json_decref(sorted);
+    for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+        g_remove(paths[i]);
+        g_free(paths[i]);
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/log/formats", test_formats);
+    g_test_add_func("/log/strange", test_strange);
+    g_test_add_func("/log/story", test_story);
+    return g_test_run();
+}
