Read a changed settings file without a signal

Cause: dispatchers and supervisors read their settings again only at SIGHUP, but where settings are rendered in place nobody sends one.

Ruled out: inotify, which not every host allows; reading the file at each look, which costs a parse a second.

Change: the file's time, size and inode are looked at once a second, the same look that the TLS keys had by time alone (filestate.c serves both). A file with a fault is logged once with its remedy and changes nothing; it is read again at each look until it is whole. log_level counts at once too, and a seed that a later text leaves out is dropped like any other member that is not heard of. Entries and agents have no setting that changes while they run but their keys.

--- a/packages/adapters/keys.c
+++ b/packages/adapters/keys.c
@@ -1,6 +1,6 @@
 /* keys.c -- TLS towards callers and between the system's processes
 
-   A change is seen by the files' modification times, looked at once a second.
+   A change is seen by the files' states, looked at once a second.
    New contexts replace the former ones only when every file was read, so a
    half-written certificate changes nothing.  After a failed reading the files
    are read at every look, since a file that is still being written may end
@@ -17,7 +17,6 @@
 
 #include <stdio.h>
 #include <string.h>
-#include <sys/stat.h>
 
 #include <h2o.h>
 #include <openssl/err.h>
@@ -25,7 +24,6 @@
 #include "keys.h"
 
 #define CHECK_US 1000000
-#define NS_OF_S 1000000000
 #define RETIRED_US 60000000 /* above any handshake's timeout */
 
 static SSL_CTX *
@@ -141,9 +139,10 @@
     return false;
 }
 
-/* Notes the files' times.  Returns whether one differs from before. */
+/* Looks at the files.  Returns whether one differs from before; one that is
+   missing is being replaced. */
 static bool
-note_times(BwKeys *keys)
+look_at_files(BwKeys *keys)
 {
     const BwSettings *settings = keys->settings;
     const char *const paths[BW_KEY_FILES_MAX] = {
@@ -153,15 +152,8 @@
     bool is_changed = false;
 
     for (int i = 0; i < BW_KEY_FILES_MAX; i++) {
-        struct stat facts;
-        int64_t changed_ns;
-
-        if (paths[i][0] == '\0' || stat(paths[i], &facts) != 0)
-            continue;
-        changed_ns =
-            (int64_t)facts.st_mtim.tv_sec * NS_OF_S + facts.st_mtim.tv_nsec;
-        is_changed |= changed_ns != keys->changed_ns[i];
-        keys->changed_ns[i] = changed_ns;
+        if (paths[i][0] != '\0')
+            is_changed |= BwFileState_Look(&keys->files[i], paths[i]);
     }
     return is_changed;
 }
@@ -171,7 +163,7 @@
 {
     memset(keys, 0, sizeof(*keys));
     keys->settings = settings;
-    note_times(keys);
+    look_at_files(keys);
     return load(keys, &keys->retired[0], 0);
 }
 
@@ -210,7 +202,7 @@
         return false;
     keys->check_at_us = now_us + CHECK_US;
     place = find_place(keys, now_us);
-    if (place == NULL || (!note_times(keys) && !keys->is_stale))
+    if (place == NULL || (!look_at_files(keys) && !keys->is_stale))
         return false;
     keys->fault[0] = '\0';
     keys->is_stale = !load(keys, place, now_us);
--- a/packages/adapters/keys.h
+++ b/packages/adapters/keys.h
@@ -15,6 +15,7 @@
 
 #include <openssl/ssl.h>
 
+#include "filestate.h"
 #include "settings.h"
 
 /* The name that certificates of the system's processes carry. */
@@ -38,7 +39,7 @@
     SSL_CTX *peer_client;
     BwRetiredKeys retired[BW_RETIRED_KEYS_MAX];
     uint64_t check_at_us;
-    int64_t changed_ns[BW_KEY_FILES_MAX]; /* when each file last changed */
+    BwFileState files[BW_KEY_FILES_MAX];
     bool is_stale; /* the files differ from the keys in force */
     char fault[320];
 } BwKeys;
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -424,10 +424,12 @@
 serve(const char *path)
 {
     BwDaemon *daemon = calloc(1, sizeof(BwDaemon));
+    BwFileState file = {0};
     int code = EXIT_FAILURE;
 
     if (daemon == NULL)
         goto cleanup;
+    BwFileState_Look(&file, path);
     if (!load_settings(&daemon->settings, path)) {
         BwSettings_Finish(&daemon->settings);
         code = EXIT_USAGE;
@@ -435,7 +437,7 @@
     }
     set_signals();
     if (daemon->settings.role >= BW_SETTINGS_DISPATCHER) {
-        code = BwNode_Serve(&daemon->settings, path, &signals);
+        code = BwNode_Serve(&daemon->settings, path, &file, &signals);
         goto cleanup;
     }
     if (start(daemon)) {
--- a/packages/daemon/mesh.c
+++ b/packages/daemon/mesh.c
@@ -217,8 +217,10 @@
     BwSpan_ToString(host, text, sizeof(text));
     DL_FOREACH(mesh->members, member)
     {
-        if (member->port == port && strcmp(member->host, text) == 0)
+        if (member->port == port && strcmp(member->host, text) == 0) {
+            member->is_seed |= is_seed;
             return;
+        }
     }
     if (mesh->member_count == BW_MESH_MEMBERS_MAX)
         return;
@@ -238,8 +240,14 @@
 }
 
 void
-BwMesh_AddSeeds(BwMesh *mesh, uint64_t now_us, const BwSettings *settings)
+BwMesh_SetSeeds(BwMesh *mesh, uint64_t now_us, const BwSettings *settings)
 {
+    BwMeshMember *member;
+
+    DL_FOREACH(mesh->members, member)
+    {
+        member->is_seed = member->is_self;
+    }
     for (uint32_t i = 0; i < settings->peer_count; i++)
         BwMesh_AddMember(mesh, now_us, BwSpan_FromString(""),
                          BwSpan_FromString(settings->peers[i].host),
@@ -381,7 +389,7 @@
                          mesh->hello.http_host, port, true);
         mesh->members->is_self = true;
     }
-    BwMesh_AddSeeds(mesh, BwClock_Now(), settings);
+    BwMesh_SetSeeds(mesh, BwClock_Now(), settings);
     return true;
 }
 
--- a/packages/daemon/mesh.h
+++ b/packages/daemon/mesh.h
@@ -86,9 +86,10 @@
 BwMesh_AddMember(BwMesh *mesh, uint64_t now_us, BwSpan name, BwSpan host,
                  uint32_t port, bool is_seed);
 
-/* Notes the seeds of the settings. */
+/* Notes the seeds of the settings; former ones are dropped like any other
+   member that is not heard of. */
 void
-BwMesh_AddSeeds(BwMesh *mesh, uint64_t now_us, const BwSettings *settings);
+BwMesh_SetSeeds(BwMesh *mesh, uint64_t now_us, const BwSettings *settings);
 
 /* Queues a message.  Returns false when the connection is gone. */
 bool
--- a/packages/daemon/node.c
+++ b/packages/daemon/node.c
@@ -12,10 +12,14 @@
 
 #define INCARNATION_MASK ((UINT64_C(1) << 62) - 1)
 #define COUNTERS_MAX 48
+#define LOOK_US 1000000 /* between looks at the settings file */
 
 typedef struct Service {
     BwNode node;
     const char *path;
+    BwFileState file; /* as last looked at */
+    uint64_t look_at_us;
+    bool is_refused; /* the file has a fault */
     BwSignals *signals;
 } Service;
 
@@ -98,9 +102,10 @@
     free(mail);
 }
 
-/* A file with a fault changes nothing. */
+/* A file with a fault changes nothing.  It is read again at each look: one
+   that is still being written may end with the state it was first seen in. */
 static void
-reload(Service *service, uint64_t now_us)
+reload(Service *service, uint64_t now_us, bool is_changed)
 {
     BwNode *node = &service->node;
     BwYamlFaults *faults = calloc(1, sizeof(*faults));
@@ -108,20 +113,38 @@
 
     if (faults == NULL)
         return;
-    if (BwSettings_Load(&fresh, service->path, faults)) {
-        BwMesh_AddSeeds(&node->mesh, now_us, &fresh);
+    service->is_refused = !BwSettings_Load(&fresh, service->path, faults);
+    if (!service->is_refused) {
+        BwMesh_SetSeeds(&node->mesh, now_us, &fresh);
         node->settings.limits.stop_ms = fresh.limits.stop_ms;
+        node->logger.level = (BwLogLevel)fresh.log_level;
         BW_LOG(&node->logger, BW_LOG_INFO, "reloaded",
                BW_LOG_NUMBER("seeds", fresh.peer_count));
     }
-    else {
+    else if (is_changed) {
         BW_LOG(&node->logger, BW_LOG_ERROR, "reload_refused",
-               BW_LOG_TEXT("fault", faults->lines[0]));
+               BW_LOG_TEXT("fault", faults->lines[0]),
+               BW_LOG_NUMBER("faults", faults->count));
     }
     BwSettings_Finish(&fresh);
     free(faults);
 }
 
+static void
+tick_settings(Service *service, uint64_t now_us)
+{
+    bool is_asked = service->signals->reload_asked != 0;
+    bool is_changed;
+
+    if (!is_asked && now_us < service->look_at_us)
+        return;
+    service->signals->reload_asked = 0;
+    service->look_at_us = now_us + LOOK_US;
+    is_changed = BwFileState_Look(&service->file, service->path) || is_asked;
+    if (is_changed || service->is_refused)
+        reload(service, now_us, is_changed);
+}
+
 static void
 on_tick(void *ctx)
 {
@@ -129,11 +152,7 @@
     BwNode *node = &service->node;
     uint64_t now_us = BwClock_Now();
 
-    if (service->signals->reload_asked) {
-        service->signals->reload_asked = 0;
-        reload(service, now_us);
-    }
-
+    tick_settings(service, now_us);
     BwMesh_Tick(&node->mesh, now_us);
     node->ops->tick(node, now_us);
     if (service->signals->stop_asked && !node->is_stopping) {
@@ -150,7 +169,8 @@
 static const BwTaskEvents task_events = {on_mail, on_tick};
 
 int
-BwNode_Serve(BwSettings *settings, const char *path, BwSignals *signals)
+BwNode_Serve(BwSettings *settings, const char *path, const BwFileState *file,
+             BwSignals *signals)
 {
     Service *service = calloc(1, sizeof(*service));
     BwNode *node = &service->node;
@@ -162,6 +182,7 @@
         goto cleanup;
     node->settings = *settings;
     service->path = path;
+    service->file = *file;
     service->signals = signals;
     node->incarnation = (number & INCARNATION_MASK) | 1;
     node->logger.fd = STDERR_FILENO;
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -12,6 +12,7 @@
 #include "clock.h"
 #include "counters.h"
 #include "driver.h"
+#include "filestate.h"
 #include "httpclient.h"
 #include "httpserver.h"
 #include "log.h"
@@ -60,10 +61,12 @@
 } BwSignals;
 
 /* Runs a dispatcher or supervisor until it is asked to stop.  Takes over the
-   settings, which were read from `path`: seeds and limits.stop_ms are read
-   again when asked.  Returns the exit code. */
+   settings, which were read from `path` after a look at it that found `file`.
+   Seeds, limits.stop_ms and log_level are read again when the file changes and
+   when asked.  Returns the exit code. */
 int
-BwNode_Serve(BwSettings *settings, const char *path, BwSignals *signals);
+BwNode_Serve(BwSettings *settings, const char *path, const BwFileState *file,
+             BwSignals *signals);
 
 /* Makes a call; frees its body. */
 void
--- a/tests/boundfleet.c
+++ b/tests/boundfleet.c
@@ -70,12 +70,18 @@
 
 /* ----------------------------------------------------------- processes */
 
+static char *
+settings_path(const BoundFleet *fleet, const char *role, uint32_t i)
+{
+    return g_strdup_printf("%s/%s-%u.yaml", fleet->dir, role, i);
+}
+
 static void
 start_daemon(BoundFleet *fleet, FleetProcess *process, const char *role,
              uint32_t i, uint32_t door, const char *addresses)
 {
     char *name = g_strdup_printf("%s-%u", role, i);
-    char *path = g_strdup_printf("%s/%s.yaml", fleet->dir, name);
+    char *path = settings_path(fleet, role, i);
     GString *text = g_string_new(NULL);
     char *argv[] = {BW_DAEMON_PATH, "--settings", path, NULL};
 
@@ -98,6 +104,32 @@
     g_free(name);
 }
 
+char *
+BoundFleet_AppendSettings(BoundFleet *fleet, const char *role, uint32_t i,
+                          const char *lines)
+{
+    char *path = settings_path(fleet, role, i);
+    char *former = NULL, *text;
+
+    if (!g_file_get_contents(path, &former, NULL, NULL))
+        g_error("%s cannot be read", path);
+    text = g_strconcat(former, lines, NULL);
+    g_file_set_contents(path, text, -1, NULL);
+    g_free(text);
+    g_free(path);
+    return former;
+}
+
+void
+BoundFleet_SetSettings(BoundFleet *fleet, const char *role, uint32_t i,
+                       const char *text)
+{
+    char *path = settings_path(fleet, role, i);
+
+    g_file_set_contents(path, text, -1, NULL);
+    g_free(path);
+}
+
 void
 BoundFleet_StartDispatcher(BoundFleet *fleet, uint32_t i)
 {
--- a/tests/boundfleet.h
+++ b/tests/boundfleet.h
@@ -48,6 +48,16 @@
 void
 BoundFleet_StartSupervisor(BoundFleet *fleet, uint32_t i);
 
+/* Writes the settings of a process that runs, with lines added.  Returns the
+   former text, to be freed. */
+char *
+BoundFleet_AppendSettings(BoundFleet *fleet, const char *role, uint32_t i,
+                          const char *lines);
+
+void
+BoundFleet_SetSettings(BoundFleet *fleet, const char *role, uint32_t i,
+                       const char *text);
+
 /* Waits until each dispatcher that runs may use `count` workers. */
 void
 BoundFleet_WaitWorkers(BoundFleet *fleet, uint32_t count);
--- a/tests/test_bound.c
+++ b/tests/test_bound.c
@@ -858,6 +858,34 @@
     check_rules();
 }
 
+/* Settings that change are read without a signal; what is broken changes
+   nothing. */
+static void
+test_settings_changed(void)
+{
+    const char *const roles[] = {"dispatcher", "supervisor"};
+    const FleetProcess *const processes[] = {&fleet.dispatchers[0],
+                                             &fleet.supervisors[0]};
+
+    set_up();
+    for (uint32_t i = 0; i < G_N_ELEMENTS(roles); i++) {
+        char *former = BoundFleet_AppendSettings(
+            &fleet, roles[i], 0, "  - {address: '127.0.0.1'}\n");
+
+        BoundFleet_WaitOutput(processes[i], " reload_refused ", 1);
+        BoundFleet_WaitOutput(processes[i], "write an IP number", 1);
+        complete_job(0, 8);
+        BoundFleet_SetSettings(&fleet, roles[i], 0, former);
+        g_free(BoundFleet_AppendSettings(&fleet, roles[i], 0,
+                                         "  - {address: '127.0.0.1:1'}\n"));
+        BoundFleet_WaitOutput(processes[i], " seeds=3", 1);
+        BoundFleet_SetSettings(&fleet, roles[i], 0, former);
+        g_free(former);
+    }
+    complete_job(0, 8);
+    check_rules();
+}
+
 /* ------------------------------------------------------------ refusals */
 
 static void
@@ -1117,6 +1145,7 @@
         {"/bound/supervisor_stopped", test_supervisor_stopped},
         {"/bound/worker_drained", test_worker_drained},
         {"/bound/reload", test_reload},
+        {"/bound/settings_changed", test_settings_changed},
         {"/bound/refused", test_refused},
         {"/bound/bad_requests", test_bad_requests},
         {"/bound/late_orders", test_late_orders},
