Judge failing workers by one module on both paths

Cause: dispatchers counted failures in a row in views.c and supervisors kept their own fading shares, beside health.c, which does both for homes.

Ruled out: a second rule for bound jobs. What differs is only how many may be ejected and for how long: two tables of four figures.

Change: health.c works on a BwHealth that homes and dispatchers embed in their views of a worker, and no longer knows either table of workers. Supervisors count with BwOutcomes and tell how many tasks ended, so a dispatcher learns from the tasks of all of them. A worker is compared with the others of its service, probed with one task at a time, and well again once one is done: until now a home ejected it again while the share of failures was still fading. A worker's new incarnation starts without a record.

Conclusion: one mechanism serves both.

--- a/packages/adapters/wire.c
+++ b/packages/adapters/wire.c
@@ -301,11 +301,11 @@
 };
 
 static const Field load_account_fields[] = {
-    U64(BwWorkerLoad, place_seen),      U64(BwWorkerLoad, free.cpu_milli),
-    U64(BwWorkerLoad, free.mem_mb),     U64(BwWorkerLoad, free.gpu),
-    U32(BwWorkerLoad, queued),          U32(BwWorkerLoad, queued_urgent),
-    U64(BwWorkerLoad, release_us),      U32(BwWorkerLoad, slow_permille),
-    U32(BwWorkerLoad, failed_permille),
+    U64(BwWorkerLoad, place_seen),  U64(BwWorkerLoad, free.cpu_milli),
+    U64(BwWorkerLoad, free.mem_mb), U64(BwWorkerLoad, free.gpu),
+    U32(BwWorkerLoad, queued),      U32(BwWorkerLoad, queued_urgent),
+    U64(BwWorkerLoad, release_us),  U32(BwWorkerLoad, slow_permille),
+    U64(BwWorkerLoad, ended),       U32(BwWorkerLoad, failed_permille),
 };
 static const Layout load_account_layout =
     LAYOUT(BwWorkerLoad, load_account_fields);
--- a/packages/core/boundjob.h
+++ b/packages/core/boundjob.h
@@ -59,9 +59,9 @@
 void
 BwView_Unreserve(BwView *view, const BwRoom *room);
 
-/* Counts a failure and ejects the view after several in a row. */
+/* Ejects a view that fails most of its tasks, and lets it be probed later. */
 void
-BwViews_NoteFailure(BwDispatcher *dispatcher, uint64_t now_us, BwView *view);
+BwViews_Judge(BwDispatcher *dispatcher, uint64_t now_us, BwView *view);
 
 /* Lets tasks of earlier connections start elsewhere. */
 void
--- a/packages/core/boundplace.c
+++ b/packages/core/boundplace.c
@@ -27,11 +27,20 @@
 
 /* ---------------------------------------------------------- foresight */
 
+/* One that is probed takes a single task. */
 static bool
-view_takes(const BwView *view, uint64_t now_us)
+is_idle(const BwView *view)
 {
-    return view->peer != 0 && view->is_usable &&
-           now_us >= view->ejected_until_us && view->answered_us != 0;
+    return view->in_flight_count == 0 &&
+           BwRoom_Fits(&view->capacity, &view->free);
+}
+
+static bool
+view_takes(const BwView *view)
+{
+    return view->peer != 0 && view->is_usable && view->answered_us != 0 &&
+           !view->health.is_ejected &&
+           (!view->health.is_probing || is_idle(view));
 }
 
 static bool
@@ -64,13 +73,11 @@
 } Foresight;
 
 static bool
-is_suited(const BwBoundJob *job, const BwPiece *piece, const BwView *view,
-          uint64_t now_us)
+is_suited(const BwBoundJob *job, const BwPiece *piece, const BwView *view)
 {
     const BwBoundStep *step = &job->steps[piece->step];
 
-    return view_takes(view, now_us) &&
-           strcmp(view->service, job->service) == 0 &&
+    return view_takes(view) && strcmp(view->service, job->service) == 0 &&
            BwRoom_Fits(&step->room, &view->capacity) &&
            view_has_label(view, step->requirement) &&
            (step->spread_max == 0 || view->there < step->spread_max);
@@ -86,7 +93,7 @@
     uint32_t ahead;
     BwRoom room;
 
-    if (!is_suited(job, piece, view, now_us))
+    if (!is_suited(job, piece, view))
         return foresight;
     room = BwView_Room(view, job->priority, &ahead);
     if (!view_has_room(view, &step->room, &room, job->priority))
--- a/packages/core/control.h
+++ b/packages/core/control.h
@@ -53,17 +53,48 @@
 bool
 BwOutcomes_IsSuspect(const BwOutcomes *outcomes);
 
-/* Takes the newest outcomes of a worker and compares it with the others of
-   its service: sets is_ejected and is_slow, and lets an ejected worker probe
-   when its time has come.  Returns true when one of these changed; the caller
-   then refreshes the worker. */
+/* True when the failure that was recorded last was not the only one lately. */
 bool
-BwHealth_Judge(const BwWorkers *workers, BwWorkerView *worker,
-               BwRandom *random, uint64_t now_us);
+BwOutcomes_HasFailedBefore(const BwOutcomes *outcomes);
+
+/* The other workers of the same service that are up, taken together. */
+typedef struct BwHealthPeers {
+    uint32_t count;
+    uint32_t ejected;
+    uint32_t paced;           /* of known pace */
+    uint64_t failed_permille; /* sums over those that are not ejected */
+    uint64_t pace_permille;
+} BwHealthPeers;
+
+/* When a worker is ejected, and for how long. */
+typedef struct BwHealthRule {
+    uint32_t times_peers; /* as many failures as they have on average */
+    uint32_t ejected_share_percent; /* of all workers, at most */
+    uint64_t backoff_first_us;
+    uint64_t backoff_last_us;
+} BwHealthRule;
+
+/* Takes the newest outcomes of a worker; older ones are left out. */
+void
+BwHealth_Take(BwHealth *health, const BwOutcomes *outcomes);
+
+/* Whether BwHealth_Judge may change anything. */
+bool
+BwHealth_IsInQuestion(const BwHealth *health);
 
-/* Returns how many of `free_slots` may be used: one at a time in a probe. */
-uint32_t
-BwHealth_Usable(const BwWorkerView *worker, uint32_t free_slots);
+void
+BwHealthPeers_Add(BwHealthPeers *peers, const BwHealth *other);
+
+/* Sums up the workers beside `worker` that offer its service. */
+BwHealthPeers
+BwWorkers_SumPeers(const BwWorkers *workers, const BwWorkerView *worker);
+
+/* Compares a worker with the others: sets is_ejected and is_slow, and lets an
+   ejected worker probe when its time has come.  `random` spreads the probes of
+   several judges; NULL for none.  Returns true when something changed. */
+bool
+BwHealth_Judge(BwHealth *health, const BwHealthPeers *peers,
+               const BwHealthRule *rule, BwRandom *random, uint64_t now_us);
 
 /* ----------------------------------------------------------------- Retry */
 
--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -125,7 +125,6 @@
 static void
 on_done(BwDispatcher *d, BwBoundJob *job, BwPiece *piece, uint64_t ran_us)
 {
-    piece->view->failed_in_row = 0;
     piece->state = BW_PIECE_DONE;
     piece->ran_us = ran_us;
     BwViews_LearnRatio(d, job, piece);
@@ -134,13 +133,14 @@
         BwViews_LearnPaces(job);
 }
 
-/* How a job ends that a task cannot go on with; COMPLETED while it can. */
+/* How a job ends that a task cannot go on with; COMPLETED while it can.  The
+   account came with the outcome, so it counts this failure. */
 static BwBoundEnd
-on_failed(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, BwPiece *piece)
+on_failed(BwBoundJob *job, BwPiece *piece)
 {
-    bool is_suspect = piece->view->failed_in_row > 0;
+    bool is_suspect =
+        BwOutcomes_HasFailedBefore(&piece->view->health.outcomes);
 
-    BwViews_NoteFailure(d, now_us, piece->view);
     job->may_have_run = true;
     piece->state = BW_PIECE_WAITING;
     piece->avoid = piece->view;
@@ -188,7 +188,7 @@
             on_done(d, job, piece, task->ran_us);
         }
         else if (task->kind == BW_OUTCOME_FAILED) {
-            end = on_failed(d, now_us, job, piece);
+            end = on_failed(job, piece);
         }
         else {
             end = BwDispatcher_MovePiece(d, job, piece, task->kind,
@@ -402,6 +402,7 @@
     for (BwView *view = d->views; view != NULL; view = view->hh.next) {
         if (view->gone_us != 0 && now_us >= view->gone_us)
             BwViews_ReleaseUnknown(d, now_us, view);
+        BwViews_Judge(d, now_us, view);
     }
     BwViews_DropOld(d, now_us);
     HASH_ITER(hh, d->jobs, job, next)
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -18,6 +18,7 @@
 
 #include <uthash.h>
 
+#include "control.h"
 #include "driver.h"
 #include "routes.h"
 
@@ -94,9 +95,7 @@
     uint64_t release_us;
     uint32_t pace_permille; /* see pace.h */
     uint32_t slow_permille; /* as told */
-    uint32_t failed_permille;
-    uint32_t failed_in_row;
-    uint64_t ejected_until_us;
+    BwHealth health;
     bool is_usable;
     uint64_t answered_us; /* the last session */
     uint64_t down_us;     /* when the last connection ended */
--- a/packages/core/health.c
+++ b/packages/core/health.c
@@ -1,18 +1,19 @@
-/* health.c -- executors that fail or are slow
+/* health.c -- workers that fail or are slow
 
-   Each executor keeps a moving share of failures and a moving pace (run time
-   over expected run time) and sends both with its messages, so that a home
-   learns from what every other home ran there.  A home ejects an executor
-   that fails most of its tasks while its peers do not: comparison tells a bad
-   worker from a bad release or from bad jobs.  A ceiling on the ejected share
-   keeps capacity when many fail at once.
+   Whoever runs tasks of a worker keeps a moving share of failures and a moving
+   pace (run time over expected run time) and sends both with its messages, so
+   that a home or dispatcher learns from what all others ran there.  It ejects
+   a worker that fails most of its tasks while its peers do not: comparison
+   tells a bad worker from a bad release or from bad jobs.  A ceiling on the
+   ejected share keeps capacity when many fail at once.
 
-   An ejected executor is probed with one task at a time after a back-off that
+   An ejected worker is probed with one task at a time after a back-off that
    doubles with each failed probe.  A probe may cost a caller a failed job, so
-   the first back-off is seconds long, and a failed probe that another home
-   made counts as one's own.
+   the first back-off is seconds long, and a failed probe that another made
+   counts as one's own.  A probe that succeeds ends the probing, although the
+   share of failures fades only later.
 
-   A slow executor is not ejected: it moves to the second tier, and gets work
+   A slow worker is not ejected: it moves to the second tier, and gets work
    when the others have no free slot.
 */
 
@@ -21,16 +22,13 @@
 #define OUTCOME_RUNS 4
 #define PACE_RUNS 8
 #define FAILED_EJECT_PERMILLE 500
-#define FAILED_TIMES_PEERS 3
+#define FAILED_TWICE_PERMILLE 437
 #define ENDED_TO_JUDGE 3
 #define SLOW_PERMILLE 3000
 #define SLOW_TIMES_PEERS 3
 #define NOT_SLOW_PERMILLE 2000
 #define ENDED_TO_JUDGE_PACE 8
 #define PACE_PERMILLE_MAX 1000000
-#define EJECTED_SHARE_PERCENT 30
-#define BACKOFF_FIRST_US 5000000
-#define BACKOFF_LAST_US 300000000
 
 void
 BwOutcomes_Record(BwOutcomes *outcomes, bool is_failure, uint64_t ran_us,
@@ -62,147 +60,145 @@
            outcomes->pace_permille >= SLOW_PERMILLE;
 }
 
-/* The other workers of the same service, taken together. */
-typedef struct Peers {
-    uint32_t count;
-    uint32_t ejected;
-    uint64_t failed_permille;
-    uint64_t pace_permille;
-} Peers;
+bool
+BwOutcomes_HasFailedBefore(const BwOutcomes *outcomes)
+{
+    return outcomes->failed_permille >= FAILED_TWICE_PERMILLE;
+}
 
-static Peers
-sum_peers(const BwWorkers *workers, const BwWorkerView *worker)
+void
+BwHealth_Take(BwHealth *health, const BwOutcomes *outcomes)
 {
-    Peers peers = {0};
-    uint64_t paced = 0;
-    uint64_t healthy = 0;
-
-    for (uint32_t i = 0; i < workers->all.count; i++) {
-        const BwWorkerView *other = workers->all.items[i];
-
-        if (other == worker || !other->is_up || other->slots == 0 ||
-            !BwSpan_Equal(BwSpan_FromString(other->service),
-                          BwSpan_FromString(worker->service)))
-            continue;
-        peers.count++;
-        peers.ejected += other->is_ejected;
-        if (other->is_ejected)
-            continue;
-        healthy++;
-        peers.failed_permille += other->outcomes.failed_permille;
-        paced += other->outcomes.pace_permille > 0;
-        peers.pace_permille += other->outcomes.pace_permille;
-    }
-    peers.failed_permille /= healthy > 0 ? healthy : 1;
-    peers.pace_permille /= paced > 0 ? paced : 1;
-    return peers;
+    if (outcomes->ended <= health->outcomes.ended)
+        return;
+    health->is_worse =
+        outcomes->failed_permille >= health->outcomes.failed_permille;
+    health->outcomes = *outcomes;
+}
+
+bool
+BwHealth_IsInQuestion(const BwHealth *health)
+{
+    return health->is_ejected || health->is_probing || health->is_slow ||
+           BwOutcomes_IsSuspect(&health->outcomes);
+}
+
+void
+BwHealthPeers_Add(BwHealthPeers *peers, const BwHealth *other)
+{
+    peers->count++;
+    peers->ejected += other->is_ejected;
+    if (other->is_ejected)
+        return;
+    peers->failed_permille += other->outcomes.failed_permille;
+    peers->paced += other->outcomes.pace_permille > 0;
+    peers->pace_permille += other->outcomes.pace_permille;
 }
 
 static bool
-is_failing(const BwWorkerView *worker, const Peers *peers)
+is_failing(const BwHealth *health, const BwHealthPeers *peers,
+           const BwHealthRule *rule)
 {
-    const BwOutcomes *own = &worker->outcomes;
+    const BwOutcomes *own = &health->outcomes;
+    uint32_t healthy = peers->count - peers->ejected;
+    uint64_t peers_failed = healthy > 0 ? peers->failed_permille / healthy : 0;
 
     return own->ended >= ENDED_TO_JUDGE &&
            own->failed_permille >= FAILED_EJECT_PERMILLE &&
-           own->failed_permille >= FAILED_TIMES_PEERS * peers->failed_permille;
+           own->failed_permille >= rule->times_peers * peers_failed;
 }
 
 static bool
-is_slow(const BwWorkerView *worker, const Peers *peers)
+is_slow(const BwHealth *health, const BwHealthPeers *peers)
 {
-    const BwOutcomes *own = &worker->outcomes;
-    uint32_t bound = worker->is_slow ? NOT_SLOW_PERMILLE : SLOW_PERMILLE;
+    const BwOutcomes *own = &health->outcomes;
+    uint32_t bound = health->is_slow ? NOT_SLOW_PERMILLE : SLOW_PERMILLE;
+    uint64_t peers_pace =
+        peers->paced > 0 ? peers->pace_permille / peers->paced : 0;
 
     return peers->count > 0 && own->ended >= ENDED_TO_JUDGE_PACE &&
            own->pace_permille >= bound &&
-           (worker->is_slow ||
-            own->pace_permille >= SLOW_TIMES_PEERS * peers->pace_permille);
+           (health->is_slow ||
+            own->pace_permille >= SLOW_TIMES_PEERS * peers_pace);
 }
 
 static bool
-may_eject(const Peers *peers)
+may_eject(const BwHealthPeers *peers, const BwHealthRule *rule)
 {
     uint32_t all = peers->count + 1;
 
     return peers->count > 0 &&
            (peers->ejected == 0 ||
-            (peers->ejected + 1) * 100 <= all * EJECTED_SHARE_PERCENT);
+            (peers->ejected + 1) * 100 <= all * rule->ejected_share_percent);
 }
 
 static void
-eject(BwWorkerView *worker, BwRandom *random, uint64_t now_us)
+eject(BwHealth *health, const BwHealthRule *rule, BwRandom *random,
+      uint64_t now_us)
 {
-    uint64_t backoff_us = worker->backoff_us * 2;
-
-    if (backoff_us < BACKOFF_FIRST_US)
-        backoff_us = BACKOFF_FIRST_US;
-    if (backoff_us > BACKOFF_LAST_US)
-        backoff_us = BACKOFF_LAST_US;
-    worker->backoff_us = backoff_us;
-    worker->probe_at_us =
-        now_us + backoff_us + BwRandom_Below(random, (uint32_t)backoff_us);
-    worker->is_ejected = true;
-    worker->is_probing = false;
-    worker->judged_ended = worker->outcomes.ended;
+    uint64_t backoff_us = health->backoff_us * 2;
+
+    if (backoff_us < rule->backoff_first_us)
+        backoff_us = rule->backoff_first_us;
+    if (backoff_us > rule->backoff_last_us)
+        backoff_us = rule->backoff_last_us;
+    health->backoff_us = backoff_us;
+    health->probe_at_us = now_us + backoff_us;
+    if (random != NULL)
+        health->probe_at_us += BwRandom_Below(random, (uint32_t)backoff_us);
+    health->is_ejected = true;
+    health->is_probing = false;
 }
 
+/* Of one that is ejected: whether it is well again or may be probed. */
 static bool
-judge_failures(BwWorkerView *worker, const Peers *peers, BwRandom *random,
-               uint64_t now_us)
+judge_ejected(BwHealth *health, bool is_new, uint64_t now_us)
 {
-    bool is_new = worker->outcomes.ended > worker->judged_ended;
-
-    if (worker->is_ejected) {
-        if (is_new &&
-            worker->outcomes.failed_permille < FAILED_EJECT_PERMILLE) {
-            worker->is_ejected = false;
-            worker->backoff_us = 0;
-            return true;
-        }
-        if (is_new && worker->probe_at_us < now_us + worker->backoff_us)
-            worker->probe_at_us = now_us + worker->backoff_us;
-        worker->judged_ended = worker->outcomes.ended;
-        if (now_us < worker->probe_at_us)
-            return false;
-        worker->is_ejected = false;
-        worker->is_probing = true;
+    if (is_new && health->outcomes.failed_permille < FAILED_EJECT_PERMILLE) {
+        health->is_ejected = false;
+        health->backoff_us = 0;
         return true;
     }
+    if (is_new && health->probe_at_us < now_us + health->backoff_us)
+        health->probe_at_us = now_us + health->backoff_us;
+    if (now_us < health->probe_at_us)
+        return false;
+    health->is_ejected = false;
+    health->is_probing = true;
+    return true;
+}
+
+static bool
+judge_failures(BwHealth *health, const BwHealthPeers *peers,
+               const BwHealthRule *rule, BwRandom *random, uint64_t now_us)
+{
+    bool is_new = health->outcomes.ended > health->judged_ended;
+
+    health->judged_ended = health->outcomes.ended;
+    if (health->is_ejected)
+        return judge_ejected(health, is_new, now_us);
     if (!is_new)
         return false;
-    if (worker->is_probing && !is_failing(worker, peers)) {
-        worker->is_probing = false;
-        worker->backoff_us = 0;
+    if (health->is_probing &&
+        (!health->is_worse || !is_failing(health, peers, rule))) {
+        health->is_probing = false;
+        health->backoff_us = 0;
         return true;
     }
-    if (!is_failing(worker, peers) || !may_eject(peers))
+    if (!health->is_worse || !is_failing(health, peers, rule) ||
+        !may_eject(peers, rule))
         return false;
-    eject(worker, random, now_us);
+    eject(health, rule, random, now_us);
     return true;
 }
 
 bool
-BwHealth_Judge(const BwWorkers *workers, BwWorkerView *worker,
-               BwRandom *random, uint64_t now_us)
+BwHealth_Judge(BwHealth *health, const BwHealthPeers *peers,
+               const BwHealthRule *rule, BwRandom *random, uint64_t now_us)
 {
-    Peers peers;
-    bool was_slow = worker->is_slow;
-    bool is_changed;
-
-    if (!worker->is_ejected && !worker->is_probing && !worker->is_slow &&
-        !BwOutcomes_IsSuspect(&worker->outcomes))
-        return false;
-    peers = sum_peers(workers, worker);
-    is_changed = judge_failures(worker, &peers, random, now_us);
-    worker->is_slow = is_slow(worker, &peers);
-    return is_changed || worker->is_slow != was_slow;
-}
+    bool was_slow = health->is_slow;
+    bool is_changed = judge_failures(health, peers, rule, random, now_us);
 
-uint32_t
-BwHealth_Usable(const BwWorkerView *worker, uint32_t free_slots)
-{
-    if (!worker->is_probing)
-        return free_slots;
-    return free_slots == worker->slots && free_slots > 0 ? 1 : 0;
+    health->is_slow = is_slow(health, peers);
+    return is_changed || health->is_slow != was_slow;
 }
--- a/packages/core/home.c
+++ b/packages/core/home.c
@@ -23,6 +23,13 @@
 
 #define AHEAD_FADES 16
 
+static const BwHealthRule health_rule = {
+    .times_peers = 3,
+    .ejected_share_percent = 30,
+    .backoff_first_us = 5000000,
+    .backoff_last_us = 300000000,
+};
+
 void
 BwHome_Init(BwHome *home, const BwHomeLimits *limits, const BwHomePort *port,
             void *port_ctx, uint64_t seed)
@@ -504,26 +511,40 @@
     place_service(home, now_us, service);
 }
 
+/* How many of the free slots may be used: one at a time in a probe. */
+static uint32_t
+usable_slots(const BwWorkerView *worker, uint32_t free_slots)
+{
+    if (!worker->health.is_probing)
+        return free_slots;
+    return free_slots == worker->slots && free_slots > 0 ? 1 : 0;
+}
+
 static void
 judge_worker(BwHome *home, uint64_t now_us, BwWorkerView *worker)
 {
-    bool was_ejected = worker->is_ejected;
+    BwHealth *health = &worker->health;
+    bool was_ejected = health->is_ejected;
     BwDecision decision = {.what = "eject", .count = 1};
+    BwHealthPeers peers;
 
-    if (!BwHealth_Judge(&home->workers, worker, &home->random, now_us))
+    if (!BwHealth_IsInQuestion(health))
+        return;
+    peers = BwWorkers_SumPeers(&home->workers, worker);
+    if (!BwHealth_Judge(health, &peers, &health_rule, &home->random, now_us))
         return;
-    BwWorkers_SetFree(worker, BwHealth_Usable(worker, worker->free_slots));
+    BwWorkers_SetFree(worker, usable_slots(worker, worker->free_slots));
     BwWorkers_Refresh(&home->workers, worker);
     decision.choice = worker->name;
     decision.key = BwSpan_FromString(worker->service);
-    decision.reason = worker->is_ejected   ? "it fails and its peers do not"
-                      : worker->is_probing ? "one task at a time, as a probe"
-                      : worker->is_slow    ? "it is slow; used last"
+    decision.reason = health->is_ejected   ? "it fails and its peers do not"
+                      : health->is_probing ? "one task at a time, as a probe"
+                      : health->is_slow    ? "it is slow; used last"
                                            : "it is well again";
-    if (!worker->is_ejected)
+    if (!health->is_ejected)
         decision.what = "judge";
     home->port->decide(home->port_ctx, &decision);
-    if (!worker->is_ejected || was_ejected)
+    if (!health->is_ejected || was_ejected)
         return;
     home->counters.ejections++;
     move_reservations(home, now_us, worker);
@@ -534,9 +555,8 @@
 observe_worker(BwHome *home, uint64_t now_us, BwWorkerView *worker,
                uint32_t free_slots, BwOutcomes outcomes)
 {
-    if (outcomes.ended > worker->outcomes.ended)
-        worker->outcomes = outcomes;
-    BwWorkers_SetFree(worker, BwHealth_Usable(worker, free_slots));
+    BwHealth_Take(&worker->health, &outcomes);
+    BwWorkers_SetFree(worker, usable_slots(worker, free_slots));
     judge_worker(home, now_us, worker);
 }
 
@@ -702,7 +722,7 @@
     BwHome_Reserve(home, job, peer, -(int32_t)slots);
     home->now_us = now_us;
     is_refused = job->is_ended || job->is_held || job->retry_at_us > 0 ||
-                 worker->is_ejected ||
+                 worker->health.is_ejected ||
                  !BwRecovery_IsUsable(home, now_us, worker, job);
     count =
         BwHome_GrantTasks(home, job, worker, is_refused ? 0 : slots, 0, slots);
@@ -826,7 +846,7 @@
         return;
     BwWorkers_SetQueued(worker, decline->queued, decline->queued_count);
     observe_worker(home, now_us, worker, decline->free_slots,
-                   worker->outcomes);
+                   worker->health.outcomes);
     if (decline->reason == BW_DECLINE_LEAVING)
         worker->is_leaving = true;
     BwWorkers_Refresh(&home->workers, worker);
--- a/packages/core/placement.c
+++ b/packages/core/placement.c
@@ -148,9 +148,9 @@
         worker->queued > worker->reserved ? worker->queued : worker->reserved;
     uint64_t length = (known + worker->picked_reserves + 1) * 1024;
 
-    if (worker->is_slow)
-        length = length * worker->outcomes.pace_permille / 1000;
-    if (worker->is_probing)
+    if (worker->health.is_slow)
+        length = length * worker->health.outcomes.pace_permille / 1000;
+    if (worker->health.is_probing)
         length *= PROBING_FACTOR;
     return length / worker->slots + (uint64_t)worker->tier * 1024;
 }
--- a/packages/core/policy.h
+++ b/packages/core/policy.h
@@ -44,14 +44,26 @@
 
 typedef struct BwWorkerGroup BwWorkerGroup;
 
-/* How the tasks of one executor ended, with older ones fading.  The pace is
-   run time over expected run time, 0 when unknown. */
+/* How the tasks of one worker ended, with older ones fading.  The pace is run
+   time over expected run time, 0 when unknown. */
 typedef struct BwOutcomes {
     uint64_t ended;
     uint32_t failed_permille;
     uint32_t pace_permille;
 } BwOutcomes;
 
+/* What is made of them; changed only by health.c. */
+typedef struct BwHealth {
+    BwOutcomes outcomes;   /* last known */
+    bool is_worse;         /* by the last of them */
+    bool is_slow;          /* used when no other worker has room */
+    bool is_ejected;       /* gets no work */
+    bool is_probing;       /* gets one task at a time */
+    uint64_t judged_ended; /* outcomes.ended at the last judgement */
+    uint64_t backoff_us;
+    uint64_t probe_at_us;
+} BwHealth;
+
 /* The home's view of one executor.  `free_slots` is changed only through
    BwWorkers_SetFree, and the fields that make it usable are followed by
    BwWorkers_Refresh. */
@@ -80,13 +92,7 @@
     uint64_t answered_gain; /* the last gain it has answered for */
     uint64_t incarnation;   /* that answered; 0: none did */
     uint64_t previous;      /* incarnation of the name before that */
-    bool is_slow;           /* used when no other worker has room */
-    bool is_ejected;        /* gets no work */
-    bool is_probing;        /* gets one task at a time */
-    BwOutcomes outcomes;    /* last known */
-    uint64_t judged_ended;  /* outcomes->ended at the last judgement */
-    uint64_t backoff_us;
-    uint64_t probe_at_us;
+    BwHealth health;
     uint64_t clock_ahead_us; /* modulo 2^64: its clock less ours, at least */
     BwWorkerGroup *group;    /* NULL while it is not usable */
     uint32_t group_place;
--- a/packages/core/recovery.c
+++ b/packages/core/recovery.c
@@ -851,6 +851,7 @@
     if (member == worker->member)
         return;
     worker->member = member;
+    memset(&worker->health, 0, sizeof(worker->health));
     worker->since_version = member != 0 ? ring->version : UINT64_MAX;
     if (member != worker->incarnation)
         worker->is_gone = false;
--- a/packages/core/seats.c
+++ b/packages/core/seats.c
@@ -17,7 +17,6 @@
 #include "room.h"
 #include "seats.h"
 
-#define PACE_SHIFT 3
 #define ENDED_WEIGHT 4 /* of the tasks that ended, beside each that runs */
 #define FAR_PACE_PERMILLE 2000
 #define PACE_MAX_PERMILLE 8000
@@ -52,7 +51,8 @@
 static uint32_t
 slow_permille(const BwSupervisor *s, uint64_t now_us)
 {
-    uint64_t sum = s->pace_permille * ENDED_WEIGHT;
+    uint64_t ended_pace = s->outcomes.pace_permille;
+    uint64_t sum = (ended_pace > 0 ? ended_pace : 1000) * ENDED_WEIGHT;
     uint64_t count = ENDED_WEIGHT;
     uint64_t mean;
 
@@ -104,7 +104,8 @@
     load.queued_urgent = s->queued_urgent;
     load.release_us = release_us(s, now_us);
     load.slow_permille = slow_permille(s, now_us);
-    load.failed_permille = s->failed_permille;
+    load.ended = s->outcomes.ended;
+    load.failed_permille = s->outcomes.failed_permille;
     return load;
 }
 
@@ -172,20 +173,12 @@
 count_outcome(BwSupervisor *s, const BwSeat *seat, uint32_t kind,
               uint64_t ran_us)
 {
-    uint32_t failed = kind == BW_OUTCOME_FAILED ? 1000 : 0;
-    uint64_t expected = seat->expected_us > 1000 ? seat->expected_us : 1000;
+    uint64_t expected_us = seat->expected_us > 1000 ? seat->expected_us : 1000;
+    uint64_t far_us = expected_us * PACE_MAX_PERMILLE / 1000;
 
     if (kind == BW_OUTCOME_DONE || kind == BW_OUTCOME_FAILED)
-        s->failed_permille +=
-            (failed >> PACE_SHIFT) - (s->failed_permille >> PACE_SHIFT);
-    if (kind == BW_OUTCOME_DONE) {
-        uint64_t pace = ran_us * 1000 / expected;
-
-        if (pace > PACE_MAX_PERMILLE)
-            pace = PACE_MAX_PERMILLE;
-        s->pace_permille +=
-            (uint32_t)(pace >> PACE_SHIFT) - (s->pace_permille >> PACE_SHIFT);
-    }
+        BwOutcomes_Record(&s->outcomes, kind == BW_OUTCOME_FAILED,
+                          ran_us < far_us ? ran_us : far_us, expected_us);
     s->counters.done += kind == BW_OUTCOME_DONE;
     s->counters.failed += kind == BW_OUTCOME_FAILED;
     s->counters.lost += kind == BW_OUTCOME_LOST;
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -326,7 +326,6 @@
     s->limits = *limits;
     s->port = port;
     s->ctx = ctx;
-    s->pace_permille = 1000;
 }
 
 void
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -21,6 +21,7 @@
 
 #include <uthash.h>
 
+#include "control.h"
 #include "driver.h"
 
 #define BW_SUPERVISOR_TASKS_MAX 4096
@@ -163,10 +164,9 @@
     BwSupervisorPeer *peers;
     uint32_t queued_count;
     uint32_t queued_urgent; /* of priority 0 */
-    uint32_t pace_permille; /* run times of the last few tasks */
-    uint32_t failed_permille;
-    uint32_t orphan_count; /* seats whose dispatcher is gone */
-    bool was_usable;       /* as last told */
+    BwOutcomes outcomes;    /* of this instance */
+    uint32_t orphan_count;  /* seats whose dispatcher is gone */
+    bool was_usable;        /* as last told */
 } BwSupervisor;
 
 void
--- a/packages/core/views.c
+++ b/packages/core/views.c
@@ -4,11 +4,10 @@
    is under way to it since.  It outlives the connection by 20 minutes, for the
    worker's pace, and as long as a job refers to it.  Tasks whose fate is
    unknown start elsewhere when the session and the worker's lease must have
-   run out, or when the supervisor says that none is left.  A worker that fails
-   tasks in a row is ejected for a while, at most half of them at a time.  Run
-   times are learnt for each route against the declared ones, and for each
-   worker against the others.  Finding the view of a message costs a walk over
-   all.
+   run out, or when the supervisor says that none is left.  Workers that
+   fail are judged by health.c.  Run times are learnt for each route against
+   the declared ones, and for each worker against the others.  Finding the view
+   of a message costs a walk over all.
 */
 
 #include <stdlib.h>
@@ -20,15 +19,19 @@
 #include "room.h"
 
 #define GONE_MARGIN_US 120000 /* stops take effect, and clocks drift */
-#define FAILURES_TO_EJECT 3
-#define EJECTED_US 3000000
-#define EJECTED_SHARE_MAX 2 /* half of the workers */
 #define RATIO_SHIFT 5
 #define RATIO_START_PERMILLE 1000
 #define RATIO_MAX_PERMILLE 4000
 #define ANCHORED_MAX 256
 #define KEPT_US 1200000000ull /* a view without a connection */
 
+static const BwHealthRule health_rule = {
+    .times_peers = 3,
+    .ejected_share_percent = 50,
+    .backoff_first_us = 3000000,
+    .backoff_last_us = 3000000,
+};
+
 /* ---------------------------------------------------------- run times */
 
 static BwRoutePace *
@@ -189,9 +192,36 @@
     sent->task_count--;
 }
 
+void
+BwViews_Judge(BwDispatcher *d, uint64_t now_us, BwView *view)
+{
+    BwHealth *health = &view->health;
+    BwHealthPeers peers = {0};
+
+    if (!BwHealth_IsInQuestion(health))
+        return;
+    for (const BwView *other = d->views; other != NULL;
+         other = other->hh.next) {
+        if (other != view && other->peer != 0 &&
+            strcmp(other->service, view->service) == 0)
+            BwHealthPeers_Add(&peers, &other->health);
+    }
+    if (!BwHealth_Judge(health, &peers, &health_rule, NULL, now_us))
+        return;
+    if (health->is_ejected)
+        d->port->log(d->ctx, "eject", NULL, view, 1,
+                     "it fails and its peers do not");
+    else
+        d->port->log(d->ctx, "judge", NULL, view, 1,
+                     health->is_probing ? "one task at a time, as a probe"
+                                        : "it is well again");
+}
+
 static void
-take_load(BwView *view, const BwWorkerLoad *load)
+take_load(BwDispatcher *d, uint64_t now_us, BwView *view,
+          const BwWorkerLoad *load)
 {
+    BwOutcomes outcomes = {load->ended, load->failed_permille, 0};
     uint32_t kept = 0;
 
     view->free = load->free;
@@ -199,30 +229,13 @@
     view->queued_urgent = load->queued_urgent;
     view->release_us = load->release_us;
     view->slow_permille = load->slow_permille;
-    view->failed_permille = load->failed_permille;
     for (uint32_t i = 0; i < view->in_flight_count; i++) {
         if (view->in_flight[i].number > load->place_seen)
             view->in_flight[kept++] = view->in_flight[i];
     }
     view->in_flight_count = kept;
-}
-
-void
-BwViews_NoteFailure(BwDispatcher *d, uint64_t now_us, BwView *view)
-{
-    uint32_t ejected = 0, known = 0;
-
-    if (++view->failed_in_row < FAILURES_TO_EJECT)
-        return;
-    for (const BwView *v = d->views; v != NULL; v = v->hh.next) {
-        known += v->peer != 0;
-        ejected += v->ejected_until_us > now_us;
-    }
-    if ((ejected + 1) * EJECTED_SHARE_MAX > known)
-        return;
-    view->ejected_until_us = now_us + EJECTED_US;
-    view->failed_in_row = FAILURES_TO_EJECT - 1;
-    d->port->log(d->ctx, "eject", NULL, view, 1, "failures in a row");
+    BwHealth_Take(&view->health, &outcomes);
+    BwViews_Judge(d, now_us, view);
 }
 
 /* -------------------------------------------------------- connections */
@@ -320,6 +333,9 @@
     view->in_flight_count = 0;
     view->is_usable = false;
     view->answered_us = 0;
+    /* Another process may count from the start. */
+    view->health.outcomes.ended = 0;
+    view->health.judged_ended = 0;
 }
 
 static BwView *
@@ -379,10 +395,8 @@
     char instance[BW_NAME_BYTES_MAX];
 
     BwSpan_ToString(state->instance, instance, sizeof(instance));
-    if (strcmp(instance, view->instance) != 0) {
-        view->failed_in_row = 0;
-        view->ejected_until_us = 0;
-    }
+    if (strcmp(instance, view->instance) != 0)
+        memset(&view->health, 0, sizeof(view->health));
     strcpy(view->instance, instance);
     BwSpan_ToString(state->service, view->service, sizeof(view->service));
     BwSpan_ToString(state->domain, view->domain, sizeof(view->domain));
@@ -409,17 +423,17 @@
     switch (message->kind) {
     case BW_MSG_WORKER:
         if (message->u.worker.load_count > 0)
-            take_load(view, message->u.worker.load);
+            take_load(d, now_us, view, message->u.worker.load);
         on_worker(d, now_us, view, &message->u.worker);
         break;
     case BW_MSG_OUTCOME:
         if (message->u.outcome.load_count > 0)
-            take_load(view, message->u.outcome.load);
+            take_load(d, now_us, view, message->u.outcome.load);
         BwDispatcher_TakeOutcome(d, now_us, view, &message->u.outcome);
         break;
     case BW_MSG_SESSION:
         if (message->u.session.load_count > 0)
-            take_load(view, message->u.session.load);
+            take_load(d, now_us, view, message->u.session.load);
         view->answered_us = now_us;
         answer.u.session.asked_us = message->u.session.asked_us;
         d->port->send(d->ctx, peer, &answer);
--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -98,8 +98,10 @@
         for (uint32_t i = 0; i < beat->label_count; i++)
             BwSpan_ToString(beat->labels[i], s->labels[i], BW_NAME_BYTES_MAX);
         if (!is_same || s->phase == BW_WORKER_NONE) {
-            if (!is_same)
+            if (!is_same) {
                 strcpy(s->former, s->instance);
+                memset(&s->outcomes, 0, sizeof(s->outcomes));
+            }
             strcpy(s->instance, instance);
             s->clock_ms = beat->clock_ms;
             s->clock_read_us = now_us;
--- a/packages/core/workers.c
+++ b/packages/core/workers.c
@@ -90,7 +90,7 @@
                           ? worker->free_slots
                           : BW_FREE_BUCKETS - 1;
 
-    worker->tier = worker->is_self || worker->is_slow;
+    worker->tier = worker->is_self || worker->health.is_slow;
     if (bucket == 0 ||
         !BwWorkerList_Append(&group->buckets[worker->tier][bucket], worker,
                              &worker->bucket_place))
@@ -167,7 +167,7 @@
 is_usable(const BwWorkerView *worker)
 {
     return !worker->is_barred && worker->is_up && !worker->is_leaving &&
-           !worker->is_ejected && worker->slots > 0;
+           !worker->health.is_ejected && worker->slots > 0;
 }
 
 void
@@ -424,3 +424,18 @@
     free(workers->groups);
     memset(workers, 0, sizeof(*workers));
 }
+
+BwHealthPeers
+BwWorkers_SumPeers(const BwWorkers *workers, const BwWorkerView *worker)
+{
+    BwHealthPeers peers = {0};
+
+    for (uint32_t i = 0; i < workers->all.count; i++) {
+        const BwWorkerView *other = workers->all.items[i];
+
+        if (other != worker && other->is_up && other->slots > 0 &&
+            strcmp(other->service, worker->service) == 0)
+            BwHealthPeers_Add(&peers, &other->health);
+    }
+    return peers;
+}
--- a/packages/daemon/nodestatus.c
+++ b/packages/daemon/nodestatus.c
@@ -28,7 +28,7 @@
 static json_t *
 write_view(const BwView *view, uint64_t now_us)
 {
-    bool is_ejected = now_us < view->ejected_until_us;
+    bool is_ejected = view->health.is_ejected;
     json_t *out = json_pack(
         "{s:s, s:s, s:s, s:s, s:b, s:b, s:b, s:o, s:o}", "supervisor",
         view->name, "instance", view->instance, "service", view->service,
@@ -38,14 +38,13 @@
         "ejected", (int)is_ejected, "capacity", write_room(&view->capacity),
         "free", write_room(&view->free));
     json_t *rest = json_pack(
-        "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "queued",
+        "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "queued",
         (json_int_t)view->queued, "release_ms",
         (json_int_t)(view->release_us / 1000), "in_flight",
         (json_int_t)view->in_flight_count, "pace_permille",
         (json_int_t)view->pace_permille, "slow_permille",
         (json_int_t)view->slow_permille, "failed_permille",
-        (json_int_t)view->failed_permille, "failed_in_row",
-        (json_int_t)view->failed_in_row, "answered_ms",
+        (json_int_t)view->health.outcomes.failed_permille, "answered_ms",
         view->answered_us != 0 ? age_ms(view->answered_us, now_us) : -1,
         "gone_in_ms", left_ms(view->gone_us, now_us));
 
@@ -99,8 +98,8 @@
                      write_room(&s->capacity), "used", write_room(&s->used),
                      "queued", (json_int_t)s->queued_count, "queued_urgent",
                      (json_int_t)s->queued_urgent, "pace_permille",
-                     (json_int_t)s->pace_permille, "failed_permille",
-                     (json_int_t)s->failed_permille);
+                     (json_int_t)s->outcomes.pace_permille, "failed_permille",
+                     (json_int_t)s->outcomes.failed_permille);
 }
 
 static json_t *
--- a/packages/ports/messages.h
+++ b/packages/ports/messages.h
@@ -471,6 +471,7 @@
     uint64_t release_us;    /* until one of those that run ends, on average */
     uint32_t slow_permille; /* run time against the expected one if it is far
                                above, else 1000 */
+    uint64_t ended;         /* tasks, done or failed */
     uint32_t failed_permille;
 } BwWorkerLoad;
 
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -14,6 +14,7 @@
 #define SECOND_US 1000000ull
 #define SENT_MAX 4096
 #define JOBS_MAX 64
+#define PEERS_MAX 512
 #define SESSION_US (2 * SECOND_US)
 #define LEASE_US (3 * SECOND_US)
 
@@ -44,6 +45,7 @@
     Answer answers[JOBS_MAX];
     uint32_t job_count;
     BwRoute route;
+    BwOutcomes outcomes[PEERS_MAX]; /* as each supervisor counts */
 } Fixture;
 
 static void
@@ -190,15 +192,40 @@
     connect_labelled(f, peer, name, "kind");
 }
 
+/* The account that the dispatcher has already. */
+static BwWorkerLoad
+same_load(const Fixture *f, uint32_t peer)
+{
+    BwWorkerLoad load = {0};
+
+    for (const BwView *view = f->d.views; view != NULL; view = view->hh.next) {
+        if (view->peer != peer)
+            continue;
+        load.free = view->free;
+        load.queued = view->queued;
+        load.queued_urgent = view->queued_urgent;
+        load.release_us = view->release_us;
+        load.slow_permille = view->slow_permille;
+    }
+    return load;
+}
+
 static void
 tell_outcome(Fixture *f, uint32_t peer, uint64_t ref, uint32_t step,
              uint32_t index, uint32_t kind)
 {
     BwMessage message = {.kind = BW_MSG_OUTCOME};
     BwTaskOutcome outcome = {index, kind, 0, SECOND_US};
+    BwWorkerLoad load = same_load(f, peer);
 
     if (kind == BW_OUTCOME_NOT_RUN)
         outcome.reason = BW_DECLINE_BUSY;
+    if (kind == BW_OUTCOME_DONE || kind == BW_OUTCOME_FAILED)
+        BwOutcomes_Record(&f->outcomes[peer], kind == BW_OUTCOME_FAILED, 0, 0);
+    load.ended = f->outcomes[peer].ended;
+    load.failed_permille = f->outcomes[peer].failed_permille;
+    message.u.outcome.load = &load;
+    message.u.outcome.load_count = 1;
     message.u.outcome.ref = ref;
     message.u.outcome.step = step;
     message.u.outcome.tasks = &outcome;
@@ -722,7 +749,7 @@
     uint32_t count = 0;
 
     for (const BwView *view = f->d.views; view != NULL; view = view->hh.next)
-        count += view->ejected_until_us > f->now_us;
+        count += view->health.is_ejected;
     return count;
 }
 
@@ -751,7 +778,7 @@
     }
     g_assert_cmpuint(count_ejected(&f), ==, 2);
     for (const BwView *view = f.d.views; view != NULL; view = view->hh.next) {
-        if (view->ejected_until_us <= f.now_us)
+        if (!view->health.is_ejected)
             continue;
         placed = f.sent_count;
         submit_simple(&f, 4, 1000);
@@ -759,10 +786,51 @@
             g_assert_cmpuint(f.sent[placed].peer, !=, view->peer);
     }
     f.now_us += 60 * SECOND_US;
+    BwDispatcher_Tick(&f.d, f.now_us);
     g_assert_cmpuint(count_ejected(&f), ==, 0);
     tear_down(&f);
 }
 
+/* After its time it gets one task, and with that done all that comes. */
+static void
+test_probed(void)
+{
+    Fixture f;
+    uint64_t ref;
+
+    set_up(&f);
+    f.route.attempts_max = 20;
+    connect_worker(&f, 1, "a");
+    connect_worker(&f, 2, "b");
+    for (uint32_t job = 0; job < 4; job++) {
+        ref = submit_simple(&f, 4, 1000);
+        for (uint32_t i = 0; i < 4; i++) {
+            tell_outcome(&f, 1, ref, 0, i, BW_OUTCOME_FAILED);
+            tell_outcome(&f, 2, ref, 0, i, BW_OUTCOME_DONE);
+        }
+        BwDispatcher_Withdraw(&f.d, f.now_us, ref);
+        tell_session(&f, 1, 10000, 4000);
+        tell_session(&f, 2, 10000, 4000);
+    }
+    g_assert_cmpuint(count_ejected(&f), ==, 1);
+    ref = submit_simple(&f, 4, 1000);
+    g_assert_cmpuint(placed_at(&f, 1, ref), ==, 0);
+    BwDispatcher_Withdraw(&f.d, f.now_us, ref);
+    tell_session(&f, 2, 10000, 4000);
+    f.now_us += 3 * SECOND_US;
+    BwDispatcher_Tick(&f.d, f.now_us);
+    tell_session(&f, 2, 10000, 2000);
+    ref = submit_simple(&f, 3, 1000);
+    g_assert_cmpuint(placed_at(&f, 1, ref), ==, 1);
+    for (uint32_t i = 0; i < 3; i++)
+        tell_outcome(&f, 1, ref, 0, i, BW_OUTCOME_DONE);
+    tell_session(&f, 1, 10000, 4000);
+    tell_session(&f, 2, 10000, 0);
+    ref = submit_simple(&f, 4, 1000);
+    g_assert_cmpuint(placed_at(&f, 1, ref), ==, 4);
+    tear_down(&f);
+}
+
 static void
 test_one_worker_not_ejected(void)
 {
@@ -1154,6 +1222,7 @@
     ADD(failed_alone);
     ADD(declined);
     ADD(ejected);
+    ADD(probed);
     ADD(one_worker_not_ejected);
     ADD(after);
     ADD(labels);
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -453,7 +453,7 @@
 
     submit(fake, "a", 88, SECOND_US);
     end_task(fake, "a", 3, 0, BW_ERR_TASK_FAILED, failing);
-    g_assert_true(worker->is_ejected);
+    g_assert_true(worker->health.is_ejected);
     for (uint32_t i = 0; i < 11; i++)
         set_load(fake, i, 8, 8);
     fake->started[3] = 0;
@@ -462,10 +462,17 @@
     g_assert_cmpuint(fake->started[3] + fake->reserved[3], ==, 0);
     /* after the back-off, one task at a time */
     BwHome_Tick(&fake->home, NOW_US + 20 * SECOND_US);
-    g_assert_true(worker->is_probing);
+    g_assert_true(worker->health.is_probing);
     submit(fake, "d", 80, SECOND_US);
     g_assert_cmpuint(fake->started[3], <=, 1);
     g_assert_cmpuint(fake->home.counters.ejections, ==, 1);
+    /* its success ends the probing, a further failure ejects again */
+    end_task(fake, "d", 3, 0, BW_OK, (BwOutcomes){21, 750, 0});
+    g_assert_false(worker->health.is_probing || worker->health.is_ejected);
+    end_task(fake, "d", 3, 0, BW_OK, (BwOutcomes){22, 562, 0});
+    g_assert_false(worker->health.is_ejected);
+    end_task(fake, "d", 3, 0, BW_OK, (BwOutcomes){23, 671, 0});
+    g_assert_true(worker->health.is_ejected);
     end_fake(fake);
 }
 
@@ -481,7 +488,7 @@
     for (uint32_t i = 0; i < 11; i++)
         end_task(fake, "a", i, 0, BW_ERR_TASK_FAILED, failing);
     for (uint32_t i = 0; i < 11; i++)
-        ejected += BwWorkers_Find(&fake->home.workers, i)->is_ejected;
+        ejected += BwWorkers_Find(&fake->home.workers, i)->health.is_ejected;
     g_assert_cmpuint(ejected, >, 0);
     g_assert_cmpuint(ejected * 100, <=, 30 * 11);
     end_fake(fake);
@@ -495,8 +502,8 @@
     BwWorkerView *worker = BwWorkers_Find(&fake->home.workers, 4);
 
     for (uint32_t i = 0; i < 11; i++)
-        BwWorkers_Find(&fake->home.workers, i)->outcomes = well;
-    worker->outcomes = slow;
+        BwWorkers_Find(&fake->home.workers, i)->health.outcomes = well;
+    worker->health.outcomes = slow;
     BwHome_Tick(&fake->home, NOW_US);
     submit(fake, "a", 72, SECOND_US);
     g_assert_cmpuint(fake->started[4], ==, 0);
--- a/tests/test_status.c
+++ b/tests/test_status.c
@@ -110,6 +110,7 @@
     BwWorkerLoad load = {.free = {1500, 600, 1},
                          .queued = 7,
                          .slow_permille = 2250,
+                         .ended = 40,
                          .failed_permille = 30};
     BwMessage state = {.kind = BW_MSG_WORKER};
     BwMessage session = {.kind = BW_MSG_SESSION};
