--- a/packages/core/brasswing.h
+++ b/packages/core/brasswing.h
@@ -379,8 +379,11 @@
     BwJob *waiting_end[BW_PRIORITIES];
 } BwHomeService;
 
+typedef struct BwHomeRights BwHomeRights;
+
 typedef struct BwHome {
     BwHomeLimits limits;
+    const BwHomeRights *rights; /* in job.h */
     const BwHomePort *port;
     void *port_ctx;
     BwHomeCheck check; /* set after BwHome_Init; NULL for none */
--- a/packages/core/home.c
+++ b/packages/core/home.c
@@ -1,8 +1,7 @@
 /* home.c -- the jobs whose home is this agent
 
    A job goes through admission (submission.c), placement (rounds.c) and
-   gathering, which is here with what workers tell.  A task is in one of
-   three states: waiting, granted (to one worker), done.  It goes from granted
+   gathering, which is here with what workers tell.  A task goes from granted
    back to waiting only by a DECLINE, which is the worker's word that it was
    not started; nothing else ever grants a task again.
 
@@ -11,9 +10,6 @@
    workers, and the worker that frees a slot first pulls the next task.  This
    costs a message for each reservation, and spares the guess of which queue
    is shortest.
-
-   An answer is complete or an error: results are only sent when every task is
-   done, and the first failed task fails the job.
 */
 
 #include <stdlib.h>
@@ -39,40 +35,13 @@
     home->limits = *limits;
     home->port = port;
     home->port_ctx = port_ctx;
+    home->rights = &BwHomeRights_Open;
     BwWorkers_Init(&home->workers);
     BwPolicy_Init(&home->policy);
     BwRandom_Init(&home->random, home->seed);
     home->epoch = 1;
 }
 
-/* ---------------------------------------------------------- services */
-
-BwHomeService *
-BwHome_FindOrAddService(BwHome *home, BwSpan name)
-{
-    BwHomeService *service;
-    BwHomeService **grown;
-
-    for (uint32_t i = 0; i < home->service_count; i++) {
-        if (BwSpan_Equal(BwSpan_FromString(home->services[i]->name), name))
-            return home->services[i];
-    }
-    grown = realloc(home->services,
-                    (home->service_count + 1) * sizeof(BwHomeService *));
-    if (grown == NULL)
-        return NULL;
-    home->services = grown;
-    service = calloc(1, sizeof(BwHomeService));
-    if (service == NULL)
-        return NULL;
-    BwSpan_ToString(name, service->name, sizeof(service->name));
-    service->policy = BwPolicy_Find(&home->policy, name);
-    BwRandom_Init(&service->placement.random, home->seed);
-    BwRetryBudget_Init(&service->retries);
-    home->services[home->service_count++] = service;
-    return service;
-}
-
 void
 BwHome_SetPolicy(BwHome *home, BwPolicy *policy)
 {
@@ -86,76 +55,6 @@
     }
 }
 
-/* Keeps a job among those with tasks to be placed, or takes it out. */
-void
-BwHome_ListWaiting(BwJob *job)
-{
-    bool is_waiting = !job->is_ended && !job->is_held && job->waiting > 0 &&
-                      job->retry_at_us == 0;
-    uint32_t counted = is_waiting ? job->waiting : 0;
-    BwJob **first;
-    BwJob **last;
-
-    if (counted != job->counted) {
-        job->of->waiting_tasks[job->priority] += counted;
-        job->of->waiting_tasks[job->priority] -= job->counted;
-        job->counted = counted;
-    }
-    if (is_waiting == job->is_listed)
-        return;
-    first = &job->of->waiting[job->priority];
-    last = &job->of->waiting_end[job->priority];
-    job->is_listed = is_waiting;
-    if (is_waiting) {
-        job->before = *last;
-        job->after = NULL;
-        *(job->before != NULL ? &job->before->after : first) = job;
-        *last = job;
-        return;
-    }
-    *(job->before != NULL ? &job->before->after : first) = job->after;
-    *(job->after != NULL ? &job->after->before : last) = job->before;
-}
-
-static void
-forget_retry(BwHome *home, BwJob *job)
-{
-    BwJob **place = &home->retrying;
-
-    if (!job->is_retrying)
-        return;
-    while (*place != job)
-        place = &(*place)->next_retrying;
-    *place = job->next_retrying;
-    job->is_retrying = false;
-}
-
-static void
-leave_team(BwJob *job)
-{
-    if (job->team_use >= 0)
-        job->of->teams[job->team_use].tasks -= job->task_count;
-    job->team_use = -1;
-}
-
-void
-BwHome_FreeJob(BwHome *home, BwJob *job)
-{
-    job->is_ended = true;
-    BwHome_ListWaiting(job);
-    forget_retry(home, job);
-    for (uint32_t i = 0; i < job->task_count; i++)
-        free((void *)job->tasks[i].answer.base);
-    leave_team(job);
-    home->bytes -= job->bytes;
-    home->job_count--;
-    free(job->tasks);
-    free(job->block);
-    free(job->reservations);
-    free(job->waiters);
-    free(job);
-}
-
 void
 BwHome_Finish(BwHome *home)
 {
@@ -170,7 +69,7 @@
         free(home->services[i]->teams);
         free(home->services[i]);
     }
-    BwRecovery_Finish(home);
+    home->rights->finish(home);
     free(home->services);
     free(home->released.items);
     BwWorkers_Finish(&home->workers);
@@ -178,120 +77,6 @@
     memset(home, 0, sizeof(*home));
 }
 
-void
-BwHome_Decide(BwHome *home, const char *what, const BwJob *job, uint32_t count,
-              const char *choice, uint32_t alternatives, const char *reason)
-{
-    BwDecision decision = {what,   job->id,      job->key, count,
-                           choice, alternatives, reason};
-
-    home->port->decide(home->port_ctx, &decision);
-}
-
-BwWorkerView *
-BwHome_FindWorker(BwHome *home, uint32_t peer)
-{
-    return BwWorkers_Find(&home->workers, peer);
-}
-
-BwWorkerView *
-BwHome_FindOrAddWorker(BwHome *home, uint32_t peer)
-{
-    BwWorkerView *worker = BwHome_FindWorker(home, peer);
-
-    return worker != NULL ? worker : BwWorkers_Add(&home->workers, peer);
-}
-
-void
-BwHome_RefreshWorker(BwHome *home, BwWorkerView *worker)
-{
-    worker->is_barred = !BwRecovery_IsEngaged(home, worker);
-    BwWorkers_Refresh(&home->workers, worker);
-}
-
-static void
-count_wasted(BwHome *home, BwHomeService *service, uint32_t messages)
-{
-    home->counters.messages_wasted += messages;
-    service->wasted += messages;
-    service->wasted_ahead -=
-        messages < service->wasted_ahead ? messages : service->wasted_ahead;
-}
-
-/* ----------------------------------------------------------- results */
-
-void
-BwHome_SendRefusal(BwHome *home, BwWaiter waiter, BwErrorKind error,
-                   const char *detail, uint32_t retry_after_ms)
-{
-    BwResult result = {0};
-
-    result.request_id = waiter.request_id;
-    result.error = error;
-    result.detail = BwSpan_FromString(detail);
-    result.retry_after_ms = retry_after_ms;
-    home->port->result(home->port_ctx, waiter, &result);
-}
-
-void
-BwHome_SendError(BwHome *home, BwWaiter waiter, BwErrorKind error,
-                 const char *detail)
-{
-    bool is_passing = error == BW_ERR_OVERLOADED || error == BW_ERR_NO_MEMORY;
-
-    BwHome_SendRefusal(home, waiter, error, detail,
-                       is_passing ? BW_RETRY_AFTER_MS : 0);
-}
-
-void
-BwHome_SendResult(BwHome *home, const BwJob *job, BwWaiter waiter)
-{
-    BwResult result = {0};
-    BwAnswer *answers;
-
-    if (job->error != BW_OK) {
-        BwHome_SendError(home, waiter, job->error, job->detail);
-        return;
-    }
-    answers = calloc(job->task_count, sizeof(BwAnswer));
-    if (answers == NULL) {
-        BwHome_SendError(home, waiter, BW_ERR_HOME_LOST,
-                         "no memory for the answer");
-        return;
-    }
-    for (uint32_t i = 0; i < job->task_count; i++) {
-        answers[i].status = job->tasks[i].status;
-        answers[i].body = job->tasks[i].answer;
-    }
-    result.request_id = waiter.request_id;
-    result.answers = answers;
-    result.answer_count = job->task_count;
-    home->port->result(home->port_ctx, waiter, &result);
-    free(answers);
-}
-
-static void
-collect_release(BwHome *home, BwWorkerView *worker, BwJobId id, uint32_t slots)
-{
-    BwReleasedJob released = {id, slots};
-    uint32_t place;
-
-    if (worker->release_count == worker->release_room) {
-        uint32_t room = worker->release_room ? worker->release_room * 2 : 8;
-        BwReleasedJob *grown =
-            realloc(worker->releases, room * sizeof(BwReleasedJob));
-
-        if (grown == NULL)
-            return;
-        worker->releases = grown;
-        worker->release_room = room;
-    }
-    if (worker->release_count == 0 &&
-        !BwWorkerList_Append(&home->released, worker, &place))
-        return;
-    worker->releases[worker->release_count++] = released;
-}
-
 /* A worker stays in the list of those with releases until the flush. */
 static void
 send_releases(BwHome *home, BwWorkerView *worker)
@@ -303,137 +88,6 @@
         home->port->release(home->port_ctx, worker->peer, &release);
 }
 
-static Reservation *
-find_reservation(BwJob *job, uint32_t peer)
-{
-    for (uint32_t i = 0; i < job->reservation_count; i++) {
-        if (job->reservations[i].peer == peer)
-            return &job->reservations[i];
-    }
-    return NULL;
-}
-
-static Reservation *
-find_or_add_reservation(BwJob *job, uint32_t peer)
-{
-    Reservation *reservation = find_reservation(job, peer);
-    Reservation *grown;
-
-    if (reservation != NULL)
-        return reservation;
-    grown = realloc(job->reservations,
-                    (job->reservation_count + 1) * sizeof(Reservation));
-    if (grown == NULL)
-        return NULL;
-    job->reservations = grown;
-    reservation = &grown[job->reservation_count++];
-    reservation->peer = peer;
-    reservation->slots = 0;
-    return reservation;
-}
-
-static uint32_t
-above_zero(int32_t slots)
-{
-    return slots > 0 ? (uint32_t)slots : 0;
-}
-
-int32_t
-BwHome_Reserve(BwHome *home, BwJob *job, uint32_t peer, int32_t change)
-{
-    Reservation *reservation = find_or_add_reservation(job, peer);
-    BwWorkerView *worker = BwHome_FindWorker(home, peer);
-    uint32_t before, after;
-
-    if (reservation == NULL)
-        return 0;
-    before = above_zero(reservation->slots);
-    reservation->slots += change;
-    after = above_zero(reservation->slots);
-    job->reserved += after - before;
-    if (worker != NULL && worker->reserved + after >= before)
-        worker->reserved += after - before;
-    return reservation->slots;
-}
-
-void
-BwHome_Unreserve(BwHome *home, BwJob *job, uint32_t peer)
-{
-    const Reservation *reservation = find_reservation(job, peer);
-
-    if (reservation != NULL && reservation->slots != 0)
-        BwHome_Reserve(home, job, peer, -reservation->slots);
-}
-
-/* Has the worker told to drop what the job reserved there. */
-static void
-release_at(BwHome *home, BwJob *job, uint32_t peer)
-{
-    BwWorkerView *worker = BwHome_FindWorker(home, peer);
-    const Reservation *reservation = find_reservation(job, peer);
-
-    if (worker == NULL || reservation == NULL || reservation->slots <= 0)
-        return;
-    if (!job->is_ended && worker->release_count == 0)
-        count_wasted(home, job->of, 1);
-    collect_release(home, worker, job->id, (uint32_t)reservation->slots);
-    BwHome_Unreserve(home, job, peer);
-}
-
-/* Tells the workers that still hold reservations that none is needed. */
-void
-BwHome_ReleaseReservations(BwHome *home, BwJob *job)
-{
-    for (uint32_t i = 0; i < job->reservation_count; i++)
-        release_at(home, job, job->reservations[i].peer);
-}
-
-void
-BwHome_RemoveJob(BwHome *home, BwJob *job)
-{
-    if (!job->is_ended)
-        BwHome_ReleaseReservations(home, job);
-    HASH_DEL(home->jobs, job);
-    BwHome_FreeJob(home, job);
-}
-
-void
-BwHome_EndJob(BwHome *home, BwJob *job, BwErrorKind error, const char *detail)
-{
-    if (job->is_ended)
-        return;
-    job->is_ended = true;
-    job->error = error;
-    strncpy(job->detail, detail, sizeof(job->detail) - 1);
-    if (error == BW_OK)
-        home->counters.jobs_complete++;
-    else
-        home->counters.jobs_failed++;
-    BwHome_ListWaiting(job);
-    leave_team(job);
-    BwHome_ReleaseReservations(home, job);
-    BwHome_Decide(home, "end", job, job->done, BwError_Describe(error)->name,
-                  0, detail);
-    for (uint32_t i = 0; i < job->waiter_count; i++)
-        BwHome_SendResult(home, job, job->waiters[i]);
-    job->waiter_count = 0;
-}
-
-/* A job has run nothing when no grant is outstanding or done, no earlier
-   attempt failed, and no other home may have run it; a declined grant is a
-   task that was not started. */
-bool
-BwHome_HasRun(const BwHome *home, uint64_t now_us, const BwJob *job)
-{
-    if (job->is_held || !BwHome_Owns(home, now_us, job->id))
-        return true;
-    for (uint32_t i = 0; i < job->task_count; i++) {
-        if (job->tasks[i].state != TASK_WAITING || job->tasks[i].attempt > 0)
-            return true;
-    }
-    return false;
-}
-
 /* ---------------------------------------------------------- workers */
 
 static bool
@@ -503,9 +157,9 @@
     BwSpan service = BwSpan_FromString(worker->service);
 
     for (BwJob *job = home->jobs; job != NULL; job = job->hh.next) {
-        if (job->is_ended || find_reservation(job, worker->peer) == NULL)
+        if (job->is_ended || BwHome_FindReservation(job, worker->peer) == NULL)
             continue;
-        release_at(home, job, worker->peer);
+        BwHome_ReleaseAt(home, job, worker->peer);
         job->of->has_unreserved = true;
     }
     place_service(home, now_us, service);
@@ -575,12 +229,12 @@
         home->workers.self = worker;
     worker->is_gone = false;
     if (load->is_first)
-        BwHome_LinkLost(home, now_us, peer);
+        home->rights->link_lost(home, now_us, peer);
     BwSpan_ToString(name, worker->name, sizeof(worker->name));
     worker->is_leaving = load->leaving != 0;
     worker->is_up = true;
     worker->clock_ahead_us = load->clock_us - now_us;
-    worker->is_barred = !BwRecovery_IsEngaged(home, worker);
+    worker->is_barred = !home->rights->is_engaged(home, worker);
     BwWorkers_SetSlots(&home->workers, worker, load->service, load->slots);
     BwWorkers_SetQueued(worker, load->queued, load->queued_count);
     observe_worker(home, now_us, worker, load->free_slots, outcomes);
@@ -623,7 +277,7 @@
         BwJob *next = job->next_retrying;
 
         if (job->is_ended || now_us >= job->retry_at_us) {
-            forget_retry(home, job);
+            BwHome_ForgetRetry(home, job);
             job->retry_at_us = 0;
             BwHome_ListWaiting(job);
             if (!job->is_ended)
@@ -664,7 +318,7 @@
 {
     BwJob *job, *next;
 
-    BwRecovery_LoseOrphans(home, peer);
+    home->rights->worker_lost(home, peer);
     HASH_ITER(hh, home->jobs, job, next)
     {
         if (!job->is_ended)
@@ -681,7 +335,7 @@
         return;
     worker->is_up = false;
     worker->is_gone = true;
-    BwHome_LinkLost(home, now_us, peer);
+    home->rights->link_lost(home, now_us, peer);
     worker->reserved = 0;
     BwWorkers_SetFree(worker, 0);
     BwWorkers_Refresh(&home->workers, worker);
@@ -689,15 +343,6 @@
     BwHome_PlaceAll(home, now_us);
 }
 
-BwJob *
-BwHome_FindJob(BwHome *home, BwJobId id)
-{
-    BwJob *job;
-
-    HASH_FIND(hh, home->jobs, &id, sizeof(id), job);
-    return job;
-}
-
 static HomeTask *
 find_granted(BwJob *job, uint32_t index, uint32_t peer)
 {
@@ -723,13 +368,13 @@
     home->now_us = now_us;
     is_refused = job->is_ended || job->is_held || job->retry_at_us > 0 ||
                  worker->health.is_ejected ||
-                 !BwRecovery_IsUsable(home, now_us, worker, job);
+                 !home->rights->is_usable(home, now_us, worker, job);
     count =
         BwHome_GrantTasks(home, job, worker, is_refused ? 0 : slots, 0, slots);
     if (count == 0) {
         home->counters.pulls_empty++;
         job->of->has_unreserved |= !job->is_ended;
-        count_wasted(home, job->of, 2);
+        BwHome_CountWasted(home, job->of, 2);
         return;
     }
     BwHome_Decide(home, "place", job, count, worker->name, 1, "pulled");
@@ -851,18 +496,18 @@
         worker->is_leaving = true;
     BwWorkers_Refresh(&home->workers, worker);
     if (decline->reason == BW_DECLINE_STALE_EPOCH &&
-        decline->epoch == worker->fence_number)
-        BwHome_LinkLost(home, now_us, peer);
+        home->rights->is_current(worker, decline->epoch))
+        home->rights->link_lost(home, now_us, peer);
     if (job == NULL)
         return;
     /* An older grant than the last fence; the answer to that settles it. */
-    if (home->ring != NULL && decline->epoch != worker->fence_number)
+    if (!home->rights->is_current(worker, decline->epoch))
         return;
     if (decline->task_count == 0)
         BwHome_Unreserve(home, job, peer);
     for (uint32_t i = 0; i < decline->task_count; i++)
         take_back(home, job, peer, decline->tasks[i].index);
-    count_wasted(home, job->of, decline->reserved > 0 ? 1 : 2);
+    BwHome_CountWasted(home, job->of, decline->reserved > 0 ? 1 : 2);
     if (decline->reserved > 0 && !job->is_ended)
         BwHome_Reserve(home, job, peer, (int32_t)decline->reserved);
     if (!job->is_ended)
--- /dev/null
+++ b/packages/core/job.c
@@ -0,0 +1,501 @@
+/* job.c -- the jobs of a home: their tables, reservations and answers
+
+   A task is in one of three states: waiting, granted (to one worker), done.
+   An answer is complete or an error: results are only sent when every task is
+   done, and the first failed task fails the job.
+
+   What keys a home holds and whom it may grant starts is asked of
+   home->rights.  A home without custody holds every key and grants to every
+   worker; recovery.c puts its own table there with the first ring.
+*/
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "job.h"
+
+BwHomeService *
+BwHome_FindOrAddService(BwHome *home, BwSpan name)
+{
+    BwHomeService *service;
+    BwHomeService **grown;
+
+    for (uint32_t i = 0; i < home->service_count; i++) {
+        if (BwSpan_Equal(BwSpan_FromString(home->services[i]->name), name))
+            return home->services[i];
+    }
+    grown = realloc(home->services,
+                    (home->service_count + 1) * sizeof(BwHomeService *));
+    if (grown == NULL)
+        return NULL;
+    home->services = grown;
+    service = calloc(1, sizeof(BwHomeService));
+    if (service == NULL)
+        return NULL;
+    BwSpan_ToString(name, service->name, sizeof(service->name));
+    service->policy = BwPolicy_Find(&home->policy, name);
+    BwRandom_Init(&service->placement.random, home->seed);
+    BwRetryBudget_Init(&service->retries);
+    home->services[home->service_count++] = service;
+    return service;
+}
+
+/* Keeps a job among those with tasks to be placed, or takes it out. */
+void
+BwHome_ListWaiting(BwJob *job)
+{
+    bool is_waiting = !job->is_ended && !job->is_held && job->waiting > 0 &&
+                      job->retry_at_us == 0;
+    uint32_t counted = is_waiting ? job->waiting : 0;
+    BwJob **first;
+    BwJob **last;
+
+    if (counted != job->counted) {
+        job->of->waiting_tasks[job->priority] += counted;
+        job->of->waiting_tasks[job->priority] -= job->counted;
+        job->counted = counted;
+    }
+    if (is_waiting == job->is_listed)
+        return;
+    first = &job->of->waiting[job->priority];
+    last = &job->of->waiting_end[job->priority];
+    job->is_listed = is_waiting;
+    if (is_waiting) {
+        job->before = *last;
+        job->after = NULL;
+        *(job->before != NULL ? &job->before->after : first) = job;
+        *last = job;
+        return;
+    }
+    *(job->before != NULL ? &job->before->after : first) = job->after;
+    *(job->after != NULL ? &job->after->before : last) = job->before;
+}
+
+void
+BwHome_ForgetRetry(BwHome *home, BwJob *job)
+{
+    BwJob **place = &home->retrying;
+
+    if (!job->is_retrying)
+        return;
+    while (*place != job)
+        place = &(*place)->next_retrying;
+    *place = job->next_retrying;
+    job->is_retrying = false;
+}
+
+static void
+leave_team(BwJob *job)
+{
+    if (job->team_use >= 0)
+        job->of->teams[job->team_use].tasks -= job->task_count;
+    job->team_use = -1;
+}
+
+void
+BwHome_FreeJob(BwHome *home, BwJob *job)
+{
+    job->is_ended = true;
+    BwHome_ListWaiting(job);
+    BwHome_ForgetRetry(home, job);
+    for (uint32_t i = 0; i < job->task_count; i++)
+        free((void *)job->tasks[i].answer.base);
+    leave_team(job);
+    home->bytes -= job->bytes;
+    home->job_count--;
+    free(job->tasks);
+    free(job->block);
+    free(job->reservations);
+    free(job->waiters);
+    free(job);
+}
+
+void
+BwHome_Decide(BwHome *home, const char *what, const BwJob *job, uint32_t count,
+              const char *choice, uint32_t alternatives, const char *reason)
+{
+    BwDecision decision = {what,   job->id,      job->key, count,
+                           choice, alternatives, reason};
+
+    home->port->decide(home->port_ctx, &decision);
+}
+
+BwWorkerView *
+BwHome_FindWorker(BwHome *home, uint32_t peer)
+{
+    return BwWorkers_Find(&home->workers, peer);
+}
+
+BwWorkerView *
+BwHome_FindOrAddWorker(BwHome *home, uint32_t peer)
+{
+    BwWorkerView *worker = BwHome_FindWorker(home, peer);
+
+    return worker != NULL ? worker : BwWorkers_Add(&home->workers, peer);
+}
+
+void
+BwHome_RefreshWorker(BwHome *home, BwWorkerView *worker)
+{
+    worker->is_barred = !home->rights->is_engaged(home, worker);
+    BwWorkers_Refresh(&home->workers, worker);
+}
+
+void
+BwHome_CountWasted(BwHome *home, BwHomeService *service, uint32_t messages)
+{
+    home->counters.messages_wasted += messages;
+    service->wasted += messages;
+    service->wasted_ahead -=
+        messages < service->wasted_ahead ? messages : service->wasted_ahead;
+}
+
+void
+BwHome_SendRefusal(BwHome *home, BwWaiter waiter, BwErrorKind error,
+                   const char *detail, uint32_t retry_after_ms)
+{
+    BwResult result = {0};
+
+    result.request_id = waiter.request_id;
+    result.error = error;
+    result.detail = BwSpan_FromString(detail);
+    result.retry_after_ms = retry_after_ms;
+    home->port->result(home->port_ctx, waiter, &result);
+}
+
+void
+BwHome_SendError(BwHome *home, BwWaiter waiter, BwErrorKind error,
+                 const char *detail)
+{
+    bool is_passing = error == BW_ERR_OVERLOADED || error == BW_ERR_NO_MEMORY;
+
+    BwHome_SendRefusal(home, waiter, error, detail,
+                       is_passing ? BW_RETRY_AFTER_MS : 0);
+}
+
+void
+BwHome_SendResult(BwHome *home, const BwJob *job, BwWaiter waiter)
+{
+    BwResult result = {0};
+    BwAnswer *answers;
+
+    if (job->error != BW_OK) {
+        BwHome_SendError(home, waiter, job->error, job->detail);
+        return;
+    }
+    answers = calloc(job->task_count, sizeof(BwAnswer));
+    if (answers == NULL) {
+        BwHome_SendError(home, waiter, BW_ERR_HOME_LOST,
+                         "no memory for the answer");
+        return;
+    }
+    for (uint32_t i = 0; i < job->task_count; i++) {
+        answers[i].status = job->tasks[i].status;
+        answers[i].body = job->tasks[i].answer;
+    }
+    result.request_id = waiter.request_id;
+    result.answers = answers;
+    result.answer_count = job->task_count;
+    home->port->result(home->port_ctx, waiter, &result);
+    free(answers);
+}
+
+static void
+collect_release(BwHome *home, BwWorkerView *worker, BwJobId id, uint32_t slots)
+{
+    BwReleasedJob released = {id, slots};
+    uint32_t place;
+
+    if (worker->release_count == worker->release_room) {
+        uint32_t room = worker->release_room ? worker->release_room * 2 : 8;
+        BwReleasedJob *grown =
+            realloc(worker->releases, room * sizeof(BwReleasedJob));
+
+        if (grown == NULL)
+            return;
+        worker->releases = grown;
+        worker->release_room = room;
+    }
+    if (worker->release_count == 0 &&
+        !BwWorkerList_Append(&home->released, worker, &place))
+        return;
+    worker->releases[worker->release_count++] = released;
+}
+
+Reservation *
+BwHome_FindReservation(BwJob *job, uint32_t peer)
+{
+    for (uint32_t i = 0; i < job->reservation_count; i++) {
+        if (job->reservations[i].peer == peer)
+            return &job->reservations[i];
+    }
+    return NULL;
+}
+
+static Reservation *
+find_or_add_reservation(BwJob *job, uint32_t peer)
+{
+    Reservation *reservation = BwHome_FindReservation(job, peer);
+    Reservation *grown;
+
+    if (reservation != NULL)
+        return reservation;
+    grown = realloc(job->reservations,
+                    (job->reservation_count + 1) * sizeof(Reservation));
+    if (grown == NULL)
+        return NULL;
+    job->reservations = grown;
+    reservation = &grown[job->reservation_count++];
+    reservation->peer = peer;
+    reservation->slots = 0;
+    return reservation;
+}
+
+static uint32_t
+above_zero(int32_t slots)
+{
+    return slots > 0 ? (uint32_t)slots : 0;
+}
+
+int32_t
+BwHome_Reserve(BwHome *home, BwJob *job, uint32_t peer, int32_t change)
+{
+    Reservation *reservation = find_or_add_reservation(job, peer);
+    BwWorkerView *worker = BwHome_FindWorker(home, peer);
+    uint32_t before, after;
+
+    if (reservation == NULL)
+        return 0;
+    before = above_zero(reservation->slots);
+    reservation->slots += change;
+    after = above_zero(reservation->slots);
+    job->reserved += after - before;
+    if (worker != NULL && worker->reserved + after >= before)
+        worker->reserved += after - before;
+    return reservation->slots;
+}
+
+void
+BwHome_Unreserve(BwHome *home, BwJob *job, uint32_t peer)
+{
+    const Reservation *reservation = BwHome_FindReservation(job, peer);
+
+    if (reservation != NULL && reservation->slots != 0)
+        BwHome_Reserve(home, job, peer, -reservation->slots);
+}
+
+/* Has the worker told to drop what the job reserved there. */
+void
+BwHome_ReleaseAt(BwHome *home, BwJob *job, uint32_t peer)
+{
+    BwWorkerView *worker = BwHome_FindWorker(home, peer);
+    const Reservation *reservation = BwHome_FindReservation(job, peer);
+
+    if (worker == NULL || reservation == NULL || reservation->slots <= 0)
+        return;
+    if (!job->is_ended && worker->release_count == 0)
+        BwHome_CountWasted(home, job->of, 1);
+    collect_release(home, worker, job->id, (uint32_t)reservation->slots);
+    BwHome_Unreserve(home, job, peer);
+}
+
+/* Tells the workers that still hold reservations that none is needed. */
+void
+BwHome_ReleaseReservations(BwHome *home, BwJob *job)
+{
+    for (uint32_t i = 0; i < job->reservation_count; i++)
+        BwHome_ReleaseAt(home, job, job->reservations[i].peer);
+}
+
+void
+BwHome_RemoveJob(BwHome *home, BwJob *job)
+{
+    if (!job->is_ended)
+        BwHome_ReleaseReservations(home, job);
+    HASH_DEL(home->jobs, job);
+    BwHome_FreeJob(home, job);
+}
+
+void
+BwHome_EndJob(BwHome *home, BwJob *job, BwErrorKind error, const char *detail)
+{
+    if (job->is_ended)
+        return;
+    job->is_ended = true;
+    job->error = error;
+    strncpy(job->detail, detail, sizeof(job->detail) - 1);
+    if (error == BW_OK)
+        home->counters.jobs_complete++;
+    else
+        home->counters.jobs_failed++;
+    BwHome_ListWaiting(job);
+    leave_team(job);
+    BwHome_ReleaseReservations(home, job);
+    BwHome_Decide(home, "end", job, job->done, BwError_Describe(error)->name,
+                  0, detail);
+    for (uint32_t i = 0; i < job->waiter_count; i++)
+        BwHome_SendResult(home, job, job->waiters[i]);
+    job->waiter_count = 0;
+}
+
+/* A job has run nothing when no grant is outstanding or done, no earlier
+   attempt failed, and no other home may have run it; a declined grant is a
+   task that was not started. */
+bool
+BwHome_HasRun(const BwHome *home, uint64_t now_us, const BwJob *job)
+{
+    if (job->is_held || !BwHome_Owns(home, now_us, job->id))
+        return true;
+    for (uint32_t i = 0; i < job->task_count; i++) {
+        if (job->tasks[i].state != TASK_WAITING || job->tasks[i].attempt > 0)
+            return true;
+    }
+    return false;
+}
+
+BwJob *
+BwHome_FindJob(BwHome *home, BwJobId id)
+{
+    BwJob *job;
+
+    HASH_FIND(hh, home->jobs, &id, sizeof(id), job);
+    return job;
+}
+
+BwEstimate *
+BwHome_FindEstimate(BwHomeService *service, BwSpan job_class)
+{
+    BwClassEstimate *added;
+
+    for (uint32_t i = 0; i < service->class_count; i++) {
+        if (BwSpan_Equal(BwSpan_FromString(service->classes[i].name),
+                         job_class))
+            return &service->classes[i].runs;
+    }
+    if (service->class_count == BW_CLASSES_MAX ||
+        job_class.size_bytes >= BW_NAME_BYTES_MAX)
+        return &service->runs;
+    added = &service->classes[service->class_count++];
+    BwSpan_ToString(job_class, added->name, sizeof(added->name));
+    return &added->runs;
+}
+
+bool
+BwHome_HasWorker(const BwHome *home, BwSpan service)
+{
+    return BwWorkers_OfferedSlots(&home->workers, service) > 0;
+}
+
+bool
+BwHome_Owns(const BwHome *home, uint64_t now_us, BwJobId id)
+{
+    return home->rights->owns(home, now_us, id);
+}
+
+/* ---------------------------------------------------- without custody */
+
+static bool
+open_owns(const BwHome *home, uint64_t now_us, BwJobId id)
+{
+    (void)home;
+    (void)now_us;
+    (void)id;
+    return true;
+}
+
+static bool
+open_is_complete(const BwHome *home, BwJobId id)
+{
+    (void)home;
+    (void)id;
+    return true;
+}
+
+static bool
+open_is_engaged(const BwHome *home, const BwWorkerView *worker)
+{
+    (void)home;
+    (void)worker;
+    return true;
+}
+
+static bool
+open_is_usable(const BwHome *home, uint64_t now_us, const BwWorkerView *worker,
+               const BwJob *job)
+{
+    (void)home;
+    (void)now_us;
+    (void)worker;
+    (void)job;
+    return true;
+}
+
+static bool
+open_is_current(const BwWorkerView *worker, uint64_t epoch)
+{
+    (void)worker;
+    (void)epoch;
+    return true;
+}
+
+static bool
+open_may_have_run(const BwHome *home, BwJobId id, uint64_t submitted_wall_us)
+{
+    (void)home;
+    (void)id;
+    (void)submitted_wall_us;
+    return false;
+}
+
+static void
+open_stamp(const BwHome *home, const BwWorkerView *worker, const BwJob *job,
+           BwGrant *grant)
+{
+    (void)home;
+    (void)worker;
+    grant->epoch = job->epoch;
+}
+
+static void
+open_job(BwHome *home, uint64_t now_us, BwJob *job)
+{
+    (void)home;
+    (void)now_us;
+    (void)job;
+}
+
+static void
+open_link_lost(BwHome *home, uint64_t now_us, uint32_t peer)
+{
+    (void)home;
+    (void)now_us;
+    (void)peer;
+}
+
+static void
+open_worker_lost(BwHome *home, uint32_t peer)
+{
+    (void)home;
+    (void)peer;
+}
+
+static void
+open_finish(BwHome *home)
+{
+    (void)home;
+}
+
+const BwHomeRights BwHomeRights_Open = {
+    .owns = open_owns,
+    .is_complete = open_is_complete,
+    .is_engaged = open_is_engaged,
+    .is_usable = open_is_usable,
+    .is_current = open_is_current,
+    .may_have_run = open_may_have_run,
+    .stamp = open_stamp,
+    .adopt = open_job,
+    .want_own_host = open_job,
+    .link_lost = open_link_lost,
+    .worker_lost = open_worker_lost,
+    .finish = open_finish,
+};
--- a/packages/core/job.h
+++ b/packages/core/job.h
@@ -1,5 +1,9 @@
-/* job.h -- a job of a home, shared by home.c, rounds.c, submission.c and
-   recovery.c */
+/* job.h -- a job of a home, and the layers that work on it
+
+   job.c, rounds.c, submission.c and home.c each use only what stands before
+   them here.  recovery.c stands on all of them, and they know nothing of
+   custody: what a home may grant they ask of a table.
+*/
 
 #ifndef BW_JOB_H
 #define BW_JOB_H
@@ -77,103 +81,76 @@
     uint32_t waiter_count;
 };
 
-void
-BwHome_EndJob(BwHome *home, BwJob *job, BwErrorKind error, const char *detail);
-
-/* Follows a change of custody of a worker: may it be granted tasks? */
-void
-BwHome_RefreshWorker(BwHome *home, BwWorkerView *worker);
+/* ---------------------------------------------------------------- rights */
+
+/* Which keys a home holds, and whom it may grant starts. */
+struct BwHomeRights {
+    bool (*owns)(const BwHome *home, uint64_t now_us, BwJobId id);
+    /* Whether all that was started of the key is known, if any was. */
+    bool (*is_complete)(const BwHome *home, BwJobId id);
+    /* Whether the worker may be granted tasks, apart from time and job. */
+    bool (*is_engaged)(const BwHome *home, const BwWorkerView *worker);
+    /* Whether it may be granted tasks of the job now. */
+    bool (*is_usable)(const BwHome *home, uint64_t now_us,
+                      const BwWorkerView *worker, const BwJob *job);
+    /* Whether grants of that epoch are the worker's newest. */
+    bool (*is_current)(const BwWorkerView *worker, uint64_t epoch);
+    /* Whether a key that is not in the table may have been started. */
+    bool (*may_have_run)(const BwHome *home, BwJobId id,
+                         uint64_t submitted_wall_us);
+    /* Sets the epoch of a grant, and may shorten its time. */
+    void (*stamp)(const BwHome *home, const BwWorkerView *worker,
+                  const BwJob *job, BwGrant *grant);
+    /* A new job: may hold it, end it, or add what was started before. */
+    void (*adopt)(BwHome *home, uint64_t now_us, BwJob *job);
+    /* Tasks of the job find no slot but those of the own host. */
+    void (*want_own_host)(BwHome *home, uint64_t now_us, BwJob *job);
+    void (*link_lost)(BwHome *home, uint64_t now_us, uint32_t peer);
+    /* What was started at the worker is lost. */
+    void (*worker_lost)(BwHome *home, uint32_t peer);
+    void (*finish)(BwHome *home);
+};
 
-/* What was granted to the worker may have run and has no answer: it is
-   retried where that is allowed, or fails its job. */
-void
-BwHome_LoseTasks(BwHome *home, uint64_t now_us, uint32_t peer);
+/* Of a home without custody. */
+extern const BwHomeRights BwHomeRights_Open;
 
-/* Changes what the job has reserved at a worker; returns the new number. */
-int32_t
-BwHome_Reserve(BwHome *home, BwJob *job, uint32_t peer, int32_t change);
+/* ----------------------------------------------------------------- job.c */
 
-/* Forgets what the job has reserved at a worker. */
-void
-BwHome_Unreserve(BwHome *home, BwJob *job, uint32_t peer);
-
-/* After changes to jobs or workers other than by their messages. */
-void
-BwHome_PlaceAll(BwHome *home, uint64_t now_us);
+#define BW_RETRY_AFTER_MS 1000
 
-void
-BwHome_PlaceJob(BwHome *home, uint64_t now_us, BwJob *job);
+/* Returns NULL when memory is short. */
+BwHomeService *
+BwHome_FindOrAddService(BwHome *home, BwSpan name);
 
-void
-BwHome_RemoveJob(BwHome *home, BwJob *job);
+/* Returns the estimate of a class of jobs. */
+BwEstimate *
+BwHome_FindEstimate(BwHomeService *service, BwSpan job_class);
 
 BwJob *
 BwHome_FindJob(BwHome *home, BwJobId id);
 
-BwWorkerView *
-BwHome_FindWorker(BwHome *home, uint32_t peer);
-
-/* Returns NULL when memory is short. */
-BwWorkerView *
-BwHome_FindOrAddWorker(BwHome *home, uint32_t peer);
-
-/* The functions below are recovery.c's. */
-
-/* Whether the worker may be granted tasks, lease and job apart. */
-bool
-BwRecovery_IsEngaged(const BwHome *home, const BwWorkerView *worker);
-
-/* Whether the worker may be granted tasks of the job now. */
-bool
-BwRecovery_IsUsable(const BwHome *home, uint64_t now_us,
-                    const BwWorkerView *worker, const BwJob *job);
-
-/* Returns when the key was first submitted, at the earliest: what the caller
-   said, or the deadline less the longest lifetime. */
-uint64_t
-BwRecovery_SubmittedAt(const BwHome *home, uint64_t now_wall_us,
-                       const BwSubmit *submit);
-
-/* Whether every executor has answered for the arc of the key. */
-bool
-BwRecovery_IsComplete(const BwHome *home, BwJobId id);
-
-/* Whether a key that is not in the table may have been started. */
-bool
-BwRecovery_MayHaveRun(const BwHome *home, BwJobId id,
-                      uint64_t submitted_wall_us);
-
-/* Holds a new job, or makes it take over what was started before. */
+/* Keeps a job among those with tasks to be placed, or takes it out. */
 void
-BwRecovery_Adopt(BwHome *home, uint64_t now_us, BwJob *job);
+BwHome_ListWaiting(BwJob *job);
 
-/* Asks the guardian to note the job when its tasks find no other slot. */
+/* The job no longer waits for a further attempt. */
 void
-BwRecovery_WantOwnHost(BwHome *home, uint64_t now_us, BwJob *job);
+BwHome_ForgetRetry(BwHome *home, BwJob *job);
 
-/* What was started at the worker is lost. */
 void
-BwRecovery_LoseOrphans(BwHome *home, uint32_t peer);
+BwHome_EndJob(BwHome *home, BwJob *job, BwErrorKind error, const char *detail);
 
 void
-BwRecovery_Finish(BwHome *home);
-
-/* ------------------------------------- between home.c and its parts */
-
-#define BW_RETRY_AFTER_MS 1000
-
-/* Returns NULL when memory is short. */
-BwHomeService *
-BwHome_FindOrAddService(BwHome *home, BwSpan name);
-
-/* Returns the estimate of a class of jobs. */
-BwEstimate *
-BwHome_FindEstimate(BwHomeService *service, BwSpan job_class);
+BwHome_RemoveJob(BwHome *home, BwJob *job);
 
 /* Frees a job that is in no table any more. */
 void
 BwHome_FreeJob(BwHome *home, BwJob *job);
 
+/* Whether a task of the job was started, or may have been. */
+bool
+BwHome_HasRun(const BwHome *home, uint64_t now_us, const BwJob *job);
+
 /* Reports one decision on a job for the log. */
 void
 BwHome_Decide(BwHome *home, const char *what, const BwJob *job, uint32_t count,
@@ -192,18 +169,45 @@
 void
 BwHome_SendResult(BwHome *home, const BwJob *job, BwWaiter waiter);
 
-/* Whether a task of the job was started, or may have been. */
-bool
-BwHome_HasRun(const BwHome *home, uint64_t now_us, const BwJob *job);
+BwWorkerView *
+BwHome_FindWorker(BwHome *home, uint32_t peer);
 
-/* Keeps a job among those with tasks to be placed, or takes it out. */
+/* Returns NULL when memory is short. */
+BwWorkerView *
+BwHome_FindOrAddWorker(BwHome *home, uint32_t peer);
+
+/* Follows a change of what the worker may be granted. */
 void
-BwHome_ListWaiting(BwJob *job);
+BwHome_RefreshWorker(BwHome *home, BwWorkerView *worker);
+
+void
+BwHome_CountWasted(BwHome *home, BwHomeService *service, uint32_t messages);
+
+/* Returns NULL when the job has none there. */
+Reservation *
+BwHome_FindReservation(BwJob *job, uint32_t peer);
+
+/* Changes what the job has reserved at a worker; returns the new number. */
+int32_t
+BwHome_Reserve(BwHome *home, BwJob *job, uint32_t peer, int32_t change);
+
+/* Forgets what the job has reserved at a worker. */
+void
+BwHome_Unreserve(BwHome *home, BwJob *job, uint32_t peer);
+
+/* Has the worker told to drop what the job reserved there. */
+void
+BwHome_ReleaseAt(BwHome *home, BwJob *job, uint32_t peer);
 
 /* Tells the workers that still hold reservations that none is needed. */
 void
 BwHome_ReleaseReservations(BwHome *home, BwJob *job);
 
+/* -------------------------------------------------------------- rounds.c */
+
+void
+BwHome_PlaceJob(BwHome *home, uint64_t now_us, BwJob *job);
+
 /* Grants up to `room` waiting tasks to one worker in a single message, and
    asks it to keep `reserve` reservations.  Returns how many were granted. */
 uint32_t
@@ -214,4 +218,15 @@
 bool
 BwHome_MayMove(const BwHomeService *service, const BwWorkerGroup *group);
 
+/* ---------------------------------------------------------------- home.c */
+
+/* After changes to jobs or workers other than by their messages. */
+void
+BwHome_PlaceAll(BwHome *home, uint64_t now_us);
+
+/* What was granted to the worker may have run and has no answer: it is
+   retried where that is allowed, or fails its job. */
+void
+BwHome_LoseTasks(BwHome *home, uint64_t now_us, uint32_t peer);
+
 #endif
--- a/packages/core/recovery.c
+++ b/packages/core/recovery.c
@@ -76,39 +76,33 @@
     return find_arc(home, BwSpan_FromString(home->ring->agents[index].name));
 }
 
-bool
-BwHome_Owns(const BwHome *home, uint64_t now_us, BwJobId id)
+static bool
+owns(const BwHome *home, uint64_t now_us, BwJobId id)
 {
-    if (home->ring == NULL)
-        return true;
     return now_us < home->lease_until_us && arc_of(home, id) != NULL;
 }
 
-bool
-BwRecovery_IsComplete(const BwHome *home, BwJobId id)
+static bool
+is_complete(const BwHome *home, BwJobId id)
 {
-    const BwHomeArc *arc = home->ring != NULL ? arc_of(home, id) : NULL;
+    const BwHomeArc *arc = arc_of(home, id);
 
     return arc == NULL || arc->is_complete;
 }
 
-bool
-BwRecovery_IsEngaged(const BwHome *home, const BwWorkerView *worker)
+static bool
+is_engaged(const BwHome *home, const BwWorkerView *worker)
 {
-    if (home->ring == NULL)
-        return true;
     if (!worker->is_fenced || worker->incarnation != worker->member)
         return false;
     return worker->is_self || worker->since_version <= home->engage_version;
 }
 
-bool
-BwRecovery_IsUsable(const BwHome *home, uint64_t now_us,
-                    const BwWorkerView *worker, const BwJob *job)
+static bool
+is_usable(const BwHome *home, uint64_t now_us, const BwWorkerView *worker,
+          const BwJob *job)
 {
-    if (home->ring == NULL)
-        return true;
-    if (now_us >= home->lease_until_us || !BwRecovery_IsEngaged(home, worker))
+    if (now_us >= home->lease_until_us || !is_engaged(home, worker))
         return false;
     return !worker->is_self || home->ring->agent_count == 1 || job->is_noted;
 }
@@ -251,8 +245,8 @@
     return true;
 }
 
-void
-BwRecovery_LoseOrphans(BwHome *home, uint32_t peer)
+static void
+lose_orphans(BwHome *home, uint32_t peer)
 {
     for (BwOrphan *o = home->orphans; o != NULL; o = o->hh.next) {
         for (uint32_t i = 0; i < o->task_count; i++) {
@@ -262,8 +256,8 @@
     }
 }
 
-void
-BwRecovery_Finish(BwHome *home)
+static void
+finish(BwHome *home)
 {
     BwOrphan *orphan, *next;
 
@@ -277,21 +271,6 @@
 
 /* ------------------------------------------------------------ taking over */
 
-uint64_t
-BwRecovery_SubmittedAt(const BwHome *home, uint64_t now_wall_us,
-                       const BwSubmit *submit)
-{
-    uint64_t deadline_us = submit->deadline_wall_us;
-
-    if (submit->submitted_wall_us != 0)
-        return submit->submitted_wall_us < now_wall_us
-                   ? submit->submitted_wall_us
-                   : now_wall_us;
-    return deadline_us > home->limits.lifetime_us
-               ? deadline_us - home->limits.lifetime_us
-               : 0;
-}
-
 static bool
 is_submitted_by(const BwHome *home, uint64_t submitted_wall_us,
                 uint64_t wall_us)
@@ -299,15 +278,12 @@
     return submitted_wall_us < wall_us + home->limits.skew_us;
 }
 
-bool
-BwRecovery_MayHaveRun(const BwHome *home, BwJobId id,
-                      uint64_t submitted_wall_us)
+static bool
+may_have_run(const BwHome *home, BwJobId id, uint64_t submitted_wall_us)
 {
     const BwHomeArc *arc;
     BwOrphan *orphan;
 
-    if (home->ring == NULL)
-        return false;
     arc = arc_of(home, id);
     HASH_FIND(hh, home->orphans, &id, sizeof(id), orphan);
     if (arc == NULL || orphan != NULL)
@@ -378,14 +354,13 @@
     free_orphan(home, orphan);
 }
 
-void
-BwRecovery_Adopt(BwHome *home, uint64_t now_us, BwJob *job)
+/* Holds a new job, or makes it take over what was started before. */
+static void
+adopt(BwHome *home, uint64_t now_us, BwJob *job)
 {
     const BwHomeArc *arc;
     BwOrphan *orphan;
 
-    if (home->ring == NULL)
-        return;
     arc = arc_of(home, job->id);
     if (arc == NULL)
         return;
@@ -431,7 +406,7 @@
     {
         if (!job->is_held || job->is_ended)
             continue;
-        BwRecovery_Adopt(home, now_us, job);
+        adopt(home, now_us, job);
         if (job->is_held || job->is_ended)
             continue;
         job->is_known = true;
@@ -857,41 +832,13 @@
         worker->is_gone = false;
 }
 
-void
-BwHome_SetRing(BwHome *home, uint64_t now_us, const BwRing *ring,
-               uint64_t holder)
-{
-    BwSpan nobody = {"", 0};
-    uint64_t former_version = home->ring_version;
-
-    home->ring = ring;
-    home->ring_version = ring->version;
-    home->holder = holder;
-    for (uint32_t i = 0; i < home->workers.all.count; i++) {
-        set_member(home->workers.all.items[i], ring);
-        BwHome_RefreshWorker(home, home->workers.all.items[i]);
-    }
-    for (uint32_t i = home->arc_count; i > 0; i--) {
-        if (BwRing_IndexOf(ring, BwSpan_FromString(home->arcs[i - 1].name)) <
-            0)
-            remove_arc(home, i - 1);
-    }
-    abandon_moved(home, nobody);
-    if (ring->removed_version != home->removed_version)
-        restart_arcs(home, now_us,
-                     ring->removed_joined_version <= former_version);
-    home->removed_version = ring->removed_version;
-    send_fences(home, now_us);
-    BwHome_PlaceAll(home, now_us);
-}
-
 /* ----------------------------------------------------------- own host */
 
-void
-BwRecovery_WantOwnHost(BwHome *home, uint64_t now_us, BwJob *job)
+/* Asks the guardian to note the job when its tasks find no other slot. */
+static void
+want_own_host(BwHome *home, uint64_t now_us, BwJob *job)
 {
-    if (home->ring == NULL || job->is_noted || job->is_held ||
-        home->ring->agent_count == 1 ||
+    if (job->is_noted || job->is_held || home->ring->agent_count == 1 ||
         (job->is_note_asked && now_us < job->note_asked_us + RESEND_FENCE_US))
         return;
     for (uint32_t i = 0; i < home->workers.all.count; i++) {
@@ -969,6 +916,70 @@
     return true;
 }
 
+/* ------------------------------------------------------------- rights */
+
+static bool
+is_current(const BwWorkerView *worker, uint64_t epoch)
+{
+    return epoch == worker->fence_number;
+}
+
+/* A grant ends with the lease. */
+static void
+stamp(const BwHome *home, const BwWorkerView *worker, const BwJob *job,
+      BwGrant *grant)
+{
+    (void)job;
+    grant->epoch = worker->fence_number;
+    grant->holder = home->holder;
+    if (home->lease_until_us < grant->not_after_us)
+        grant->not_after_us = home->lease_until_us;
+}
+
+static const BwHomeRights rights = {
+    .owns = owns,
+    .is_complete = is_complete,
+    .is_engaged = is_engaged,
+    .is_usable = is_usable,
+    .is_current = is_current,
+    .may_have_run = may_have_run,
+    .stamp = stamp,
+    .adopt = adopt,
+    .want_own_host = want_own_host,
+    .link_lost = BwHome_LinkLost,
+    .worker_lost = lose_orphans,
+    .finish = finish,
+};
+
+void
+BwHome_SetRing(BwHome *home, uint64_t now_us, const BwRing *ring,
+               uint64_t holder)
+{
+    BwSpan nobody = {"", 0};
+    uint64_t former_version = home->ring_version;
+
+    home->ring = ring;
+    home->rights = &rights;
+    home->ring_version = ring->version;
+    home->holder = holder;
+    for (uint32_t i = 0; i < home->workers.all.count; i++) {
+        set_member(home->workers.all.items[i], ring);
+        BwHome_RefreshWorker(home, home->workers.all.items[i]);
+    }
+    for (uint32_t i = home->arc_count; i > 0; i--) {
+        if (BwRing_IndexOf(ring, BwSpan_FromString(home->arcs[i - 1].name)) <
+            0)
+            remove_arc(home, i - 1);
+    }
+    abandon_moved(home, nobody);
+    if (ring->removed_version != home->removed_version)
+        restart_arcs(home, now_us,
+                     ring->removed_joined_version <= former_version);
+    home->removed_version = ring->removed_version;
+    send_fences(home, now_us);
+    BwHome_PlaceAll(home, now_us);
+}
+
 /* --------------------------------------------------------------- time */
 
 void
--- a/packages/core/rounds.c
+++ b/packages/core/rounds.c
@@ -22,7 +22,6 @@
     BwGrant grant = {0};
     uint32_t count = 0;
     uint32_t limit = room < job->waiting ? room : job->waiting;
-    uint64_t not_after_us;
 
     grant.tasks = calloc(limit + 1, sizeof(BwGrantedTask));
     if (grant.tasks == NULL)
@@ -48,12 +47,9 @@
     job->of->tasks += count;
     home->counters.tasks_granted += count;
     grant.job = job->id;
-    grant.epoch = home->ring != NULL ? worker->fence_number : job->epoch;
-    grant.holder = home->holder;
-    not_after_us = home->now_us + home->limits.grant_valid_us;
-    if (home->ring != NULL && home->lease_until_us < not_after_us)
-        not_after_us = home->lease_until_us;
-    grant.not_after_us = not_after_us + worker->clock_ahead_us;
+    grant.not_after_us = home->now_us + home->limits.grant_valid_us;
+    home->rights->stamp(home, worker, job, &grant);
+    grant.not_after_us += worker->clock_ahead_us;
     grant.deadline_us = job->deadline_us + worker->clock_ahead_us;
     grant.member = job->member;
     grant.team = job->team;
@@ -193,7 +189,7 @@
     const BwJob *job = round->job;
     BwWorkerView *self = home->workers.self;
 
-    if (self != NULL && !BwRecovery_IsUsable(home, now_us, self, job))
+    if (self != NULL && !home->rights->is_usable(home, now_us, self, job))
         hide(round, self);
     if (job->tasks[0].attempt > 0 &&
         round->group->usable.count > round->hidden_count + 1)
@@ -307,7 +303,7 @@
     run_round(&round);
     job->of->has_unreserved |= job->waiting > job->reserved;
     if (job->waiting > 0)
-        BwRecovery_WantOwnHost(home, now_us, job);
+        home->rights->want_own_host(home, now_us, job);
     else if (job->reserved > 0)
         BwHome_ReleaseReservations(home, job);
 }
--- a/packages/core/submission.c
+++ b/packages/core/submission.c
@@ -158,12 +158,6 @@
                  is_passing ? BW_RETRY_AFTER_MS : 0);
 }
 
-bool
-BwHome_HasWorker(const BwHome *home, BwSpan service)
-{
-    return BwWorkers_OfferedSlots(&home->workers, service) > 0;
-}
-
 static BwErrorKind
 admit(BwHome *home, uint64_t now_wall_us, const BwSubmit *submit,
       const char **detail)
@@ -187,8 +181,8 @@
         return BW_ERR_CANNOT_RUN;
     }
     if (!BwHome_HasWorker(home, submit->service) &&
-        BwRecovery_IsComplete(home,
-                              BwJobId_Make(submit->member, submit->key))) {
+        home->rights->is_complete(home,
+                                  BwJobId_Make(submit->member, submit->key))) {
         *detail = "no backend server of the service is known";
         return BW_ERR_NO_BACKEND;
     }
@@ -203,25 +197,6 @@
     return BW_OK;
 }
 
-/* Returns the estimate of a class of jobs. */
-BwEstimate *
-BwHome_FindEstimate(BwHomeService *service, BwSpan job_class)
-{
-    BwClassEstimate *added;
-
-    for (uint32_t i = 0; i < service->class_count; i++) {
-        if (BwSpan_Equal(BwSpan_FromString(service->classes[i].name),
-                         job_class))
-            return &service->classes[i].runs;
-    }
-    if (service->class_count == BW_CLASSES_MAX ||
-        job_class.size_bytes >= BW_NAME_BYTES_MAX)
-        return &service->runs;
-    added = &service->classes[service->class_count++];
-    BwSpan_ToString(job_class, added->name, sizeof(added->name));
-    return &added->runs;
-}
-
 /* Returns the place of the team's use, -1 when it has no ceiling. */
 static int32_t
 find_team_use(BwHomeService *service, const BwTeamPolicy *team)
@@ -366,6 +341,22 @@
     return true;
 }
 
+/* When the key was first submitted, at the earliest: what the caller said, or
+   the deadline less the longest lifetime. */
+static uint64_t
+submitted_at(const BwHome *home, uint64_t now_wall_us, const BwSubmit *submit)
+{
+    uint64_t deadline_us = submit->deadline_wall_us;
+
+    if (submit->submitted_wall_us != 0)
+        return submit->submitted_wall_us < now_wall_us
+                   ? submit->submitted_wall_us
+                   : now_wall_us;
+    return deadline_us > home->limits.lifetime_us
+               ? deadline_us - home->limits.lifetime_us
+               : 0;
+}
+
 /* A refusal says that nothing ran, so a key that may have run under another
    home gets another error. */
 static BwErrorKind
@@ -373,8 +364,8 @@
       BwErrorKind error)
 {
     if (error != BW_OK && BwError_Describe(error)->certainty == BW_NOT_RUN &&
-        BwRecovery_MayHaveRun(
-            home, id, BwRecovery_SubmittedAt(home, now_wall_us, submit)))
+        home->rights->may_have_run(home, id,
+                                   submitted_at(home, now_wall_us, submit)))
         return BW_ERR_HOME_LOST;
     return error;
 }
@@ -413,7 +404,7 @@
     home->now_us = now_us;
     job->deadline_us = now_us + (submit->deadline_wall_us - now_wall_us);
     job->deadline_wall_us = submit->deadline_wall_us;
-    job->submitted_wall_us = BwRecovery_SubmittedAt(home, now_wall_us, submit);
+    job->submitted_wall_us = submitted_at(home, now_wall_us, submit);
     admission =
         admit_job(home, service, submit, job, job->deadline_us - now_us);
     admission.error = doubt(home, now_wall_us, submit, id, admission.error);
@@ -425,7 +416,7 @@
     }
     take_job(home, job);
     add_waiter(home, job, waiter, submit->flags);
-    BwRecovery_Adopt(home, now_us, job);
+    home->rights->adopt(home, now_us, job);
     if (!job->is_ended)
         BwHome_PlaceJob(home, now_us, job);
 }
@@ -445,8 +436,8 @@
     if (attach(home, waiter, submit, id))
         return;
     if (submit->flags & BW_SUBMIT_ATTACH) {
-        error = BwRecovery_MayHaveRun(home, id,
-                                      now_wall_us - home->limits.lifetime_us)
+        error = home->rights->may_have_run(
+                    home, id, now_wall_us - home->limits.lifetime_us)
                     ? BW_ERR_HOME_LOST
                     : BW_ERR_UNKNOWN_JOB;
         BwHome_SendError(home, waiter, error, "");
@@ -473,7 +464,7 @@
     HASH_FIND(hh, home->jobs, &id, sizeof(id), job);
     if (job == NULL) {
         BwHome_SendError(home, waiter,
-                         BwRecovery_MayHaveRun(home, id, 0)
+                         home->rights->may_have_run(home, id, 0)
                              ? BW_ERR_HOME_LOST
                              : BW_ERR_UNKNOWN_JOB,
                          "");
