Log what a supervisor declines and stops, and start its queue once a look

Cause: a task that was handed back, dropped from the queue or stopped left no line, so its story ended at the dispatcher; and each look at the worker walked the queue twice.

Change: `decline`, `drop` and `stop` with their reason; a PLACE that is declined writes one line for its tasks, with their count. The tick starts the queue once and before it looks for what waited too long, and after the check of the lease: a start after the lease's end renewed it and hid that what ran before had ended.

--- a/packages/core/seats.c
+++ b/packages/core/seats.c
@@ -24,6 +24,17 @@
 #define STUCK_FACTOR 4
 #define LEASE_MARGIN_US 20000
 
+static const char *const decline_reasons[] = {
+    [BW_DECLINE_BUSY] = "no room in time",
+    [BW_DECLINE_LATE] = "too late",
+    [BW_DECLINE_LEAVING] = "the worker takes no tasks",
+    [BW_DECLINE_NO_SERVICE] = "the worker is of another service",
+    [BW_DECLINE_NO_SESSION] = "the session is over",
+    [BW_DECLINE_DUPLICATE] = "it is here already",
+    [BW_DECLINE_UNSUITED] = "label, spread or capacity",
+    [BW_DECLINE_REFUSED] = "refused by the worker",
+};
+
 bool
 BwSeats_IsOnWorker(const BwSeat *seat)
 {
@@ -193,6 +204,8 @@
 
     if (seat->started_us != 0)
         outcome.ran_us = now_us - seat->started_us;
+    if (seat->state == BW_SEAT_QUEUED && kind == BW_OUTCOME_NOT_RUN)
+        s->port->log(s->ctx, "decline", seat, 1, decline_reasons[reason]);
     BwSeats_Unlink(s, seat);
     count_outcome(s, seat, kind, outcome.ran_us);
     if (kind != 0 && seat->peer != 0)
@@ -201,6 +214,24 @@
     BwSeats_Free(seat);
 }
 
+void
+BwSeats_LogDeclined(const BwSupervisor *s, const BwPlace *place,
+                    const BwTaskOutcome *declined, uint32_t count)
+{
+    BwSeat seat = {.key.step = place->step, .run = 1};
+    uint32_t first = 0;
+
+    BwSpan_ToString(place->job, seat.key.job, sizeof(seat.key.job));
+    for (uint32_t i = 1; i <= count; i++) {
+        if (i < count && declined[i].reason == declined[first].reason)
+            continue;
+        seat.key.index = declined[first].index;
+        s->port->log(s->ctx, "decline", &seat, i - first,
+                     decline_reasons[declined[first].reason]);
+        first = i;
+    }
+}
+
 /* ------------------------------------------------------------- orders */
 
 static BwTaskOrder
@@ -261,14 +292,17 @@
 
 void
 BwSeats_End(BwSupervisor *s, uint64_t now_us, BwSeat *seat, uint32_t kind,
-            uint32_t reason)
+            uint32_t reason, const char *why)
 {
+    if (seat->state == BW_SEAT_STOPPING)
+        return;
     if (seat->state == BW_SEAT_QUEUED) {
+        if (kind != BW_OUTCOME_NOT_RUN)
+            s->port->log(s->ctx, "drop", seat, 1, why);
         BwSeats_Remove(s, now_us, seat, kind, reason);
         return;
     }
-    if (seat->state == BW_SEAT_STOPPING)
-        return;
+    s->port->log(s->ctx, "stop", seat, 1, why);
     seat->state = BW_SEAT_STOPPING;
     seat->outcome = kind;
     seat->reason = reason;
@@ -385,7 +419,7 @@
         note_unqueued(s, seat);
         BwRoom_Add(&s->used, &seat->room);
         seat->state = BW_SEAT_STARTING;
-        s->port->log(s->ctx, "start", seat, "room");
+        s->port->log(s->ctx, "start", seat, 1, "room");
         BwSeats_SendStart(s, now_us, seat);
     }
 }
@@ -399,7 +433,7 @@
     {
         if (!BwSeats_IsOnWorker(seat))
             continue;
-        s->port->log(s->ctx, "lost", seat, reason);
+        s->port->log(s->ctx, "lost", seat, 1, reason);
         BwSeats_Remove(s, now_us, seat, BW_OUTCOME_LOST, 0);
     }
 }
--- a/packages/core/seats.h
+++ b/packages/core/seats.h
@@ -44,10 +44,16 @@
 BwSeats_Remove(BwSupervisor *supervisor, uint64_t now_us, BwSeat *seat,
                uint32_t kind, uint32_t reason);
 
-/* Ends a task; `kind` is reported once it is certainly not there. */
+/* Ends a task; `kind` is reported once it is certainly not there.  `why` goes
+   into the log. */
 void
 BwSeats_End(BwSupervisor *supervisor, uint64_t now_us, BwSeat *seat,
-            uint32_t kind, uint32_t reason);
+            uint32_t kind, uint32_t reason, const char *why);
+
+/* Writes a line for the tasks that a PLACE did not get started. */
+void
+BwSeats_LogDeclined(const BwSupervisor *supervisor, const BwPlace *place,
+                    const BwTaskOutcome *declined, uint32_t count);
 
 /* Returns the worker's clock, as far as it is known. */
 uint64_t
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -69,7 +69,7 @@
             seat->outcome = 0;
             s->orphan_count++;
         }
-        BwSeats_End(s, now_us, seat, 0, 0);
+        BwSeats_End(s, now_us, seat, 0, 0, "its dispatcher is gone");
     }
 }
 
@@ -82,7 +82,8 @@
     HASH_ITER(hh, s->seats, seat, next)
     {
         if (seat->peer == peer)
-            BwSeats_End(s, now_us, seat, BW_OUTCOME_LOST, 0);
+            BwSeats_End(s, now_us, seat, BW_OUTCOME_LOST, 0,
+                        "the session lapsed");
     }
 }
 
@@ -178,6 +179,7 @@
     if (place->wait_us == 0 && count < place->task_count)
         count += BwSeats_TakeBack(s, first, declined + count);
     s->counters.declined += count;
+    BwSeats_LogDeclined(s, place, declined, count);
     BwSeats_Report(s, now_us, peer->peer, place->ref, place->step, declined,
                    count);
     if (--text->references == 0)
@@ -196,7 +198,7 @@
     HASH_ITER(hh, s->seats, seat, next)
     {
         if (seat->peer == peer && seat->ref == ref)
-            BwSeats_End(s, now_us, seat, 0, 0);
+            BwSeats_End(s, now_us, seat, 0, 0, "its dispatcher asks");
     }
     BwSeats_StartQueued(s, now_us);
 }
@@ -269,7 +271,8 @@
         }
         else if (seat->state == BW_SEAT_STARTING && seat->doubted_us != 0 &&
                  now_us - seat->doubted_us > DOUBT_US) {
-            BwSeats_End(s, now_us, seat, BW_OUTCOME_LOST, 0);
+            BwSeats_End(s, now_us, seat, BW_OUTCOME_LOST, 0,
+                        "no answer, and not seen");
         }
         else if (seat->state == BW_SEAT_QUEUED &&
                  now_us >= seat->patience_us) {
@@ -280,7 +283,7 @@
             BwSeats_End(s, now_us, seat,
                         BwSeats_IsOnWorker(seat) ? BW_OUTCOME_LOST
                                                  : BW_OUTCOME_NOT_RUN,
-                        BW_DECLINE_LATE);
+                        BW_DECLINE_LATE, "the deadline passed");
         }
     }
 }
@@ -294,10 +297,10 @@
         if (!BwSeats_IsResponsive(s, now_us))
             BwSeats_DeclineQueue(s, now_us, BW_DECLINE_LEAVING);
     }
+    BwSeats_StartQueued(s, now_us);
     tick_seats(s, now_us);
     tick_sessions(s, now_us);
     BwWorkerLink_Tick(s, now_us);
-    BwSeats_StartQueued(s, now_us);
     if (s->was_usable != BwSeats_IsUsable(s, now_us))
         BwSupervisor_TellAll(s, now_us);
 }
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -97,8 +97,9 @@
     void (*start)(void *ctx, uint64_t number, const BwTaskOrder *order);
     void (*stop)(void *ctx, uint64_t number, const BwTaskOrder *order);
     void (*hold)(void *ctx, uint64_t number, const BwHoldOrder *order);
+    /* `count` tasks from that of the seat on. */
     void (*log)(void *ctx, const char *event, const BwSeat *seat,
-                const char *reason);
+                uint32_t count, const char *reason);
 } BwSupervisorPort;
 
 typedef struct BwSupervisorLimits {
--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -202,7 +202,7 @@
         BwSeats_Remove(s, now_us, seat, seat->outcome, seat->reason);
         return;
     }
-    s->port->log(s->ctx, "refused", seat, "by the worker");
+    s->port->log(s->ctx, "refused", seat, 1, "by the worker");
     BwSeats_Remove(s, now_us, seat, BW_OUTCOME_NOT_RUN,
                    verdict == BW_WORKER_LATE ? BW_DECLINE_LATE
                                              : BW_DECLINE_REFUSED);
@@ -213,7 +213,7 @@
 static void
 doubt_start(BwSupervisor *s, uint64_t now_us, BwSeat *seat)
 {
-    s->port->log(s->ctx, "unanswered", seat, "start");
+    s->port->log(s->ctx, "unanswered", seat, 1, "start");
     seat->doubted_us = now_us;
     if (s->holds_in_flight < LOOKS_MAX)
         send_hold(s, now_us, 0);
@@ -376,7 +376,8 @@
              (!seat->is_confirmed && clock_ms > seat->start_ms)))
             BwSeats_Remove(s, now_us, seat, seat->outcome, seat->reason);
         else if (is_missing(seat, sent_us))
-            BwSeats_End(s, now_us, seat, BW_OUTCOME_LOST, 0);
+            BwSeats_End(s, now_us, seat, BW_OUTCOME_LOST, 0,
+                        "the worker does not list it");
     }
 }
 
@@ -422,7 +423,6 @@
     take_running(s, sent_us, answer);
     take_ends(s, now_us, answer);
     take_absent(s, now_us, sent_us, answer->clock_ms);
-    BwSeats_StartQueued(s, now_us);
     BwSupervisor_Tick(s, now_us);
 }
 
--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -145,7 +145,7 @@
 }
 
 static void
-log_decision(void *ctx, const char *event, const BwSeat *seat,
+log_decision(void *ctx, const char *event, const BwSeat *seat, uint32_t count,
              const char *reason)
 {
     Role *role = ctx;
@@ -154,7 +154,8 @@
            BW_LOG_TEXT("job", seat->key.job),
            BW_LOG_NUMBER("step", seat->key.step),
            BW_LOG_NUMBER("index", seat->key.index),
-           BW_LOG_NUMBER("run", seat->run), BW_LOG_TEXT("reason", reason));
+           BW_LOG_NUMBER("run", seat->run), BW_LOG_NUMBER("count", count),
+           BW_LOG_TEXT("reason", reason));
 }
 
 static const BwSupervisorPort supervisor_port = {
--- a/tests/supervisor_world.c
+++ b/tests/supervisor_world.c
@@ -677,12 +677,15 @@
 /* -------------------------------------------------------------- world */
 
 static void
-on_log(void *ctx, const char *event, const BwSeat *seat, const char *reason)
+on_log(void *ctx, const char *event, const BwSeat *seat, uint32_t count,
+       const char *reason)
 {
-    (void)ctx;
-    (void)event;
-    (void)seat;
-    (void)reason;
+    World *w = ctx;
+
+    g_assert_nonnull(seat);
+    g_assert_nonnull(reason);
+    w->declines_logged += strcmp(event, "decline") == 0 ? count : 0;
+    w->stops_logged += strcmp(event, "stop") == 0 ? count : 0;
 }
 
 static const BwSupervisorPort port = {on_send, on_start, on_stop, on_hold,
--- a/tests/supervisor_world.h
+++ b/tests/supervisor_world.h
@@ -161,6 +161,8 @@
     GArray *peers;
     GArray *order; /* placements in the order of their first start */
     uint32_t starts;
+    uint32_t declines_logged; /* tasks */
+    uint32_t stops_logged;
     uint32_t losses; /* of 1000 calls, of each sort */
     uint64_t latency_us;
     uint64_t late_us; /* of an order that is carried out late */
--- a/tests/test_status.c
+++ b/tests/test_status.c
@@ -64,8 +64,10 @@
 }
 
 static void
-drop_seat(void *ctx, const char *event, const BwSeat *seat, const char *reason)
+drop_seat(void *ctx, const char *event, const BwSeat *seat, uint32_t count,
+          const char *reason)
 {
+    (void)count;
     (void)ctx;
     (void)event;
     (void)seat;
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -128,6 +128,7 @@
     World_ClosePeer(&w, peer);
     World_Run(&w, 5000);
     g_assert_cmpuint(w.supervisor.orphan_count, ==, 4);
+    g_assert_cmpuint(w.stops_logged, ==, 4);
     World_Run(&w, 200000);
     g_assert_cmpuint(w.worker.running->len, ==, 1);
     World_AssertKind(&w, kept, 0);
@@ -519,6 +520,7 @@
     World_Run(&w, 5000);
     for (uint32_t i = 0; i < 8; i++)
         World_AssertDeclined(&w, first + i, BW_DECLINE_BUSY);
+    g_assert_cmpuint(w.declines_logged, ==, 9);
     World_Finish(&w);
 }
 
