--- a/packages/core/seats.c
+++ b/packages/core/seats.c
@@ -17,7 +17,6 @@
 #include "room.h"
 #include "seats.h"
 
-#define PACE_SHIFT 3
 #define ENDED_WEIGHT 4 /* of the tasks that ended, beside each that runs */
 #define FAR_PACE_PERMILLE 2000
 #define PACE_MAX_PERMILLE 8000
@@ -25,6 +24,17 @@
 #define STUCK_FACTOR 4
 #define LEASE_MARGIN_US 20000
 
+static const char *const decline_reasons[] = {
+    [BW_DECLINE_BUSY] = "no room in time",
+    [BW_DECLINE_LATE] = "too late",
+    [BW_DECLINE_LEAVING] = "the worker takes no tasks",
+    [BW_DECLINE_NO_SERVICE] = "the worker is of another service",
+    [BW_DECLINE_NO_SESSION] = "the session is over",
+    [BW_DECLINE_DUPLICATE] = "it is here already",
+    [BW_DECLINE_UNSUITED] = "label, spread or capacity",
+    [BW_DECLINE_REFUSED] = "refused by the worker",
+};
+
 bool
 BwSeats_IsOnWorker(const BwSeat *seat)
 {
@@ -60,7 +70,8 @@
 static uint32_t
 slow_permille(const BwSupervisor *s, uint64_t now_us)
 {
-    uint64_t sum = s->pace_permille * ENDED_WEIGHT;
+    uint64_t ended_pace = s->outcomes.pace_permille;
+    uint64_t sum = (ended_pace > 0 ? ended_pace : 1000) * ENDED_WEIGHT;
     uint64_t count = ENDED_WEIGHT;
     uint64_t mean;
 
@@ -116,7 +127,8 @@
     load.queued_urgent = s->queued_urgent;
     load.release_us = release_us(s, now_us);
     load.slow_permille = slow_permille(s, now_us);
-    load.failed_permille = s->failed_permille;
+    load.ended = s->outcomes.ended;
+    load.failed_permille = s->outcomes.failed_permille;
     return load;
 }
 
@@ -184,22 +196,14 @@
 count_outcome(BwSupervisor *s, const BwSeat *seat, uint32_t kind,
               uint64_t ran_us)
 {
-    uint32_t failed = kind == BW_OUTCOME_FAILED ? 1000 : 0;
-    uint64_t expected = seat->expected_us > 1000 ? seat->expected_us : 1000;
+    uint64_t expected_us = seat->expected_us > 1000 ? seat->expected_us : 1000;
+    uint64_t far_us = expected_us * PACE_MAX_PERMILLE / 1000;
 
     if (kind == BW_OUTCOME_DONE || kind == BW_OUTCOME_FAILED)
-        s->failed_permille +=
-            (failed >> PACE_SHIFT) - (s->failed_permille >> PACE_SHIFT);
-    if (kind == BW_OUTCOME_DONE) {
-        uint64_t pace = ran_us * 1000 / expected;
-
-        if (seat->started_us > s->suspect_until_us)
-            s->suspect_us = 0;
-        if (pace > PACE_MAX_PERMILLE)
-            pace = PACE_MAX_PERMILLE;
-        s->pace_permille +=
-            (uint32_t)(pace >> PACE_SHIFT) - (s->pace_permille >> PACE_SHIFT);
-    }
+        BwOutcomes_Record(&s->outcomes, kind == BW_OUTCOME_FAILED,
+                          ran_us < far_us ? ran_us : far_us, expected_us);
+    if (kind == BW_OUTCOME_DONE && seat->started_us > s->suspect_until_us)
+        s->suspect_us = 0;
     s->counters.done += kind == BW_OUTCOME_DONE;
     s->counters.failed += kind == BW_OUTCOME_FAILED;
     s->counters.lost += kind == BW_OUTCOME_LOST;
@@ -214,6 +218,8 @@
 
     if (seat->started_us != 0)
         outcome.ran_us = now_us - seat->started_us;
+    if (seat->state == BW_SEAT_QUEUED && kind == BW_OUTCOME_NOT_RUN)
+        s->port->log(s->ctx, "decline", seat, 1, decline_reasons[reason]);
     BwSeats_Unlink(s, seat);
     count_outcome(s, seat, kind, outcome.ran_us);
     if (kind != 0 && seat->peer != 0)
@@ -222,6 +228,24 @@
     BwSeats_Free(seat);
 }
 
+void
+BwSeats_LogDeclined(const BwSupervisor *s, const BwPlace *place,
+                    const BwTaskOutcome *declined, uint32_t count)
+{
+    BwSeat seat = {.key.step = place->step, .run = 1};
+    uint32_t first = 0;
+
+    BwSpan_ToString(place->job, seat.key.job, sizeof(seat.key.job));
+    for (uint32_t i = 1; i <= count; i++) {
+        if (i < count && declined[i].reason == declined[first].reason)
+            continue;
+        seat.key.index = declined[first].index;
+        s->port->log(s->ctx, "decline", &seat, i - first,
+                     decline_reasons[declined[first].reason]);
+        first = i;
+    }
+}
+
 /* ------------------------------------------------------------- orders */
 
 static BwTaskOrder
@@ -282,14 +306,17 @@
 
 void
 BwSeats_End(BwSupervisor *s, uint64_t now_us, BwSeat *seat, uint32_t kind,
-            uint32_t reason)
+            uint32_t reason, const char *why)
 {
+    if (seat->state == BW_SEAT_STOPPING)
+        return;
     if (seat->state == BW_SEAT_QUEUED) {
+        if (kind != BW_OUTCOME_NOT_RUN)
+            s->port->log(s->ctx, "drop", seat, 1, why);
         BwSeats_Remove(s, now_us, seat, kind, reason);
         return;
     }
-    if (seat->state == BW_SEAT_STOPPING)
-        return;
+    s->port->log(s->ctx, "stop", seat, 1, why);
     seat->state = BW_SEAT_STOPPING;
     seat->outcome = kind;
     seat->reason = reason;
@@ -406,7 +433,7 @@
         note_unqueued(s, seat);
         BwRoom_Add(&s->used, &seat->room);
         seat->state = BW_SEAT_STARTING;
-        s->port->log(s->ctx, "start", seat, "room");
+        s->port->log(s->ctx, "start", seat, 1, "room");
         BwSeats_SendStart(s, now_us, seat);
     }
 }
@@ -420,7 +447,7 @@
     {
         if (!BwSeats_IsOnWorker(seat))
             continue;
-        s->port->log(s->ctx, "lost", seat, reason);
+        s->port->log(s->ctx, "lost", seat, 1, reason);
         BwSeats_Remove(s, now_us, seat, BW_OUTCOME_LOST, 0);
     }
 }
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -21,6 +21,7 @@
 
 #include <uthash.h>
 
+#include "control.h"
 #include "driver.h"
 
 #define BW_SUPERVISOR_TASKS_MAX 4096
@@ -97,8 +98,9 @@
     void (*start)(void *ctx, uint64_t number, const BwTaskOrder *order);
     void (*stop)(void *ctx, uint64_t number, const BwTaskOrder *order);
     void (*hold)(void *ctx, uint64_t number, const BwHoldOrder *order);
+    /* `count` tasks from that of the seat on. */
     void (*log)(void *ctx, const char *event, const BwSeat *seat,
-                const char *reason);
+                uint32_t count, const char *reason);
 } BwSupervisorPort;
 
 typedef struct BwSupervisorLimits {
@@ -166,11 +168,9 @@
     BwSupervisorPeer *peers;
     uint32_t queued_count;
     uint32_t queued_urgent; /* of priority 0 */
-    uint32_t pace_permille; /* run times of the last few tasks */
-    uint32_t failed_permille;
-    uint64_t
-        progress_us;     /* when a task was last seen to go on or to be done */
-    uint64_t suspect_us; /* pause after all stood still; 0: it is sound */
+    BwOutcomes outcomes;    /* of this instance */
+    uint64_t progress_us;   /* a task was last seen to go on or to be done */
+    uint64_t suspect_us;    /* pause after all stood still; 0: it is sound */
     uint64_t suspect_until_us;
     uint32_t orphan_count; /* seats whose dispatcher is gone */
     bool was_usable;       /* as last told */
--- a/tests/test_status.c
+++ b/tests/test_status.c
@@ -64,8 +64,10 @@
 }
 
 static void
-drop_seat(void *ctx, const char *event, const BwSeat *seat, const char *reason)
+drop_seat(void *ctx, const char *event, const BwSeat *seat, uint32_t count,
+          const char *reason)
 {
+    (void)count;
     (void)ctx;
     (void)event;
     (void)seat;
@@ -110,6 +112,7 @@
     BwWorkerLoad load = {.free = {1500, 600, 1},
                          .queued = 7,
                          .slow_permille = 2250,
+                         .ended = 40,
                          .failed_permille = 30};
     BwMessage state = {.kind = BW_MSG_WORKER};
     BwMessage session = {.kind = BW_MSG_SESSION};
