Tell dispatchers of each other when there is news

Cause: every dispatcher sent the list of all dispatchers to every connection once a second. Ruled out: the configuration, which goes to dispatchers alone and on change; sessions, which are 58 bytes six times a second. Change: the list goes in full to who connects, then what is new, at the next tick. An empty list is the heartbeat where nothing else was sent for a second. An entry that was lost (a dispatcher that one process could not reach for 30 s is forgotten there, and is no news elsewhere) comes back with a part of 32 names, told to one connection after the other each second. Connections are found by a hash by number, dispatchers by a hash by address.

--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -57,7 +57,7 @@
     message.u.config_state.text.base = role->config_text;
     message.u.config_state.text.size_bytes = role->config_bytes;
     if (link != NULL)
-        BwLink_Send(&link->link, &message);
+        BwMesh_Send(&role->node->mesh, link->id, &message);
     else
         BwMesh_TellDispatchers(&role->node->mesh, &message);
 }
--- a/packages/daemon/mesh.c
+++ b/packages/daemon/mesh.c
@@ -3,8 +3,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <utlist.h>
-
 #include "brasswing.h"
 #include "clock.h"
 #include "mesh.h"
@@ -14,7 +12,9 @@
 #define REDIAL_LAST_US 500000
 #define CONNECT_TIMEOUT_US 300000
 #define HELLO_TIMEOUT_US 1000000
-#define TELL_MEMBERS_US 1000000
+#define HEARTBEAT_US 1000000 /* where nothing else was sent */
+#define REPAIR_US 1000000
+#define REPAIR_MEMBERS 32 /* told again to one connection at a time */
 #define DISPATCHER_SILENCE_US 3500000
 #define MEMBER_KEPT_US 30000000
 
@@ -53,6 +53,13 @@
     end_link(inner->data);
 }
 
+static bool
+send_on(BwMeshLink *link, const BwMessage *message)
+{
+    link->sent_us = link->mesh->ticked_us;
+    return BwLink_Send(&link->link, message);
+}
+
 static void
 send_hello(BwMeshLink *link)
 {
@@ -60,7 +67,7 @@
 
     message.u.hello = link->mesh->hello;
     message.u.hello.clock_us = BwClock_Now();
-    BwLink_Send(&link->link, &message);
+    send_on(link, &message);
 }
 
 static void
@@ -73,27 +80,41 @@
         send_hello(link);
 }
 
-static void
-send_members(BwMeshLink *link)
+/* Sends up to `most` of the dispatchers with news after `told`, without the
+   first `skipped`.  Returns how many. */
+static uint32_t
+send_members(BwMeshLink *link, uint64_t told, uint32_t skipped, uint32_t most)
 {
     BwMessage message = {.kind = BW_MSG_MEMBERS};
     BwMember members[BW_MESH_MEMBERS_MAX];
     BwMeshMember *member;
     uint32_t count = 0;
 
-    DL_FOREACH(link->mesh->members, member)
-    {
-        if (count == BW_MESH_MEMBERS_MAX)
-            break;
-        if (!member->is_self && (member->link == NULL || !member->link->is_up))
+    for (member = link->mesh->members; member != NULL && count < most;
+         member = member->hh.next) {
+        if (member->news <= told ||
+            (!member->is_self &&
+             (member->link == NULL || !member->link->is_up)))
+            continue;
+        if (skipped > 0) {
+            skipped--;
             continue;
+        }
         members[count].name = BwSpan_FromString(member->name);
-        members[count].host = BwSpan_FromString(member->host);
-        members[count++].port = member->port;
+        members[count].host = BwSpan_FromString(member->address.host);
+        members[count++].port = member->address.port;
     }
     message.u.members.members = members;
     message.u.members.member_count = count;
-    BwLink_Send(&link->link, &message);
+    send_on(link, &message);
+    return count;
+}
+
+static void
+send_news(BwMeshLink *link)
+{
+    send_members(link, link->told, 0, BW_MESH_MEMBERS_MAX);
+    link->told = link->mesh->news;
 }
 
 static void
@@ -113,13 +134,14 @@
                         sizeof(link->member->name));
         link->member->failures = 0;
         link->member->is_self = hello->incarnation == mesh->hello.incarnation;
+        link->member->news = ++mesh->news;
     }
     else {
         send_hello(link);
         if (hello->role == BW_ROLE_DISPATCHER)
             BwMesh_AddMember(mesh, link->heard_us, hello->name,
                              hello->http_host, hello->http_port, false);
-        send_members(link);
+        send_news(link);
     }
     BW_LOG(mesh->logger, BW_LOG_INFO, "link_up",
            BW_LOG_TEXT("peer", link->name), BW_LOG_NUMBER("link", link->id));
@@ -165,7 +187,7 @@
     link->mesh = mesh;
     link->id = ++mesh->next_id;
     link->heard_us = BwClock_Now();
-    DL_APPEND(mesh->links, link);
+    HASH_ADD(hh, mesh->links, id, sizeof(link->id), link);
     return link;
 }
 
@@ -192,8 +214,8 @@
 dial(BwMesh *mesh, BwMeshMember *member)
 {
     struct sockaddr_storage address;
-    socklen_t length =
-        BwNet_Parse(member->host, (uint16_t)member->port, &address);
+    socklen_t length = BwNet_Parse(member->address.host,
+                                   (uint16_t)member->address.port, &address);
     BwMeshLink *link = length > 0 ? make_link(mesh) : NULL;
     BwLinkEnd end;
 
@@ -211,30 +233,27 @@
 BwMesh_AddMember(BwMesh *mesh, uint64_t now_us, BwSpan name, BwSpan host,
                  uint32_t port, bool is_seed)
 {
-    char text[BW_HOST_BYTES_MAX];
+    BwMeshAddress address;
     BwMeshMember *member;
 
-    BwSpan_ToString(host, text, sizeof(text));
-    DL_FOREACH(mesh->members, member)
-    {
-        if (member->port == port && strcmp(member->host, text) == 0)
-            return;
-    }
-    if (mesh->member_count == BW_MESH_MEMBERS_MAX)
+    memset(&address, 0, sizeof(address));
+    BwSpan_ToString(host, address.host, sizeof(address.host));
+    address.port = port;
+    HASH_FIND(hh, mesh->members, &address, sizeof(address), member);
+    if (member != NULL || HASH_COUNT(mesh->members) == BW_MESH_MEMBERS_MAX)
         return;
     member = calloc(1, sizeof(*member));
     if (member == NULL)
         return;
-    strcpy(member->host, text);
+    member->address = address;
     BwSpan_ToString(name, member->name, sizeof(member->name));
-    member->port = port;
     member->is_seed = is_seed;
     member->heard_us = now_us;
     member->is_self = mesh->listener != NULL &&
                       port == mesh->settings->peer.port &&
-                      strcmp(text, mesh->settings->peer.host) == 0;
-    DL_APPEND(mesh->members, member);
-    mesh->member_count++;
+                      strcmp(address.host, mesh->settings->peer.host) == 0;
+    member->news = member->is_self ? ++mesh->news : 0;
+    HASH_ADD(hh, mesh->members, address, sizeof(member->address), member);
 }
 
 void
@@ -246,29 +265,30 @@
                          settings->peers[i].port, true);
 }
 
+BwMeshLink *
+BwMesh_Find(const BwMesh *mesh, uint32_t id)
+{
+    BwMeshLink *link;
+
+    HASH_FIND(hh, mesh->links, &id, sizeof(id), link);
+    return link;
+}
+
 bool
 BwMesh_Send(BwMesh *mesh, uint32_t id, const BwMessage *message)
 {
-    BwMeshLink *link;
+    BwMeshLink *link = BwMesh_Find(mesh, id);
 
-    DL_FOREACH(mesh->links, link)
-    {
-        if (link->id == id && !link->is_over)
-            return BwLink_Send(&link->link, message);
-    }
-    return false;
+    return link != NULL && !link->is_over && send_on(link, message);
 }
 
 void
 BwMesh_TellDispatchers(BwMesh *mesh, const BwMessage *message)
 {
-    BwMeshLink *link;
-
-    DL_FOREACH(mesh->links, link)
-    {
+    for (BwMeshLink *link = mesh->links; link != NULL; link = link->hh.next) {
         if (link->is_up && link->member != NULL &&
             link->role == BW_ROLE_DISPATCHER)
-            BwLink_Send(&link->link, message);
+            send_on(link, message);
     }
 }
 
@@ -277,11 +297,11 @@
 {
     BwMeshLink *link, *next;
 
-    DL_FOREACH_SAFE(mesh->links, link, next)
+    HASH_ITER(hh, mesh->links, link, next)
     {
         if (!link->is_over)
             continue;
-        DL_DELETE(mesh->links, link);
+        HASH_DEL(mesh->links, link);
         free(link);
     }
 }
@@ -301,36 +321,64 @@
     return link->mesh->silence_us;
 }
 
+/* Dispatchers that dial each other tell on the connections they accepted. */
 static void
-tick_links(BwMesh *mesh, uint64_t now_us)
+tell_link(BwMeshLink *link, uint64_t now_us)
 {
-    bool tells =
-        now_us - mesh->told_us >= TELL_MEMBERS_US && mesh->listener != NULL;
-    BwMeshLink *link;
+    if (link->member == NULL && link->told < link->mesh->news)
+        send_news(link);
+    else if (now_us - link->sent_us >= HEARTBEAT_US)
+        send_members(link, UINT64_MAX, 0, 0);
+}
 
-    if (tells)
-        mesh->told_us = now_us;
-    DL_FOREACH(mesh->links, link)
-    {
+static void
+tick_links(BwMesh *mesh, uint64_t now_us)
+{
+    for (BwMeshLink *link = mesh->links; link != NULL; link = link->hh.next) {
         if (!link->is_over && now_us - link->heard_us > silence_us(link))
             end_link(link);
-        else if (tells && link->is_up)
-            send_members(link);
+        else if (link->is_up && mesh->listener != NULL)
+            tell_link(link, now_us);
     }
 }
 
+/* Who could not reach a dispatcher for long has forgotten it, and it is no
+   news: each second one connection after the other is told a part again. */
+static void
+repair_members(BwMesh *mesh, uint64_t now_us)
+{
+    BwMeshLink *next = NULL;
+    uint32_t count;
+
+    if (mesh->listener == NULL || now_us - mesh->repaired_us < REPAIR_US)
+        return;
+    mesh->repaired_us = now_us;
+    for (BwMeshLink *link = mesh->links; link != NULL; link = link->hh.next) {
+        if (!link->is_up || link->member != NULL)
+            continue;
+        if (next == NULL || link->id > mesh->repaired_id)
+            next = link;
+        if (next->id > mesh->repaired_id)
+            break;
+    }
+    if (next == NULL)
+        return;
+    mesh->repaired_id = next->id;
+    count = send_members(next, 0, next->retold, REPAIR_MEMBERS);
+    next->retold = count == REPAIR_MEMBERS ? next->retold + count : 0;
+}
+
 static void
 tick_members(BwMesh *mesh, uint64_t now_us)
 {
     BwMeshMember *member, *next;
 
-    DL_FOREACH_SAFE(mesh->members, member, next)
+    HASH_ITER(hh, mesh->members, member, next)
     {
         if (member->is_self || member->link != NULL)
             continue;
         if (!member->is_seed && now_us - member->heard_us > MEMBER_KEPT_US) {
-            DL_DELETE(mesh->members, member);
-            mesh->member_count--;
+            HASH_DEL(mesh->members, member);
             free(member);
             continue;
         }
@@ -342,7 +390,9 @@
 void
 BwMesh_Tick(BwMesh *mesh, uint64_t now_us)
 {
+    mesh->ticked_us = now_us;
     tick_links(mesh, now_us);
+    repair_members(mesh, now_us);
     reap_links(mesh);
     tick_members(mesh, now_us);
 }
@@ -380,6 +430,7 @@
         BwMesh_AddMember(mesh, BwClock_Now(), mesh->hello.name,
                          mesh->hello.http_host, port, true);
         mesh->members->is_self = true;
+        mesh->members->news = ++mesh->news;
     }
     BwMesh_AddSeeds(mesh, BwClock_Now(), settings);
     return true;
@@ -391,17 +442,16 @@
     BwMeshLink *link;
     BwMeshMember *member, *next;
 
-    DL_FOREACH(mesh->links, link)
-    {
+    for (link = mesh->links; link != NULL; link = link->hh.next) {
         link->is_up = false;
         end_link(link);
     }
     reap_links(mesh);
-    DL_FOREACH_SAFE(mesh->members, member, next)
+    HASH_ITER(hh, mesh->members, member, next)
     {
+        HASH_DEL(mesh->members, member);
         free(member);
     }
-    mesh->members = NULL;
     if (mesh->listener != NULL)
         h2o_socket_close(mesh->listener);
     mesh->listener = NULL;
--- a/packages/daemon/mesh.h
+++ b/packages/daemon/mesh.h
@@ -7,11 +7,18 @@
 
    A connection is named by a number that is never used again.  One that stays
    silent is closed: connections may go silent while new ones work.
+
+   Dispatchers tell those who dialled them all dispatchers that they reach, at
+   the start, and then only what is new.  Each second one connection after the
+   other is told a part again, so that a loss mends; an empty list is the
+   heartbeat where nothing else was sent.
 */
 
 #ifndef BW_MESH_H
 #define BW_MESH_H
 
+#include <uthash.h>
+
 #include "link.h"
 #include "log.h"
 #include "settings.h"
@@ -31,13 +38,20 @@
     bool is_up;                  /* the other side has said hello */
     bool is_over;
     uint64_t heard_us;
-    struct BwMeshLink *prev, *next;
+    uint64_t sent_us;
+    uint64_t told;   /* news of the mesh up to this one */
+    uint32_t retold; /* members, in this round of the repair */
+    UT_hash_handle hh;
 } BwMeshLink;
 
-/* A dispatcher that is known by its address. */
-typedef struct BwMeshMember {
+typedef struct BwMeshAddress {
     char host[BW_HOST_BYTES_MAX];
     uint32_t port;
+} BwMeshAddress;
+
+/* A dispatcher that is known by its address. */
+typedef struct BwMeshMember {
+    BwMeshAddress address;
     char name[BW_NAME_BYTES_MAX];
     bool is_seed;
     bool is_self;
@@ -45,7 +59,8 @@
     uint32_t failures;
     uint64_t redial_us;
     uint64_t heard_us; /* or when it was first told of */
-    struct BwMeshMember *prev, *next;
+    uint64_t news;     /* number of its last start; 0: it was not reached */
+    UT_hash_handle hh;
 } BwMeshMember;
 
 typedef struct BwMeshEvents {
@@ -64,11 +79,13 @@
     BwLinkCounters counters;
     BwLinkTls tls;
     h2o_socket_t *listener;
-    BwMeshLink *links;
-    BwMeshMember *members;
-    uint32_t member_count;
+    BwMeshLink *links;     /* hash by id */
+    BwMeshMember *members; /* hash by address */
     uint32_t next_id;
-    uint64_t told_us; /* when the members were last sent */
+    uint64_t news; /* number of the last change of the members */
+    uint64_t ticked_us;
+    uint64_t repaired_us;
+    uint32_t repaired_id;
     uint64_t silence_us;
 };
 
@@ -90,6 +107,10 @@
 void
 BwMesh_AddSeeds(BwMesh *mesh, uint64_t now_us, const BwSettings *settings);
 
+/* Returns the connection of that number, or NULL. */
+BwMeshLink *
+BwMesh_Find(const BwMesh *mesh, uint32_t id);
+
 /* Queues a message.  Returns false when the connection is gone. */
 bool
 BwMesh_Send(BwMesh *mesh, uint32_t id, const BwMessage *message);
--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -7,8 +7,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <utlist.h>
-
 #include "brasswing.h"
 #include "daemon.h"
 #include "node.h"
@@ -322,7 +320,6 @@
 static void
 add_names(json_t *peers, const BwMesh *mesh)
 {
-    const BwMeshLink *link;
     json_t *peer;
     size_t i;
 
@@ -330,11 +327,10 @@
     {
         json_int_t id = json_integer_value(json_object_get(peer, "link"));
 
-        DL_FOREACH(mesh->links, link)
-        {
-            if (link->id == id)
-                json_object_set_new(peer, "name", json_string(link->name));
-        }
+        const BwMeshLink *link = BwMesh_Find(mesh, (uint32_t)id);
+
+        if (link != NULL)
+            json_object_set_new(peer, "name", json_string(link->name));
     }
 }
 
--- /dev/null
+++ b/tests/test_mesh.c
@@ -0,0 +1,166 @@
+/* test_mesh.c -- how dispatchers and supervisors learn of dispatchers
+
+   Meshes of one process on one loop, over loopback.
+*/
+
+#include <glib.h>
+#include <string.h>
+
+#include "clock.h"
+#include "mesh.h"
+
+#define DISPATCHERS 8
+#define NODES (DISPATCHERS + 1) /* the last one is a supervisor */
+#define WAIT_US 30000000
+
+typedef struct Fixture {
+    h2o_loop_t *loop;
+    BwLogger logger;
+    BwSettings settings[NODES];
+    BwMesh meshes[NODES];
+    BwEndpoint seed;
+} Fixture;
+
+static void
+ignore_link(void *ctx, BwMeshLink *link)
+{
+    (void)ctx;
+    (void)link;
+}
+
+static void
+ignore_message(void *ctx, BwMeshLink *link, const BwMessage *message)
+{
+    (void)ctx;
+    (void)link;
+    (void)message;
+}
+
+static const BwMeshEvents events = {ignore_link, ignore_link, ignore_message};
+
+static void
+run(Fixture *f, uint64_t ahead_us)
+{
+    for (uint32_t i = 0; i < NODES; i++)
+        BwMesh_Tick(&f->meshes[i], BwClock_Now() + ahead_us);
+    for (uint32_t i = 0; i < 20; i++)
+        h2o_evloop_run(f->loop, 1);
+}
+
+static uint32_t
+count_reached(const BwMesh *mesh)
+{
+    uint32_t count = 0;
+
+    for (BwMeshMember *m = mesh->members; m != NULL; m = m->hh.next)
+        count += m->is_self || (m->link != NULL && m->link->is_up);
+    return count;
+}
+
+static bool
+is_whole(const Fixture *f)
+{
+    for (uint32_t i = 0; i < NODES; i++) {
+        if (count_reached(&f->meshes[i]) < DISPATCHERS)
+            return false;
+    }
+    return true;
+}
+
+static void
+wait_whole(Fixture *f)
+{
+    uint64_t give_up_us = BwClock_Now() + WAIT_US;
+
+    while (!is_whole(f)) {
+        g_assert_cmpuint(BwClock_Now(), <, give_up_us);
+        run(f, 0);
+    }
+}
+
+/* Everybody is given the first dispatcher alone. */
+static void
+set_up(Fixture *f)
+{
+    memset(f, 0, sizeof(*f));
+    f->loop = h2o_evloop_create();
+    f->logger.fd = 2;
+    f->logger.level = BW_LOG_ERROR;
+    f->logger.name = "test";
+    for (uint32_t i = 0; i < NODES; i++) {
+        BwSettings *settings = &f->settings[i];
+
+        settings->role =
+            i < DISPATCHERS ? BW_SETTINGS_DISPATCHER : BW_SETTINGS_SUPERVISOR;
+        snprintf(settings->name, sizeof(settings->name), "node-%u", i);
+        strcpy(settings->peer.host, "127.0.0.1");
+        settings->limits.session_ms = 60000;
+        settings->peers = &f->seed;
+        settings->peer_count = i > 0;
+        g_assert_true(BwMesh_Init(&f->meshes[i], f->loop, settings, &f->logger,
+                                  i + 1, &events, NULL));
+        if (i == 0) {
+            f->seed = settings->peer;
+            f->seed.port = (uint16_t)f->meshes[0].hello.http_port;
+        }
+    }
+    wait_whole(f);
+}
+
+static void
+tear_down(Fixture *f)
+{
+    for (uint32_t i = 0; i < NODES; i++)
+        BwMesh_Finish(&f->meshes[i]);
+    h2o_evloop_run(f->loop, 0);
+}
+
+/* Nothing is news: heartbeats alone, and a part of the list to one. */
+static void
+test_quiet(void)
+{
+    uint64_t before, after;
+    Fixture f;
+
+    set_up(&f);
+    run(&f, 1000000);
+    before = f.meshes[0].counters.bytes_sent;
+    run(&f, 2000000);
+    after = f.meshes[0].counters.bytes_sent;
+    g_assert_cmpuint(after, >, before);
+    g_assert_cmpuint(after - before, <, 50 * DISPATCHERS + 25 * NODES);
+    g_assert_true(is_whole(&f));
+    tear_down(&f);
+}
+
+/* One that forgot a dispatcher, which stayed up all the time, is told again,
+   by whichever dispatcher has it next. */
+static void
+test_forgotten(void)
+{
+    uint64_t give_up_us = BwClock_Now() + WAIT_US;
+    BwMeshMember *member;
+    Fixture f;
+
+    set_up(&f);
+    member = f.meshes[DISPATCHERS].members->hh.next;
+    member->link->member = NULL;
+    HASH_DEL(f.meshes[DISPATCHERS].members, member);
+    g_free(member);
+    while (!is_whole(&f)) {
+        g_assert_cmpuint(BwClock_Now(), <, give_up_us);
+        for (uint32_t i = 0; i < DISPATCHERS; i++)
+            f.meshes[i].repaired_us = 0;
+        run(&f, 0);
+    }
+    tear_down(&f);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/mesh/quiet", test_quiet);
+    g_test_add_func("/mesh/forgotten", test_forgotten);
+    return g_test_run();
+}
