Find a supervisor's view by a hash of its connection

Cause: each message of a supervisor looked for its view in a walk over all. Change: views are in a second hash, by connection, while they have one.

--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -446,6 +446,7 @@
         HASH_DELETE(by_name, d->names, job);
         free_job(job);
     }
+    HASH_CLEAR(by_peer, d->peers);
     HASH_ITER(hh, d->views, view, next_view)
     {
         HASH_DEL(d->views, view);
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -105,7 +105,8 @@
     uint64_t place_number;
     BwInFlight in_flight[BW_IN_FLIGHT_MAX];
     uint32_t in_flight_count;
-    UT_hash_handle hh;
+    UT_hash_handle hh; /* by name */
+    UT_hash_handle by_peer;
 } BwView;
 
 /* The run times of a route against the declared ones. */
@@ -158,6 +159,7 @@
     BwBoundJob *jobs;  /* hash by ref */
     BwBoundJob *names; /* hash by name */
     BwView *views;     /* hash by name */
+    BwView *peers;     /* the same by connection, while there is one */
     BwRoutePace *paces;
     uint64_t next_ref;
     uint64_t next_link;
--- a/packages/core/views.c
+++ b/packages/core/views.c
@@ -7,8 +7,7 @@
    run out, or when the supervisor says that none is left.  A worker that fails
    tasks in a row is ejected for a while, at most half of them at a time.  Run
    times are learnt for each route against the declared ones, and for each
-   worker against the others.  Finding the view of a message costs a walk over
-   all.
+   worker against the others.
 */
 
 #include <stdlib.h>
@@ -266,6 +265,7 @@
                        d->limits.lease_us * BW_LEASE_DRIFT_PERMILLE / 1000;
     BwBoundJob *job, *next;
 
+    HASH_DELETE(by_peer, d->peers, view);
     view->peer = 0;
     view->down_us = now_us;
     view->is_usable = false;
@@ -315,6 +315,7 @@
         lose_link(d, now_us, view);
     }
     view->peer = peer;
+    HASH_ADD(by_peer, d->peers, peer, sizeof(view->peer), view);
     view->link = ++d->next_link;
     view->place_number = 0;
     view->in_flight_count = 0;
@@ -327,11 +328,8 @@
 {
     BwView *view;
 
-    for (view = d->views; view != NULL; view = view->hh.next) {
-        if (view->peer == peer)
-            return view;
-    }
-    return NULL;
+    HASH_FIND(by_peer, d->peers, &peer, sizeof(peer), view);
+    return view;
 }
 
 void
