Renew sessions fast only where tasks are

Cause: a supervisor renewed a session with every dispatcher three times in 500 ms, tasks or none: 6 messages a second each way for each pair. Ruled out: asking for the session at the first PLACE, one more round trip on the path of a task; a longer session, which lengthens the chain of leases. Change: without tasks, and 2 s after the last PLACE, the supervisor asks once in two sessions, or at the old pace when the use of its worker changed by a quarter since the dispatcher was told. The session lapses in between. A PLACE renews it: it carries the supervisor's clock as last heard, plus what went by since, less the drift of the leases, and counts as the dispatcher's answer at that moment; one that was under way for longer than a session is declined as before. A message says when the next comes, and a connection is over when that is overdue by a session, or when tasks sent there are not answered in one. The wire's version is 2: PLACE and SESSION have a field more.

--- a/packages/adapters/wire.c
+++ b/packages/adapters/wire.c
@@ -334,6 +334,7 @@
     U32(BwPlace, step),
     U32(BwPlace, priority),
     U32(BwPlace, spread_max),
+    U64(BwPlace, asked_us),
     U64(BwPlace, wait_us),
     U64(BwPlace, expected_us),
     U64(BwPlace, due_in_us),
@@ -357,6 +358,7 @@
 };
 static const Field session_fields[] = {
     U64(BwSession, asked_us),
+    U64(BwSession, next_us),
     LIST(BwSession, load, load_count, load_account_layout),
 };
 static const Field member_fields[] = {
--- a/packages/core/boundplace.c
+++ b/packages/core/boundplace.c
@@ -187,6 +187,15 @@
     return BwViews_ExpectedUs(d, job->route, job->steps[step].declared_us);
 }
 
+/* Returns the supervisor's clock, at most: a PLACE renews the session as if it
+   had been asked for now, since without tasks it is asked for rarely. */
+static uint64_t
+supervisor_clock(const BwView *view, uint64_t now_us)
+{
+    return view->clock_us +
+           (now_us - view->asked_us) * 1000 / BW_LEASE_DRIFT_PERMILLE;
+}
+
 /* Sends the pieces of a step that were assigned to the view and not sent. */
 static void
 send_place(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, BwView *view,
@@ -225,6 +234,8 @@
     place->step = step_index;
     place->priority = job->priority;
     place->spread_max = step->spread_max;
+    place->asked_us = supervisor_clock(view, now_us);
+    view->answered_us = now_us;
     place->expected_us = run_us;
     place->due_in_us = clip(BwBoundPlace_LimitOf(job), now_us + run_us);
     place->deadline_in_us = clip(job->deadline_us, now_us);
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -98,7 +98,9 @@
     uint32_t failed_in_row;
     uint64_t ejected_until_us;
     bool is_usable;
-    uint64_t answered_us; /* the last session */
+    uint64_t answered_us; /* when the session was last renewed */
+    uint64_t clock_us;    /* the supervisor's, when it asked last */
+    uint64_t asked_us;    /* when that was read here */
     uint64_t down_us;     /* when the last connection ended */
     uint64_t gone_us;     /* what it ran is over then; 0 while connected */
     uint32_t there;       /* tasks of the step that is being assigned */
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -4,7 +4,10 @@
    and its load with every answer.  It places tasks while its session lasts;
    those are checked against the worker and queued in the account of seats.c.
    A session that lapses ends the dispatcher's tasks, since another may start
-   them then.  The worker's side is in workerlink.c.
+   them then.  A dispatcher that has and sends no tasks is asked and told once
+   in two sessions, or when the use of the worker changes by a quarter: what a
+   supervisor spends follows its tasks, not the number of dispatchers.  The
+   worker's side is in workerlink.c.
 */
 
 #include <stdlib.h>
@@ -15,10 +18,31 @@
 #include "seats.h"
 
 #define SESSION_RENEWALS 3 /* in the time of a session */
+#define IDLE_SESSIONS 2    /* between two renewals without tasks */
+#define ACTIVE_US 2000000  /* after a PLACE */
+#define LEVELS 4           /* of use */
 #define DOUBT_US 50000     /* until an unanswered start is stopped unseen */
 
 /* -------------------------------------------------------- dispatchers */
 
+/* How far the worker is in use, as far as that matters to who sends nothing:
+   in quarters, and one more when tasks wait. */
+static uint32_t
+use_level(const BwSupervisor *s)
+{
+    uint64_t used[] = {s->used.cpu_milli, s->used.mem_mb, s->used.gpu};
+    uint64_t all[] = {s->capacity.cpu_milli, s->capacity.mem_mb,
+                      s->capacity.gpu};
+    uint64_t level = 0;
+
+    for (size_t i = 0; i < sizeof(all) / sizeof(all[0]); i++) {
+        uint64_t own = all[i] > 0 ? used[i] * LEVELS / all[i] : 0;
+
+        level = own > level ? own : level;
+    }
+    return (uint32_t)level + (s->queued_count > 0);
+}
+
 static void
 tell_state(BwSupervisor *s, BwSupervisorPeer *peer, uint64_t now_us)
 {
@@ -40,6 +64,7 @@
     state->load = &load;
     state->load_count = 1;
     peer->was_clear = state->is_clear != 0;
+    peer->told_level = use_level(s);
     s->port->send(s->ctx, peer->peer, &message);
 }
 
@@ -112,6 +137,15 @@
     BwSeats_StartQueued(s, now_us);
 }
 
+static void
+renew(const BwSupervisor *s, BwSupervisorPeer *peer, uint64_t asked_us)
+{
+    uint64_t until_us = asked_us + s->limits.session_us;
+
+    if (asked_us != 0 && until_us > peer->valid_until_us)
+        peer->valid_until_us = until_us;
+}
+
 static uint32_t
 count_spread(const BwSupervisor *s, BwSpan job, uint32_t step)
 {
@@ -154,6 +188,8 @@
     uint32_t spread = 0, count = 0;
 
     peer->place_seen = place->number;
+    peer->placed_us = now_us;
+    renew(s, peer, place->asked_us < now_us ? place->asked_us : now_us);
     if (text == NULL || declined == NULL)
         goto cleanup;
     text->references = 1;
@@ -206,16 +242,13 @@
                        const BwMessage *message)
 {
     BwSupervisorPeer *peer;
-    uint64_t until_us;
 
     HASH_FIND(hh, s->peers, &peer_id, sizeof(peer_id), peer);
     if (peer == NULL)
         return;
     switch (message->kind) {
     case BW_MSG_SESSION:
-        until_us = message->u.session.asked_us + s->limits.session_us;
-        if (until_us > peer->valid_until_us)
-            peer->valid_until_us = until_us;
+        renew(s, peer, message->u.session.asked_us);
         break;
     case BW_MSG_PLACE:
         on_place(s, now_us, peer, &message->u.place);
@@ -230,25 +263,46 @@
 
 /* --------------------------------------------------------------- time */
 
+/* Returns how long the dispatcher may wait from one renewal to the next. */
+static uint64_t
+renewal_us(const BwSupervisor *s, const BwSupervisorPeer *peer,
+           uint64_t now_us)
+{
+    if (peer->seat_count > 0 || now_us - peer->placed_us < ACTIVE_US)
+        return s->limits.session_us / SESSION_RENEWALS;
+    return s->limits.session_us * IDLE_SESSIONS;
+}
+
+static void
+ask_session(BwSupervisor *s, BwSupervisorPeer *peer, uint64_t now_us)
+{
+    BwMessage message = {.kind = BW_MSG_SESSION};
+    BwWorkerLoad load = BwSeats_MakeLoad(s, peer, now_us);
+
+    peer->asked_us = now_us;
+    peer->told_level = use_level(s);
+    message.u.session.asked_us = now_us;
+    message.u.session.next_us = renewal_us(s, peer, now_us);
+    message.u.session.load = &load;
+    message.u.session.load_count = 1;
+    s->port->send(s->ctx, peer->peer, &message);
+}
+
 static void
 tick_sessions(BwSupervisor *s, uint64_t now_us)
 {
     BwSupervisorPeer *peer, *next;
     bool is_clear = s->phase == BW_WORKER_READY && s->orphan_count == 0;
+    uint32_t level = use_level(s);
 
     HASH_ITER(hh, s->peers, peer, next)
     {
-        if (now_us - peer->asked_us >=
-            s->limits.session_us / SESSION_RENEWALS) {
-            BwMessage message = {.kind = BW_MSG_SESSION};
-            BwWorkerLoad load = BwSeats_MakeLoad(s, peer, now_us);
-
-            peer->asked_us = now_us;
-            message.u.session.asked_us = now_us;
-            message.u.session.load = &load;
-            message.u.session.load_count = 1;
-            s->port->send(s->ctx, peer->peer, &message);
-        }
+        uint64_t wait_us = level != peer->told_level
+                               ? s->limits.session_us / SESSION_RENEWALS
+                               : renewal_us(s, peer, now_us);
+
+        if (now_us - peer->asked_us >= wait_us)
+            ask_session(s, peer, now_us);
         if (now_us >= peer->valid_until_us && peer->seat_count > 0)
             end_peer_seats(s, now_us, peer->peer);
         if (is_clear && !peer->was_clear)
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -7,7 +7,9 @@
 
    The worker's lease: everything there ends unless the supervisor renews the
    time.  Sessions: tasks of a dispatcher run while its session lasts; the
-   supervisor renews it and counts from before it asked.
+   supervisor renews it and counts from before it asked.  A dispatcher without
+   tasks here is asked rarely, which lets its session lapse; its PLACE renews
+   it, counted from what the dispatcher knows of this clock.
 
    An order without an answer may be carried out later.  A start is followed
    by a stop of the same run, which the worker remembers; only then is the
@@ -84,9 +86,11 @@
     uint32_t peer;
     uint64_t valid_until_us;
     uint64_t asked_us;
+    uint64_t placed_us; /* the last PLACE */
     uint64_t place_seen;
     uint32_t seat_count;
-    bool was_clear; /* as last told */
+    uint32_t told_level; /* of use, in the last account */
+    bool was_clear;      /* as last told */
     UT_hash_handle hh;
 } BwSupervisorPeer;
 
--- a/packages/core/views.c
+++ b/packages/core/views.c
@@ -321,6 +321,7 @@
     view->in_flight_count = 0;
     view->is_usable = false;
     view->answered_us = 0;
+    view->clock_us = 0;
 }
 
 static BwView *
@@ -419,7 +420,10 @@
         if (message->u.session.load_count > 0)
             take_load(view, message->u.session.load);
         view->answered_us = now_us;
+        view->clock_us = message->u.session.asked_us;
+        view->asked_us = now_us;
         answer.u.session.asked_us = message->u.session.asked_us;
+        answer.u.session.next_us = message->u.session.next_us;
         d->port->send(d->ctx, peer, &answer);
         break;
     default:
--- a/packages/daemon/mesh.c
+++ b/packages/daemon/mesh.c
@@ -53,10 +53,38 @@
     end_link(inner->data);
 }
 
+/* Something must be heard in the time of a silence, or in what the other side
+   has announced beyond. */
+static void
+note_heard(BwMeshLink *link, const BwMessage *message)
+{
+    uint64_t due_us = link->heard_us + link->mesh->silence_us;
+
+    if (message->kind == BW_MSG_SESSION)
+        due_us += message->u.session.next_us;
+    if (due_us > link->due_us)
+        link->due_us = due_us;
+}
+
+static bool
+is_answered(const BwMesh *mesh, const BwMessage *message)
+{
+    return message->kind == BW_MSG_PLACE ||
+           (message->kind == BW_MSG_SESSION && mesh->listener == NULL);
+}
+
 static bool
 send_on(BwMeshLink *link, const BwMessage *message)
 {
-    link->sent_us = link->mesh->ticked_us;
+    BwMesh *mesh = link->mesh;
+
+    link->sent_us = mesh->ticked_us;
+    if (is_answered(mesh, message)) {
+        uint64_t answer_us = BwClock_Now() + mesh->silence_us;
+
+        if (answer_us < link->due_us)
+            link->due_us = answer_us;
+    }
     return BwLink_Send(&link->link, message);
 }
 
@@ -163,6 +191,7 @@
     BwMeshLink *link = inner->data;
 
     link->heard_us = BwClock_Now();
+    note_heard(link, message);
     if (link->member != NULL)
         link->member->heard_us = link->heard_us;
     if (message->kind == BW_MSG_HELLO)
@@ -306,19 +335,19 @@
     }
 }
 
-/* How long nothing may be heard of a connection.  A host that was down drops
-   the first packet of a connection, and the system sends it again only after
-   a second: dialling again is faster. */
+/* Until when something must be heard of a connection.  A host that was down
+   drops the first packet of a connection, and the system sends it again only
+   after a second: dialling again is faster. */
 static uint64_t
-silence_us(const BwMeshLink *link)
+due_us(const BwMeshLink *link)
 {
     if (!link->link.is_open)
-        return CONNECT_TIMEOUT_US;
+        return link->heard_us + CONNECT_TIMEOUT_US;
     if (!link->is_up)
-        return HELLO_TIMEOUT_US;
+        return link->heard_us + HELLO_TIMEOUT_US;
     if (link->mesh->listener != NULL && link->role == BW_ROLE_DISPATCHER)
-        return DISPATCHER_SILENCE_US;
-    return link->mesh->silence_us;
+        return link->heard_us + DISPATCHER_SILENCE_US;
+    return link->due_us;
 }
 
 /* Dispatchers that dial each other tell on the connections they accepted. */
@@ -335,7 +364,7 @@
 tick_links(BwMesh *mesh, uint64_t now_us)
 {
     for (BwMeshLink *link = mesh->links; link != NULL; link = link->hh.next) {
-        if (!link->is_over && now_us - link->heard_us > silence_us(link))
+        if (!link->is_over && now_us > due_us(link))
             end_link(link);
         else if (link->is_up && mesh->listener != NULL)
             tell_link(link, now_us);
--- a/packages/daemon/mesh.h
+++ b/packages/daemon/mesh.h
@@ -38,6 +38,8 @@
     bool is_up;                  /* the other side has said hello */
     bool is_over;
     uint64_t heard_us;
+    uint64_t due_us; /* between supervisor and dispatcher: it is over when
+                        nothing was heard by then */
     uint64_t sent_us;
     uint64_t told;   /* news of the mesh up to this one */
     uint32_t retold; /* members, in this round of the repair */
--- a/packages/ports/messages.h
+++ b/packages/ports/messages.h
@@ -16,7 +16,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define BW_WIRE_VERSION 1
+#define BW_WIRE_VERSION 2
 #define BW_NAME_BYTES_MAX 64
 #define BW_JOB_TASKS_MAX 1700
 #define BW_FRAME_BYTES_MAX (32u * 1024 * 1024)
@@ -501,6 +501,8 @@
     uint32_t step;
     uint32_t priority;
     uint32_t spread_max; /* tasks of the step there; 0: no bound */
+    uint64_t asked_us;   /* the supervisor's clock now, or a little before: the
+                            session is renewed from then; 0: it is not */
     uint64_t wait_us;    /* decline what finds no room for so long */
     uint64_t expected_us;
     uint64_t due_in_us;
@@ -540,9 +542,11 @@
 
 /* Supervisor to dispatcher, and back with the same asked_us: the supervisor
    runs the dispatcher's tasks for BwLimits.session_ms from asked_us, which is
-   on the supervisor's clock. */
+   on the supervisor's clock.  Until it asks next, unless something changes,
+   both may stay silent. */
 typedef struct BwSession {
     uint64_t asked_us;
+    uint64_t next_us;   /* until then */
     BwWorkerLoad *load; /* one, towards the dispatcher */
     uint32_t load_count;
 } BwSession;
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -186,6 +186,53 @@
     World_Finish(&w);
 }
 
+/* Without tasks the session is renewed rarely and lapses; a PLACE renews it
+   and is carried out at once, unless it was under way for too long. */
+static void
+test_idle_session(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), task;
+
+    World_Run(&w, 5000000);
+    World_FindPeer(&w, peer)->asks = 0;
+    World_Run(&w, 10000000);
+    g_assert_cmpuint(World_FindPeer(&w, peer)->asks, <=, 10);
+    g_assert_cmpuint(World_FindPeer(&w, peer)->asks, >=, 9);
+    for (uint32_t i = 0; w.now_us < w.supervisor.peers->valid_until_us; i++) {
+        g_assert_cmpuint(i, <, SESSION_US / STEP_US);
+        World_Run(&w, STEP_US);
+    }
+    task = World_Place(&w, peer, &(Order){.job = "a"});
+    World_Run(&w, STEP_US);
+    g_assert_cmpuint(w.worker.running->len, ==, 1);
+    World_FindPeer(&w, peer)->asks = 0;
+    World_Run(&w, 10000000);
+    g_assert_cmpuint(World_FindPeer(&w, peer)->asks, >=, 55);
+    World_AssertKind(&w, task, 0);
+    World_StopJob(&w, peer, World_FindPlacement(&w, task)->ref);
+    World_Run(&w, 5000000);
+    World_FindPeer(&w, peer)->clock_us -= 2 * SESSION_US;
+    World_AssertDeclined(&w, World_Place(&w, peer, &(Order){.job = "b"}),
+                         BW_DECLINE_NO_SESSION);
+    World_Finish(&w);
+}
+
+/* A dispatcher without tasks hears soon that others fill the worker. */
+static void
+test_idle_account(void)
+{
+    World w;
+    uint32_t busy = World_Open(&w), idle = World_OpenPeer(&w);
+
+    World_Run(&w, 5000000);
+    World_FindPeer(&w, idle)->asks = 0;
+    World_Place(&w, busy, &(Order){.job = "a", .count = 4});
+    World_Run(&w, SESSION_US / 3 + 2 * STEP_US);
+    g_assert_cmpuint(World_FindPeer(&w, idle)->asks, ==, 1);
+    World_Finish(&w);
+}
+
 /* The worker falls silent: its lease ends, and only then is anything
    reported. */
 static void
@@ -1004,6 +1051,8 @@
     g_test_add_func("/supervisor/clear_again", test_clear_again);
     g_test_add_func("/supervisor/session_lapses", test_session_lapses);
     g_test_add_func("/supervisor/no_session", test_no_session);
+    g_test_add_func("/supervisor/idle_session", test_idle_session);
+    g_test_add_func("/supervisor/idle_account", test_idle_account);
     g_test_add_func("/supervisor/lease_lapses", test_lease_lapses);
     g_test_add_func("/supervisor/slow_clock", test_slow_clock);
     g_test_add_func("/supervisor/restart", test_restart);
