Announce a configuration and send its text to who asks

Cause: each dispatcher that put a configuration into force sent the whole text to every other, and again on each new connection: at D dispatchers D x D texts for a change that all of them read at the store at the same time. Supervisors are sent none. Who still lacks it after 50 ms, when the store has mostly told as well, asks the one that announced it first, and if that gave no text in 300 ms all of them, once. Tests: those where a dispatcher that the store turns away, in four manners, has each change from the other one, and those that start while the store is down, go by this path; that no text goes to who has it is not tested apart.

--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -2,7 +2,9 @@
 
    Owns the callers' connections and joins them to the decisions of
    dispatcher.h.  The configuration comes from the store and from other
-   dispatchers, whichever is newer.
+   dispatchers, whichever is newer.  Dispatchers announce the revision that
+   they have to each other; the text is asked for by who still lacks it a
+   moment later, first of the one that announced it, then of all.
 */
 
 #include <stdio.h>
@@ -24,6 +26,8 @@
 #define DEFAULT_DEADLINE_US 30000000
 #define DEADLINE_MAX_US 600000000
 #define STATE_BYTES 64
+#define ASK_PAUSE_US 50000 /* until the store has mostly told as well */
+#define ASK_ANSWER_US 300000
 
 typedef struct Role {
     BwNode *node;
@@ -34,6 +38,9 @@
     BwRoutes routes;
     char *config_text;
     uint32_t config_bytes;
+    uint64_t offered; /* newest revision that was announced */
+    uint32_t offerer; /* connection that announced it first; 0: was asked */
+    uint64_t ask_us;  /* when the text is asked for; 0: it is not */
     bool is_front_closed;
 } Role;
 
@@ -45,21 +52,59 @@
 
 /* ------------------------------------------------------ configuration */
 
-static void
-tell_config(Role *role, BwMeshLink *link)
+static BwMessage
+make_announcement(const Role *role)
 {
     BwMessage message = {.kind = BW_MSG_CONFIG_STATE};
 
-    if (role->config_text == NULL)
-        return;
     message.u.config_state.revision = role->routes.revision;
     message.u.config_state.publish_id = BwSpan_FromString("");
+    message.u.config_state.text = BwSpan_FromString("");
+    return message;
+}
+
+static void
+send_config(Role *role, uint32_t link, uint64_t known)
+{
+    BwMessage message = make_announcement(role);
+
+    if (role->routes.revision <= known)
+        return;
     message.u.config_state.text.base = role->config_text;
     message.u.config_state.text.size_bytes = role->config_bytes;
-    if (link != NULL)
-        BwMesh_Send(&role->node->mesh, link->id, &message);
-    else
-        BwMesh_TellDispatchers(&role->node->mesh, &message);
+    BwMesh_Send(&role->node->mesh, link, &message);
+}
+
+static void
+note_offer(Role *role, uint32_t link, uint64_t revision)
+{
+    if (revision <= role->routes.revision || revision <= role->offered)
+        return;
+    role->offered = revision;
+    role->offerer = link;
+    role->ask_us = BwClock_Now() + ASK_PAUSE_US;
+}
+
+/* The one that announced it may be gone: then all are asked, once. */
+static void
+ask_config(Role *role, uint64_t now_us)
+{
+    BwMesh *mesh = &role->node->mesh;
+    BwMessage message = {.kind = BW_MSG_CONFIG_ASK};
+
+    if (role->ask_us == 0 || now_us < role->ask_us)
+        return;
+    role->ask_us = 0;
+    if (role->offered <= role->routes.revision)
+        return;
+    message.u.config_ask.revision = role->routes.revision;
+    if (role->offerer != 0 && BwMesh_Send(mesh, role->offerer, &message)) {
+        role->offerer = 0;
+        role->ask_us = now_us + ASK_ANSWER_US;
+        return;
+    }
+    role->offered = role->routes.revision;
+    BwMesh_TellDispatchers(mesh, &message);
 }
 
 /* Puts a configuration into force if it is newer. */
@@ -71,6 +116,7 @@
     const char *fault = "";
     BwRouteRows rows;
     BwRoutes routes;
+    BwMessage message;
     char *copy;
 
     if (!driver->read_routes(text, &rows, &fault)) {
@@ -96,7 +142,8 @@
     BwDispatcher_KeepRoutes(&role->dispatcher, &role->routes);
     BW_LOG(&role->node->logger, BW_LOG_INFO, "config_in_force",
            BW_LOG_NUMBER("revision", routes.revision));
-    tell_config(role, NULL);
+    message = make_announcement(role);
+    BwMesh_TellDispatchers(&role->node->mesh, &message);
 }
 
 static void
@@ -378,12 +425,13 @@
 on_up(void *ctx, BwMeshLink *link)
 {
     Role *role = ctx;
+    BwMessage message = make_announcement(role);
 
     if (link->role == BW_ROLE_SUPERVISOR)
         BwDispatcher_PeerUp(&role->dispatcher, BwClock_Now(), link->id,
                             BwSpan_FromString(link->name));
-    else if (link->member != NULL)
-        tell_config(role, link);
+    else if (link->member != NULL && role->routes.revision > 0)
+        BwMesh_Send(&role->node->mesh, link->id, &message);
 }
 
 static void
@@ -400,13 +448,21 @@
 {
     Role *role = ctx;
 
-    if (message->kind == BW_MSG_CONFIG_STATE) {
-        if (message->u.config_state.revision > role->routes.revision)
-            take_config(role, message->u.config_state.text);
-        return;
+    if (message->kind == BW_MSG_CONFIG_ASK) {
+        send_config(role, link->id, message->u.config_ask.revision);
+    }
+    else if (message->kind == BW_MSG_CONFIG_STATE) {
+        const BwConfigState *state = &message->u.config_state;
+
+        if (state->text.size_bytes == 0)
+            note_offer(role, link->id, state->revision);
+        else if (state->revision > role->routes.revision)
+            take_config(role, state->text);
+    }
+    else {
+        BwDispatcher_OnMessage(&role->dispatcher, BwClock_Now(), link->id,
+                               message);
     }
-    BwDispatcher_OnMessage(&role->dispatcher, BwClock_Now(), link->id,
-                           message);
 }
 
 static const BwMeshEvents mesh_events = {on_up, on_down, on_received};
@@ -475,6 +531,7 @@
     Role *role = node->role;
 
     BwStoreReader_Tick(&role->store, now_us);
+    ask_config(role, now_us);
     BwDispatcher_Tick(&role->dispatcher, now_us);
     if (node->is_stopping && !role->is_front_closed &&
         now_us - node->stopping_us >= UNREADY_US) {
--- a/packages/ports/messages.h
+++ b/packages/ports/messages.h
@@ -424,7 +424,8 @@
     uint32_t cover_count;
 } BwHandOverEnd;
 
-/* Newcomer to agent: send the configuration in force. */
+/* Newcomer to agent, dispatcher to dispatcher: send the configuration in
+   force. */
 typedef struct BwConfigAsk {
     uint64_t revision;   /* that it has; 0 for none */
     uint32_t wants_ring; /* answer with a BwRingState first */
@@ -445,7 +446,8 @@
     uint32_t member_count;
 } BwRingState;
 
-/* The state of a reader of the log, see BwRevision_Adopt. */
+/* The state of a reader of the log, see BwRevision_Adopt.  Between dispatchers
+   one without text announces its revision. */
 typedef struct BwConfigState {
     uint64_t revision;
     uint64_t set_at;
