Renew quiet sessions the more rarely the more dispatchers there are

Change: beyond 16 dispatchers the renewals without tasks are as much further apart, 4 s at most, so a supervisor sends 16 to 20 a second whatever their number. Conclusion: a supervisor's processor time and bytes no longer grow with the fleet, a dispatcher's bytes neither. The price is that the silence of a worker without tasks is noticed up to 4.5 s late, or half a second after the first task that is sent there.

--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -5,9 +5,11 @@
    those are checked against the worker and queued in the account of seats.c.
    A session that lapses ends the dispatcher's tasks, since another may start
    them then.  A dispatcher that has and sends no tasks is asked and told once
-   in two sessions, or when the use of the worker changes by a quarter: what a
-   supervisor spends follows its tasks, not the number of dispatchers.  The
-   worker's side is in workerlink.c.
+   in two sessions or more, with 16 such dispatchers in that time, and when the
+   use of the worker changes by a quarter: what a supervisor spends follows its
+   tasks, not the number of dispatchers.  The price is that the silence of a
+   worker without tasks is noticed later.  The worker's side is in
+   workerlink.c.
 */
 
 #include <stdlib.h>
@@ -19,9 +21,11 @@
 
 #define SESSION_RENEWALS 3 /* in the time of a session */
 #define IDLE_SESSIONS 2    /* between two renewals without tasks */
-#define ACTIVE_US 2000000  /* after a PLACE */
-#define LEVELS 4           /* of use */
-#define DOUBT_US 50000     /* until an unanswered start is stopped unseen */
+#define IDLE_SESSIONS_MAX 8
+#define IDLE_PEERS 16     /* beyond, renewals are as much further apart */
+#define ACTIVE_US 2000000 /* after a PLACE */
+#define LEVELS 4          /* of use */
+#define DOUBT_US 50000    /* until an unanswered start is stopped unseen */
 
 /* -------------------------------------------------------- dispatchers */
 
@@ -268,9 +272,16 @@
 renewal_us(const BwSupervisor *s, const BwSupervisorPeer *peer,
            uint64_t now_us)
 {
+    uint64_t idle_us = s->limits.session_us * IDLE_SESSIONS;
+    uint64_t peers = HASH_COUNT(s->peers);
+
     if (peer->seat_count > 0 || now_us - peer->placed_us < ACTIVE_US)
         return s->limits.session_us / SESSION_RENEWALS;
-    return s->limits.session_us * IDLE_SESSIONS;
+    if (peers > IDLE_PEERS)
+        idle_us = idle_us * peers / IDLE_PEERS;
+    return idle_us < s->limits.session_us * IDLE_SESSIONS_MAX
+               ? idle_us
+               : s->limits.session_us * IDLE_SESSIONS_MAX;
 }
 
 static void
@@ -280,9 +291,10 @@
     BwWorkerLoad load = BwSeats_MakeLoad(s, peer, now_us);
 
     peer->asked_us = now_us;
+    peer->ask_us = now_us + renewal_us(s, peer, now_us);
     peer->told_level = use_level(s);
     message.u.session.asked_us = now_us;
-    message.u.session.next_us = renewal_us(s, peer, now_us);
+    message.u.session.next_us = peer->ask_us - now_us;
     message.u.session.load = &load;
     message.u.session.load_count = 1;
     s->port->send(s->ctx, peer->peer, &message);
@@ -301,7 +313,7 @@
                                ? s->limits.session_us / SESSION_RENEWALS
                                : renewal_us(s, peer, now_us);
 
-        if (now_us - peer->asked_us >= wait_us)
+        if (now_us >= peer->ask_us || now_us - peer->asked_us >= wait_us)
             ask_session(s, peer, now_us);
         if (now_us >= peer->valid_until_us && peer->seat_count > 0)
             end_peer_seats(s, now_us, peer->peer);
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -86,6 +86,7 @@
     uint32_t peer;
     uint64_t valid_until_us;
     uint64_t asked_us;
+    uint64_t ask_us;    /* when it was told to expect the next ask */
     uint64_t placed_us; /* the last PLACE */
     uint64_t place_seen;
     uint32_t seat_count;
--- a/tests/supervisor_world.c
+++ b/tests/supervisor_world.c
@@ -501,6 +501,9 @@
             on_clear(w);
         break;
     case BW_MSG_SESSION:
+        if (peer->next_us != 0)
+            g_assert_cmpuint(w->now_us, <=, peer->next_us + STEP_US);
+        peer->next_us = w->now_us + message->u.session.next_us;
         peer->asks++;
         if (peer->is_mute)
             break;
--- a/tests/supervisor_world.h
+++ b/tests/supervisor_world.h
@@ -140,6 +140,7 @@
     uint64_t clock_us; /* the supervisor's, as last read, and when */
     uint64_t read_us;
     uint32_t asks;
+    uint64_t next_us; /* when it was told to expect the next one */
     uint64_t valid_until_us;
     uint64_t ended_us; /* of the connection */
 } Peer;
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -218,6 +218,36 @@
     World_Finish(&w);
 }
 
+/* With many dispatchers each of them is asked more rarely, to a bound.  Those
+   that connect later change nothing of what the others were told. */
+static void
+test_many_idle(void)
+{
+    const uint32_t counts[] = {16, 48, 200};
+    const uint32_t most[] = {16 * 10, 17 * 10, 51 * 10};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
+        World w;
+        uint32_t asks = 0;
+
+        World_Open(&w);
+        while (w.peers->len < counts[i])
+            World_OpenPeer(&w);
+        World_Run(&w, 10000000);
+        for (uint32_t j = 1; j <= counts[i]; j++)
+            World_FindPeer(&w, j)->asks = 0;
+        World_Run(&w, 10000000);
+        for (uint32_t j = 1; j <= counts[i]; j++)
+            asks += World_FindPeer(&w, j)->asks;
+        g_assert_cmpuint(asks, <=, most[i]);
+        g_assert_cmpuint(asks, >=, 2 * counts[i]);
+        while (w.peers->len < 400)
+            World_OpenPeer(&w);
+        World_Run(&w, 10000000);
+        World_Finish(&w);
+    }
+}
+
 /* A dispatcher without tasks hears soon that others fill the worker. */
 static void
 test_idle_account(void)
@@ -1053,6 +1083,7 @@
     g_test_add_func("/supervisor/no_session", test_no_session);
     g_test_add_func("/supervisor/idle_session", test_idle_session);
     g_test_add_func("/supervisor/idle_account", test_idle_account);
+    g_test_add_func("/supervisor/many_idle", test_many_idle);
     g_test_add_func("/supervisor/lease_lapses", test_lease_lapses);
     g_test_add_func("/supervisor/slow_clock", test_slow_clock);
     g_test_add_func("/supervisor/restart", test_restart);
