--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -97,14 +97,17 @@
     uint32_t slow_permille; /* as told */
     BwHealth health;
     bool is_usable;
-    uint64_t answered_us; /* the last session */
+    uint64_t answered_us; /* when the session was last renewed */
+    uint64_t clock_us;    /* the supervisor's, when it asked last */
+    uint64_t asked_us;    /* when that was read here */
     uint64_t down_us;     /* when the last connection ended */
     uint64_t gone_us;     /* what it ran is over then; 0 while connected */
     uint32_t there;       /* tasks of the step that is being assigned */
     uint64_t place_number;
     BwInFlight in_flight[BW_IN_FLIGHT_MAX];
     uint32_t in_flight_count;
-    UT_hash_handle hh;
+    UT_hash_handle hh; /* by name */
+    UT_hash_handle by_peer;
 } BwView;
 
 /* The run times of a route against the declared ones. */
@@ -157,6 +160,7 @@
     BwBoundJob *jobs;  /* hash by ref */
     BwBoundJob *names; /* hash by name */
     BwView *views;     /* hash by name */
+    BwView *peers;     /* the same by connection, while there is one */
     BwRoutePace *paces;
     uint64_t next_ref;
     uint64_t next_link;
--- a/packages/core/views.c
+++ b/packages/core/views.c
@@ -6,8 +6,7 @@
    unknown start elsewhere when the session and the worker's lease must have
    run out, or when the supervisor says that none is left.  Workers that
    fail are judged by health.c.  Run times are learnt for each route against
-   the declared ones, and for each worker against the others.  Finding the view
-   of a message costs a walk over all.
+   the declared ones, and for each worker against the others.
 */
 
 #include <stdlib.h>
@@ -279,6 +278,7 @@
                        d->limits.lease_us * BW_LEASE_DRIFT_PERMILLE / 1000;
     BwBoundJob *job, *next;
 
+    HASH_DELETE(by_peer, d->peers, view);
     view->peer = 0;
     view->down_us = now_us;
     view->is_usable = false;
@@ -328,6 +328,7 @@
         lose_link(d, now_us, view);
     }
     view->peer = peer;
+    HASH_ADD(by_peer, d->peers, peer, sizeof(view->peer), view);
     view->link = ++d->next_link;
     view->place_number = 0;
     view->in_flight_count = 0;
@@ -336,6 +337,7 @@
     /* Another process may count from the start. */
     view->health.outcomes.ended = 0;
     view->health.judged_ended = 0;
+    view->clock_us = 0;
 }
 
 static BwView *
@@ -343,11 +345,8 @@
 {
     BwView *view;
 
-    for (view = d->views; view != NULL; view = view->hh.next) {
-        if (view->peer == peer)
-            return view;
-    }
-    return NULL;
+    HASH_FIND(by_peer, d->peers, &peer, sizeof(peer), view);
+    return view;
 }
 
 void
@@ -435,7 +434,10 @@
         if (message->u.session.load_count > 0)
             take_load(d, now_us, view, message->u.session.load);
         view->answered_us = now_us;
+        view->clock_us = message->u.session.asked_us;
+        view->asked_us = now_us;
         answer.u.session.asked_us = message->u.session.asked_us;
+        answer.u.session.next_us = message->u.session.next_us;
         d->port->send(d->ctx, peer, &answer);
         break;
     default:
