Take an order that could not be made as one without an answer

Cause: the role's start, stop and look returned nothing, so one that was not made for want of memory or by the driver never had an answer: its seat held its room for good, and a lost look was counted as under way for good.

Ruled out: giving the answer from inside the call, which would change the table that the caller walks; handing the task back at once, which needs a second way out of a start.

Change: the port's calls say whether they were made. A start that was not is doubted at once, a stop is sent again by the tick, a look is not counted.

The test found one thing more: with an idle look of a second under way, the answer to a short one set the next answer due in 240 ms, and an idle worker was closed to tasks until the long one came back. The due time now covers the longest look under way.

--- a/packages/core/seats.c
+++ b/packages/core/seats.c
@@ -278,7 +278,11 @@
     seat->start_ms = order.lease_ms;
     seat->started_us = now_us;
     s->counters.started++;
-    s->port->start(s->ctx, seat->number, &order);
+    if (s->port->start(s->ctx, seat->number, &order))
+        return;
+    s->counters.unanswered++;
+    s->port->log(s->ctx, "unanswered", seat, 1, "start, not sent");
+    seat->doubted_us = now_us;
 }
 
 void
@@ -286,8 +290,8 @@
 {
     BwTaskOrder order = make_order(s, seat);
 
-    seat->is_stop_in_flight = true;
-    s->port->stop(s->ctx, seat->number, &order);
+    seat->is_stop_in_flight = s->port->stop(s->ctx, seat->number, &order);
+    s->counters.unanswered += !seat->is_stop_in_flight;
 }
 
 void
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -93,10 +93,11 @@
 
 typedef struct BwSupervisorPort {
     void (*send)(void *ctx, uint32_t peer, const BwMessage *message);
-    /* Calls to the worker; the answers come to the functions below. */
-    void (*start)(void *ctx, uint64_t number, const BwTaskOrder *order);
-    void (*stop)(void *ctx, uint64_t number, const BwTaskOrder *order);
-    void (*hold)(void *ctx, uint64_t number, const BwHoldOrder *order);
+    /* Calls to the worker; the answers come to the functions below, never from
+       inside.  One that returns false was not made and gets no answer. */
+    bool (*start)(void *ctx, uint64_t number, const BwTaskOrder *order);
+    bool (*stop)(void *ctx, uint64_t number, const BwTaskOrder *order);
+    bool (*hold)(void *ctx, uint64_t number, const BwHoldOrder *order);
     /* `count` tasks from that of the seat on. */
     void (*log)(void *ctx, const char *event, const BwSeat *seat,
                 uint32_t count, const char *reason);
@@ -157,6 +158,7 @@
     uint64_t first_hold;   /* number of the first one to this instance */
     uint64_t first_number; /* of the first other order to it */
     uint64_t due_us;       /* an answer is overdue from then on; 0: none is */
+    uint64_t last_due_us;  /* of the looks under way, the one due last */
 
     uint64_t next_number;
     BwSeat *seats;   /* hash by key */
--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -29,6 +29,7 @@
 send_hold(BwSupervisor *s, uint64_t now_us, uint64_t wait_us)
 {
     BwHoldOrder order = {0};
+    uint64_t due_us = now_us + wait_us + s->limits.answer_us;
     bool renews = s->phase == BW_WORKER_READY && HASH_COUNT(s->seats) > 0 &&
                   BwSeats_IsResponsive(s, now_us) &&
                   now_us - s->clock_read_us <= BW_CLOCK_STALE_US;
@@ -42,12 +43,14 @@
             BwSeats_WorkerClock(s, now_us) + s->limits.lease_us / 1000;
         BwSeats_ExtendLease(s, now_us);
     }
-    if (s->due_us == 0 || now_us + wait_us + s->limits.answer_us < s->due_us)
-        s->due_us = now_us + wait_us + s->limits.answer_us;
+    if (s->due_us == 0 || due_us < s->due_us)
+        s->due_us = due_us;
+    if (s->holds_in_flight == 0 || due_us > s->last_due_us)
+        s->last_due_us = due_us;
     s->hold_sent_us = now_us;
-    s->holds_in_flight++;
     s->counters.holds++;
-    s->port->hold(s->ctx, ++s->hold_number, &order);
+    if (s->port->hold(s->ctx, ++s->hold_number, &order))
+        s->holds_in_flight++;
 }
 
 /* ------------------------------------------------------ announcements */
@@ -396,6 +399,18 @@
     BwSupervisor_TellAll(s, now_us);
 }
 
+/* When the next answer is overdue: a look that was sent while the worker was
+   idle waits for longer than the others. */
+static uint64_t
+next_due_us(const BwSupervisor *s, uint64_t now_us)
+{
+    uint64_t due_us = now_us + s->limits.hold_us + s->limits.answer_us;
+
+    if (s->holds_in_flight == 0)
+        return 0;
+    return due_us > s->last_due_us ? due_us : s->last_due_us;
+}
+
 void
 BwSupervisor_OnHeld(BwSupervisor *s, uint64_t now_us, uint64_t number,
                     uint64_t sent_us, const BwWorkerAnswer *answer)
@@ -407,9 +422,7 @@
     take_clock(s, now_us, answer);
     if (answer->verdict != BW_WORKER_NO_ANSWER &&
         answer->verdict != BW_WORKER_UNHEALTHY)
-        s->due_us = s->holds_in_flight == 0
-                        ? 0
-                        : now_us + s->limits.hold_us + s->limits.answer_us;
+        s->due_us = next_due_us(s, now_us);
     if (answer->verdict == BW_WORKER_OTHER) {
         on_other_instance(s, now_us);
         return;
--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -85,7 +85,8 @@
     free(call);
 }
 
-static void
+/* Returns false when memory is short. */
+static bool
 call_worker(Role *role, uint64_t number, BwCallText *text, uint64_t wait_us,
             AnswerTaker take)
 {
@@ -94,46 +95,47 @@
 
     if (call == NULL) {
         free(text->body);
-        return;
+        return false;
     }
     call->role = role;
     call->number = number;
     call->sent_us = now_us;
     call->take = take;
     BwNode_Call(&role->worker, text, now_us + wait_us, on_worker_reply, call);
+    return true;
 }
 
-static void
+static bool
 start_task(void *ctx, uint64_t number, const BwTaskOrder *order)
 {
     Role *role = ctx;
     BwCallText text;
 
-    if (role->node->driver->make_start(order, &text))
-        call_worker(role, number, &text, order_timeout_us(role),
-                    BwSupervisor_OnStarted);
+    return role->node->driver->make_start(order, &text) &&
+           call_worker(role, number, &text, order_timeout_us(role),
+                       BwSupervisor_OnStarted);
 }
 
-static void
+static bool
 stop_task(void *ctx, uint64_t number, const BwTaskOrder *order)
 {
     Role *role = ctx;
     BwCallText text;
 
-    if (role->node->driver->make_stop(order, &text))
-        call_worker(role, number, &text, order_timeout_us(role),
-                    BwSupervisor_OnStopped);
+    return role->node->driver->make_stop(order, &text) &&
+           call_worker(role, number, &text, order_timeout_us(role),
+                       BwSupervisor_OnStopped);
 }
 
-static void
+static bool
 hold_worker(void *ctx, uint64_t number, const BwHoldOrder *order)
 {
     Role *role = ctx;
     BwCallText text;
 
-    if (role->node->driver->make_hold(order, &text))
-        call_worker(role, number, &text,
-                    (uint64_t)order->wait_ms * 1000 + ANSWER_US, NULL);
+    return role->node->driver->make_hold(order, &text) &&
+           call_worker(role, number, &text,
+                       (uint64_t)order->wait_ms * 1000 + ANSWER_US, NULL);
 }
 
 static void
--- a/tests/measure_bound.c
+++ b/tests/measure_bound.c
@@ -246,29 +246,32 @@
     (void)message;
 }
 
-static void
+static bool
 take_start(void *ctx, uint64_t number, const BwTaskOrder *order)
 {
     Orders *orders = ctx;
 
     orders->numbers[orders->count] = number;
     orders->indexes[orders->count++] = order->index;
+    return true;
 }
 
-static void
+static bool
 drop_stop(void *ctx, uint64_t number, const BwTaskOrder *order)
 {
     (void)ctx;
     (void)number;
     (void)order;
+    return true;
 }
 
-static void
+static bool
 drop_hold(void *ctx, uint64_t number, const BwHoldOrder *order)
 {
     (void)ctx;
     (void)number;
     (void)order;
+    return true;
 }
 
 static void
--- a/tests/supervisor_world.c
+++ b/tests/supervisor_world.c
@@ -309,13 +309,26 @@
     call->lease_ms = order->lease_ms;
 }
 
-static void
+/* Whether the next call of the kind can't be made. */
+static bool
+is_unmade(World *w, CallKind kind)
+{
+    bool is_unmade_ = w->unmade[kind] > 0;
+
+    w->unmade[kind] -= is_unmade_;
+    return is_unmade_;
+}
+
+static bool
 on_start(void *ctx, uint64_t number, const BwTaskOrder *order)
 {
     World *w = ctx;
-    Call *call = make_call(w, CALL_START, number, order->instance);
     const Placement *placement;
+    Call *call;
 
+    if (is_unmade(w, CALL_START))
+        return false;
+    call = make_call(w, CALL_START, number, order->instance);
     fill_task(call, order);
     g_assert_cmpuint(order->spec.size_bytes, ==, sizeof(call->spec));
     memcpy(&call->spec, order->spec.base, sizeof(call->spec));
@@ -326,23 +339,31 @@
     g_assert_cmpuint(w->now_us, <,
                      World_FindPeer(w, placement->peer)->valid_until_us);
     g_assert_cmpuint(w->now_us, <, placement->deadline_us);
+    return true;
 }
 
-static void
+static bool
 on_stop(void *ctx, uint64_t number, const BwTaskOrder *order)
 {
+    if (is_unmade(ctx, CALL_STOP))
+        return false;
     fill_task(make_call(ctx, CALL_STOP, number, order->instance), order);
+    return true;
 }
 
-static void
+static bool
 on_hold(void *ctx, uint64_t number, const BwHoldOrder *order)
 {
-    Call *call = make_call(ctx, CALL_HOLD, number, order->instance);
+    Call *call;
 
+    if (is_unmade(ctx, CALL_HOLD))
+        return false;
+    call = make_call(ctx, CALL_HOLD, number, order->instance);
     call->hold = *order;
     call->fence = order->fence;
     call->lease_ms = order->lease_ms;
     call->given_up_us += (uint64_t)order->wait_ms * 1000;
+    return true;
 }
 
 static BwListedTask *
--- a/tests/supervisor_world.h
+++ b/tests/supervisor_world.h
@@ -153,7 +153,8 @@
     uint64_t now_us;
     GRand *rand; /* NULL: everything goes well */
     Worker worker;
-    Fate fate[CALL_KINDS]; /* of the next call */
+    Fate fate[CALL_KINDS];       /* of the next call */
+    uint32_t unmade[CALL_KINDS]; /* of the next calls, can't be made */
     GPtrArray *calls;
     GArray *beats;
     GArray *replies;
--- a/tests/test_status.c
+++ b/tests/test_status.c
@@ -47,20 +47,22 @@
     (void)reason;
 }
 
-static void
+static bool
 drop_order(void *ctx, uint64_t number, const BwTaskOrder *order)
 {
     (void)ctx;
     (void)number;
     (void)order;
+    return true;
 }
 
-static void
+static bool
 drop_hold(void *ctx, uint64_t number, const BwHoldOrder *order)
 {
     (void)ctx;
     (void)number;
     (void)order;
+    return true;
 }
 
 static void
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -92,6 +92,31 @@
     World_Finish(&w);
 }
 
+/* Calls that can't be made count as orders without an answer. */
+static void
+test_unmade(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), lost, next;
+
+    w.unmade[CALL_START] = 1;
+    w.unmade[CALL_STOP] = 2;
+    lost = World_Place(&w, peer, &(Order){.job = "a", .cpu = 4000});
+    World_AssertKind(&w, lost, 0);
+    World_Run(&w, 500000);
+    World_AssertKind(&w, lost, BW_OUTCOME_LOST);
+    World_AssertEmpty(&w);
+    g_assert_cmpuint(w.unmade[CALL_STOP], ==, 0);
+    w.unmade[CALL_HOLD] = 3;
+    next = World_Place(&w, peer,
+                       &(Order){.job = "b", .cpu = 4000, .run_us = 100000});
+    World_Run(&w, 1500000);
+    g_assert_cmpuint(w.unmade[CALL_HOLD], ==, 0);
+    World_AssertKind(&w, next, BW_OUTCOME_DONE);
+    World_AssertEmpty(&w);
+    World_Finish(&w);
+}
+
 /* Once the stop of an unanswered start is acknowledged, one look settles that
    the task is not there; nothing waits for the stop to take effect. */
 static void
@@ -1001,6 +1026,7 @@
     g_test_add_func("/supervisor/done", test_done);
     g_test_add_func("/supervisor/start_unanswered", test_start_unanswered);
     g_test_add_func("/supervisor/start_unsaid", test_start_unsaid);
+    g_test_add_func("/supervisor/unmade", test_unmade);
     g_test_add_func("/supervisor/stop_settles", test_stop_settles);
     g_test_add_func("/supervisor/peer_down", test_peer_down);
     g_test_add_func("/supervisor/clear_again", test_clear_again);
