Close a connection that had no room for a message

Cause: BwMesh_Send's answer was not looked at, so an outcome that found the buffer full, or no memory, was lost while the connection stood: the dispatcher waited for a task that had ended.

Ruled out: keeping outcomes to send them again, a second way of being told what the end of a connection settles already; closing inside the call, which would change the tables that its callers walk.

Change: a connection that dropped a message takes none after it and ends at the next tick. The dispatcher then counts what was there as unknown and places it again when the session must be over, and the supervisor ends it.

--- a/packages/daemon/mesh.c
+++ b/packages/daemon/mesh.c
@@ -261,8 +261,10 @@
 
     DL_FOREACH(mesh->links, link)
     {
-        if (link->id == id && !link->is_over)
-            return BwLink_Send(&link->link, message);
+        if (link->id != id || link->is_over || link->is_cut)
+            continue;
+        link->is_cut = !BwLink_Send(&link->link, message);
+        return !link->is_cut;
     }
     return false;
 }
@@ -320,7 +322,8 @@
         mesh->told_us = now_us;
     DL_FOREACH(mesh->links, link)
     {
-        if (!link->is_over && now_us - link->heard_us > silence_us(link))
+        if (!link->is_over &&
+            (link->is_cut || now_us - link->heard_us > silence_us(link)))
             end_link(link);
         else if (tells && link->is_up)
             send_members(link);
--- a/packages/daemon/mesh.h
+++ b/packages/daemon/mesh.h
@@ -30,6 +30,7 @@
     struct BwMeshMember *member; /* that was dialled, or NULL */
     bool is_up;                  /* the other side has said hello */
     bool is_over;
+    bool is_cut; /* a message was dropped: it ends at the next tick */
     uint64_t heard_us;
     struct BwMeshLink *prev, *next;
 } BwMeshLink;
@@ -91,7 +92,9 @@
 void
 BwMesh_SetSeeds(BwMesh *mesh, uint64_t now_us, const BwSettings *settings);
 
-/* Queues a message.  Returns false when the connection is gone. */
+/* Queues a message.  Returns false when the connection is gone, or has no room
+   for the message: it is then closed soon, so that both sides drop what they
+   shared, as after any loss. */
 bool
 BwMesh_Send(BwMesh *mesh, uint32_t id, const BwMessage *message);
 
