Tell a refused caller when its job would be in time

Cause: a refusal of a bound job always said one second, in the core and again in the role.

Change: the core says by how much the best place of a task would end late; the answer carries it in whole seconds, rounded up. A second stays where nothing is foreseen, as for a job that no worker could run, and a minute is the most.

--- a/packages/core/boundplace.c
+++ b/packages/core/boundplace.c
@@ -65,6 +65,12 @@
                                                      : view->pace_permille;
 }
 
+static uint64_t
+clip(uint64_t from_us, uint64_t now_us)
+{
+    return from_us > now_us ? from_us - now_us : 0;
+}
+
 /* What would become of a task at a view. */
 typedef struct Foresight {
     uint64_t wait_us; /* for room */
@@ -131,17 +137,22 @@
 }
 
 /* Picks the view that ends the task first, or NULL when none ends it by
-   `limit_us`.  The one to avoid is taken when there is no other. */
+   `limit_us`; *late_us is then by how much.  The one to avoid is taken when
+   there is no other. */
 static BwView *
 pick_view(BwDispatcher *d, const BwBoundJob *job, BwPiece *piece,
-          uint64_t run_us, uint64_t now_us, uint64_t limit_us)
+          uint64_t run_us, uint64_t now_us, uint64_t limit_us,
+          uint64_t *late_us)
 {
     BwView *best = NULL, *last = NULL;
+    uint64_t soonest_us = NEVER;
     Foresight least = {0, NEVER, NEVER}, last_least = {0, NEVER, NEVER};
 
     for (BwView *view = d->views; view != NULL; view = view->hh.next) {
         Foresight foresight = foresee(job, piece, view, run_us, now_us);
 
+        if (foresight.end_us < soonest_us)
+            soonest_us = foresight.end_us;
         /* Room that is free is given: only waiting keeps others waiting. */
         if (foresight.end_us == NEVER ||
             foresight.end_us >
@@ -161,6 +172,8 @@
         best = last;
         least = last_least;
     }
+    if (best == NULL)
+        *late_us = soonest_us == NEVER ? 0 : clip(soonest_us, limit_us);
     piece->wait_us = least.wait_us;
     if (least.wait_us > 0 || piece->moves >= BOUNCES_MAX)
         piece->wait_us = 2 * least.wait_us + PATIENCE_US;
@@ -182,12 +195,6 @@
     return limit_us < job->deadline_us ? limit_us : job->deadline_us;
 }
 
-static uint64_t
-clip(uint64_t from_us, uint64_t now_us)
-{
-    return from_us > now_us ? from_us - now_us : 0;
-}
-
 static uint64_t
 step_run_us(BwDispatcher *d, const BwBoundJob *job, uint32_t step)
 {
@@ -279,7 +286,8 @@
 
         if (piece->step != step || piece->state != BW_PIECE_WAITING)
             continue;
-        piece->view = pick_view(d, job, piece, run_us, now_us, limit_us);
+        piece->view =
+            pick_view(d, job, piece, run_us, now_us, limit_us, &job->late_us);
         if (piece->view == NULL)
             return false;
         BwView_Reserve(piece->view, room);
@@ -344,12 +352,13 @@
                         uint64_t now_us)
 {
     uint32_t first = 0;
+    uint64_t late_us;
 
     for (uint32_t step = 0; step < job->step_count; step++) {
         count_there(d, job, step);
         if (job->left[step] > 0 &&
             pick_view(d, job, &job->pieces[first], step_run_us(d, job, step),
-                      now_us, NEVER) == NULL)
+                      now_us, NEVER, &late_us) == NULL)
             return false;
         first += job->left[step];
     }
--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -14,7 +14,8 @@
 
 #define MOVES_MAX 24
 #define ANCHOR_US 1000000
-#define RETRY_AFTER_MS 1000
+#define RETRY_AFTER_MS 1000 /* when nothing is foreseen */
+#define RETRY_AFTER_MS_MAX 60000
 #define DECLARED_MAX_US 86400000000ull /* sums of more could overflow */
 
 /* --------------------------------------------------------------- ends */
@@ -72,11 +73,24 @@
     return false;
 }
 
+/* What is foreseen to end late would be in time once so much more is done. */
+static uint32_t
+retry_after_ms(const BwBoundJob *job)
+{
+    uint64_t after_ms = (job->late_us + 999) / 1000;
+
+    if (after_ms == 0)
+        return RETRY_AFTER_MS;
+    return (uint32_t)(after_ms < RETRY_AFTER_MS_MAX ? after_ms
+                                                    : RETRY_AFTER_MS_MAX);
+}
+
 void
 BwDispatcher_EndJob(BwDispatcher *d, BwBoundJob *job, BwBoundEnd end,
                     const char *reason)
 {
     void *data = job->data;
+    uint32_t after_ms = retry_after_ms(job);
 
     if (end == BW_BOUND_EXPIRED && !has_started(job))
         end = BW_BOUND_REFUSED;
@@ -88,7 +102,7 @@
     remove_job(d, job);
     if (data != NULL)
         d->port->answer(d->ctx, data, end,
-                        end == BW_BOUND_REFUSED ? RETRY_AFTER_MS : 0);
+                        end == BW_BOUND_REFUSED ? after_ms : 0);
 }
 
 void
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -65,6 +65,8 @@
     BwPiece *pieces;
     uint32_t piece_count;
     uint32_t done_count;
+    uint64_t late_us;  /* by how much the best place of a task would end late;
+                          0: not known */
     bool was_placed;   /* a task is at a supervisor, or was started */
     bool may_have_run; /* a task was started and did not end as done */
     UT_hash_handle hh;
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -86,6 +86,11 @@
 BwDaemon_ReplyError(BwExchange *exchange, BwErrorKind error,
                     const char *detail);
 
+/* The same, with when to come again in whole seconds, rounded up. */
+void
+BwDaemon_ReplyLater(BwExchange *exchange, BwErrorKind error,
+                    const char *detail, uint32_t retry_after_ms);
+
 /* Refuses a request whose body is over the limit. */
 void
 BwDaemon_RefuseTooLarge(void *ctx, BwExchange *exchange);
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -155,10 +155,9 @@
         reply_state(role, exchange, BW_STATE_COMPLETED);
         break;
     case BW_BOUND_REFUSED:
-        BwDaemon_ReplyError(exchange, BW_ERR_OVERLOADED,
-                            retry_after_ms > 0
-                                ? "no worker can end it in time; come back"
-                                : "");
+        BwDaemon_ReplyLater(exchange, BW_ERR_OVERLOADED,
+                            "no worker can end it in time; come back",
+                            retry_after_ms);
         break;
     case BW_BOUND_FAILED:
         reply_state(role, exchange, BW_STATE_FAILED);
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -48,18 +48,28 @@
 }
 
 void
-BwDaemon_ReplyError(BwExchange *exchange, BwErrorKind error,
-                    const char *detail)
+BwDaemon_ReplyLater(BwExchange *exchange, BwErrorKind error,
+                    const char *detail, uint32_t retry_after_ms)
 {
-    int status = BwError_Describe(error)->http_status;
     char *text = BwJobJson_Error(error, detail);
 
-    BwExchange_Reply(exchange, status, "application/json",
+    BwExchange_Reply(exchange, BwError_Describe(error)->http_status,
+                     "application/json",
                      BwSpan_FromString(text != NULL ? text : "{}"),
-                     status == 429 || status == 503 ? 1 : 0);
+                     (retry_after_ms + 999) / 1000);
     free(text);
 }
 
+void
+BwDaemon_ReplyError(BwExchange *exchange, BwErrorKind error,
+                    const char *detail)
+{
+    int status = BwError_Describe(error)->http_status;
+
+    BwDaemon_ReplyLater(exchange, error, detail,
+                        status == 429 || status == 503 ? 1000 : 0);
+}
+
 void
 BwDaemon_RefuseTooLarge(void *ctx, BwExchange *exchange)
 {
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -431,6 +431,32 @@
     tear_down(&f);
 }
 
+/* A refusal says by how much the job would end late. */
+static void
+test_retry_after(void)
+{
+    Fixture f;
+    uint64_t objective_us, end_us;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    tell_session(&f, 1, 0, 0);
+    f.route.target_us = SECOND_US;
+    f.route.priority = 1;
+    f.d.views->queued = 79;
+    objective_us =
+        f.route.target_us + SECOND_US * f.route.stretch_permille / 1000;
+    end_us = 80 * f.d.views->release_us + SECOND_US;
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), ==, 0);
+    assert_answer(&f, 0, BW_BOUND_REFUSED);
+    g_assert_cmpuint(f.answers[0].retry_after_ms, ==,
+                     (end_us - objective_us * 850 / 1000 + 999) / 1000);
+    submit_simple(&f, 1, 5000);
+    assert_answer(&f, 1, BW_BOUND_REFUSED);
+    g_assert_cmpuint(f.answers[1].retry_after_ms, ==, 1000);
+    tear_down(&f);
+}
+
 static void
 test_in_flight_counts(void)
 {
@@ -1207,6 +1233,7 @@
     ADD(refused_whole);
     ADD(refused_whole_across_steps);
     ADD(no_tasks);
+    ADD(retry_after);
     ADD(in_flight_counts);
     ADD(in_flight_of_two_steps);
     ADD(in_flight_merges);
