--- a/packages/daemon/mesh.c
+++ b/packages/daemon/mesh.c
@@ -316,7 +316,10 @@
 {
     BwMeshLink *link = BwMesh_Find(mesh, id);
 
-    return link != NULL && !link->is_over && send_on(link, message);
+    if (link == NULL || link->is_over || link->is_cut)
+        return false;
+    link->is_cut = !send_on(link, message);
+    return !link->is_cut;
 }
 
 void
@@ -372,7 +375,7 @@
 tick_links(BwMesh *mesh, uint64_t now_us)
 {
     for (BwMeshLink *link = mesh->links; link != NULL; link = link->hh.next) {
-        if (!link->is_over && now_us > due_us(link))
+        if (!link->is_over && (link->is_cut || now_us > due_us(link)))
             end_link(link);
         else if (link->is_up && mesh->listener != NULL)
             tell_link(link, now_us);
--- a/packages/daemon/mesh.h
+++ b/packages/daemon/mesh.h
@@ -37,6 +37,7 @@
     struct BwMeshMember *member; /* that was dialled, or NULL */
     bool is_up;                  /* the other side has said hello */
     bool is_over;
+    bool is_cut; /* a message was dropped: it ends at the next tick */
     uint64_t heard_us;
     uint64_t due_us; /* between supervisor and dispatcher: it is over when
                         nothing was heard by then */
@@ -114,7 +115,9 @@
 BwMeshLink *
 BwMesh_Find(const BwMesh *mesh, uint32_t id);
 
-/* Queues a message.  Returns false when the connection is gone. */
+/* Queues a message.  Returns false when the connection is gone, or has no room
+   for the message: it is then closed soon, so that both sides drop what they
+   shared, as after any loss. */
 bool
 BwMesh_Send(BwMesh *mesh, uint32_t id, const BwMessage *message);
 
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -172,6 +172,31 @@
     World_Finish(&w);
 }
 
+/* Calls that can't be made count as orders without an answer. */
+static void
+test_unmade(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), lost, next;
+
+    w.unmade[CALL_START] = 1;
+    w.unmade[CALL_STOP] = 2;
+    lost = World_Place(&w, peer, &(Order){.job = "a", .cpu = 4000});
+    World_AssertKind(&w, lost, 0);
+    World_Run(&w, 500000);
+    World_AssertKind(&w, lost, BW_OUTCOME_LOST);
+    World_AssertEmpty(&w);
+    g_assert_cmpuint(w.unmade[CALL_STOP], ==, 0);
+    w.unmade[CALL_HOLD] = 3;
+    next = World_Place(&w, peer,
+                       &(Order){.job = "b", .cpu = 4000, .run_us = 100000});
+    World_Run(&w, 1500000);
+    g_assert_cmpuint(w.unmade[CALL_HOLD], ==, 0);
+    World_AssertKind(&w, next, BW_OUTCOME_DONE);
+    World_AssertEmpty(&w);
+    World_Finish(&w);
+}
+
 /* Once the stop of an unanswered start is acknowledged, one look settles that
    the task is not there; nothing waits for the stop to take effect. */
 static void
@@ -1161,6 +1186,7 @@
     g_test_add_func("/supervisor/end_unsaid", test_end_unsaid);
     g_test_add_func("/supervisor/stalled", test_stalled);
     g_test_add_func("/supervisor/suspect", test_suspect);
+    g_test_add_func("/supervisor/unmade", test_unmade);
     g_test_add_func("/supervisor/stop_settles", test_stop_settles);
     g_test_add_func("/supervisor/peer_down", test_peer_down);
     g_test_add_func("/supervisor/clear_again", test_clear_again);
