Let a session go quiet sooner where dispatchers are many

Cause: a pair stayed at the fast pace for 2 s after its last PLACE. With many dispatchers a pair has a task now and then only, and these 2 s are most of the renewals: worked out for the size to design for, 45% of the pairs of a dispatcher would be in use where 18% would do. Change: beyond 16 dispatchers the 2 s are as much shorter as the renewals without tasks are further apart.

--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -5,9 +5,9 @@
    those are checked against the worker and queued in the account of seats.c.
    A session that lapses ends the dispatcher's tasks, since another may start
    them then.  A dispatcher that has and sends no tasks is asked and told once
-   in two sessions or more, with 16 such dispatchers in that time, and when the
-   use of the worker changes by a quarter: what a supervisor spends follows its
-   tasks, not the number of dispatchers.  The price is that the silence of a
+   in two sessions, more rarely beyond 16 dispatchers, and when the use of the
+   worker changes by a quarter: what a supervisor spends follows its tasks, not
+   the number of dispatchers.  The price is that the silence of a
    worker without tasks is noticed later.  The worker's side is in
    workerlink.c.
 */
@@ -23,7 +23,7 @@
 #define IDLE_SESSIONS 2    /* between two renewals without tasks */
 #define IDLE_SESSIONS_MAX 8
 #define IDLE_PEERS 16     /* beyond, renewals are as much further apart */
-#define ACTIVE_US 2000000 /* after a PLACE */
+#define ACTIVE_US 2000000 /* after a PLACE; beyond, as much shorter */
 #define LEVELS 4          /* of use */
 #define DOUBT_US 50000    /* until an unanswered start is stopped unseen */
 
@@ -272,13 +272,14 @@
 renewal_us(const BwSupervisor *s, const BwSupervisorPeer *peer,
            uint64_t now_us)
 {
-    uint64_t idle_us = s->limits.session_us * IDLE_SESSIONS;
-    uint64_t peers = HASH_COUNT(s->peers);
+    uint64_t count = HASH_COUNT(s->peers);
+    uint64_t peers = count > IDLE_PEERS ? count : IDLE_PEERS;
+    uint64_t active_us = ACTIVE_US * IDLE_PEERS / peers;
+    uint64_t idle_us =
+        s->limits.session_us * IDLE_SESSIONS * peers / IDLE_PEERS;
 
-    if (peer->seat_count > 0 || now_us - peer->placed_us < ACTIVE_US)
+    if (peer->seat_count > 0 || now_us - peer->placed_us < active_us)
         return s->limits.session_us / SESSION_RENEWALS;
-    if (peers > IDLE_PEERS)
-        idle_us = idle_us * peers / IDLE_PEERS;
     return idle_us < s->limits.session_us * IDLE_SESSIONS_MAX
                ? idle_us
                : s->limits.session_us * IDLE_SESSIONS_MAX;
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -218,6 +218,31 @@
     World_Finish(&w);
 }
 
+/* After its last task a dispatcher counts as quiet the sooner, the more of
+   them there are. */
+static void
+test_soon_quiet(void)
+{
+    const uint32_t counts[] = {16, 64};
+    const uint32_t least[] = {10, 2};
+    const uint32_t most[] = {13, 5};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(counts); i++) {
+        World w;
+        uint32_t peer = World_Open(&w);
+
+        while (w.peers->len < counts[i])
+            World_OpenPeer(&w);
+        World_Run(&w, 10000000);
+        World_FindPeer(&w, peer)->asks = 0;
+        World_Place(&w, peer, &(Order){.job = "a", .run_us = 100000});
+        World_Run(&w, 2000000);
+        g_assert_cmpuint(World_FindPeer(&w, peer)->asks, >=, least[i]);
+        g_assert_cmpuint(World_FindPeer(&w, peer)->asks, <=, most[i]);
+        World_Finish(&w);
+    }
+}
+
 /* With many dispatchers each of them is asked more rarely, to a bound.  Those
    that connect later change nothing of what the others were told. */
 static void
@@ -1084,6 +1109,7 @@
     g_test_add_func("/supervisor/idle_session", test_idle_session);
     g_test_add_func("/supervisor/idle_account", test_idle_account);
     g_test_add_func("/supervisor/many_idle", test_many_idle);
+    g_test_add_func("/supervisor/soon_quiet", test_soon_quiet);
     g_test_add_func("/supervisor/lease_lapses", test_lease_lapses);
     g_test_add_func("/supervisor/slow_clock", test_slow_clock);
     g_test_add_func("/supervisor/restart", test_restart);
