Pass on nothing when the ingress has nothing to pass on

Cause: after a write to a dispatcher the emulated ingress took bytes from an empty buffer, whose address is NULL, with memcpy; the sanitizers end it there, so the lab test failed in build-asan with "the ingress is gone".

Change: without bytes it only goes on with what it has.

--- a/packages/emulator/ingress.c
+++ b/packages/emulator/ingress.c
@@ -321,6 +321,10 @@
 
     if (flow->is_writing)
         return;
+    if ((*input)->size == 0) {
+        pass_request(flow);
+        return;
+    }
     flow->request =
         realloc(flow->request, flow->request_bytes + (*input)->size + 1);
     memcpy(flow->request + flow->request_bytes, (*input)->bytes,
