Find processes that end by themselves in an experiment

Cause: a dispatcher or supervisor that aborts looks to the other rules like a fault that the experiment made, and may pass.

Change: the rule `crashes` counts every process of the fleet that ended and that no fault killed, and a planned stop with another code than 0.

--- a/packages/emulator/player.c
+++ b/packages/emulator/player.c
@@ -357,23 +357,34 @@
     configure(player);
 }
 
+/* Whether the process is gone.  It must have ended well, if by itself. */
+static bool
+is_gone(BwPlayer *player, BwProcess *process)
+{
+    int code = 0;
+
+    if (process->pid == 0)
+        return true;
+    if (!BwProcess_WaitEnd(process, 0, &code))
+        return false;
+    player->crashes += code != 0;
+    return true;
+}
+
 /* Whether what the fault starts again has ended. */
 static bool
 is_startable(BwPlayer *player, const BwLabFault *fault)
 {
     BwFleet *fleet = &player->fleet;
     bool is_over = true;
-    int code;
 
     for (uint32_t i = 0; i < fleet->plan.dispatchers; i++) {
-        if (BwLabTarget_Matches(fault->target, "dispatcher", i) &&
-            fleet->dispatchers[i].pid != 0)
-            is_over &= BwProcess_WaitEnd(&fleet->dispatchers[i], 0, &code);
+        if (BwLabTarget_Matches(fault->target, "dispatcher", i))
+            is_over &= is_gone(player, &fleet->dispatchers[i]);
     }
     for (uint32_t i = 0; i < fleet->plan.workers; i++) {
-        if (BwLabTarget_Matches(fault->target, "supervisor", i) &&
-            fleet->supervisors[i].pid != 0)
-            is_over &= BwProcess_WaitEnd(&fleet->supervisors[i], 0, &code);
+        if (BwLabTarget_Matches(fault->target, "supervisor", i))
+            is_over &= is_gone(player, &fleet->supervisors[i]);
     }
     return is_over;
 }
@@ -503,6 +514,21 @@
     return player->ingress != NULL || fail(player, "the ingress is gone");
 }
 
+static void
+find_crashes(BwPlayer *player)
+{
+    BwFleet *fleet = &player->fleet;
+
+    is_gone(player, &fleet->store);
+    is_gone(player, &fleet->ingress);
+    for (uint32_t i = 0; i < fleet->plan.dispatchers; i++)
+        is_gone(player, &fleet->dispatchers[i]);
+    for (uint32_t i = 0; i < fleet->plan.workers; i++) {
+        is_gone(player, &fleet->supervisors[i]);
+        is_gone(player, &fleet->workers[i]);
+    }
+}
+
 static void
 read_usable(BwPlayer *player)
 {
@@ -542,6 +568,7 @@
     if (!start_fleet(player, daemon, lab, dir))
         return false;
     play(player, progress);
+    find_crashes(player);
     read_usable(player);
     return read_ledgers(player);
 }
--- a/packages/emulator/rules.c
+++ b/packages/emulator/rules.c
@@ -296,6 +296,13 @@
     return count;
 }
 
+static uint32_t
+count_crashes(const BwLabFacts *facts, const BwLabOutcome *outcome)
+{
+    (void)outcome;
+    return facts->player->crashes;
+}
+
 static uint32_t
 count_running(const BwLabFacts *facts, const BwLabOutcome *outcome)
 {
@@ -472,6 +479,8 @@
     {"outlived_caller", true, "the same after their caller went",
      count_outlived_caller},
     {"running", true, "tasks that still run in the end", count_running},
+    {"crashes", true, "processes that ended and should not have",
+     count_crashes},
     {"jobs", false, "jobs sent", count_jobs},
     {"completed", false, "jobs answered as completed", count_completed},
     {"completed_permille", false, "of the jobs", count_completed_permille},
--- a/tests/test_lab.c
+++ b/tests/test_lab.c
@@ -30,9 +30,11 @@
     uint64_t broken_us;
     BwLabEnd end; /* of the job, sent at started_us */
     uint64_t end_us;
+    uint32_t crashes;
 } Case;
 
 static const Case cases[] = {
+    {"crashes", 1, .crashes = 1, .ended_us = 1},
     {"over_capacity", 0, .peak_cpu = 4000, .ended_us = 1},
     {"over_capacity", 1, .peak_cpu = 4001, .ended_us = 1},
     {"overlaps", 0, .started_us = 10, .ended_us = 20, .again_us = 20},
@@ -118,7 +120,8 @@
                        .jobs = jobs,
                        .job_count = 1,
                        .done = &done,
-                       .done_count = c->target != NULL};
+                       .done_count = c->target != NULL,
+                       .crashes = c->crashes};
     static const BwLabOutcome none;
     BwLabFacts facts;
 
@@ -154,7 +157,7 @@
         g_assert_true(is_broken);
         broken += counter->is_rule;
     }
-    g_assert_cmpuint(broken, ==, 9);
+    g_assert_cmpuint(broken, ==, 10);
 }
 
 /* ----------------------------------------------------------- experiment */
