--- a/tests/test_lab.c
+++ b/tests/test_lab.c
@@ -29,8 +29,8 @@
     const char *how; /* of the connection, which began at 0 */
     uint64_t broken_us;
     BwLabEnd end; /* of the job, sent at started_us */
-    uint64_t end_us;
     uint32_t crashes;
+    uint64_t end_us;
 } Case;
 
 static const Case cases[] = {
