Close what calls open; count every node that was listed

Cause, test_start_in_outage: H2o's h2o_evloop_destroy leaves the loop's epoll descriptor open, and each call made a loop. The watcher of test_publish leaked about 540 descriptors a second (5,800 after 11 s, all anon_inode); with the limit of 20,000 a run of the suite that takes over 37 s cannot open the file. It is a fault of the product too: `publish` asks three times in 20 ms while it waits, so a limit of 1,024 ends it in seconds.

Cause, test_paused_node: a list of the fleet that is made when time runs out lacks the entries that only an agent knows, and `publish` counted whoever the last list had. Seen with the stricter assertion: "in force on 3 of 4 nodes" of 5, once in 8 runs, three at a time. The exit code 0 itself was not seen again and is not explained by this alone: it needs a list without the paused agent. Ruled out: that a process runs on after SIGSTOP (3,000 stops at a load of 13: at most 4 ms, its main thread not at all); the test waits for the stop now.

Change: the callers of a thread share one loop. `publish` counts every node that was listed once, and does not say "everywhere" before one whole list.

--- a/packages/cli/caller.c
+++ b/packages/cli/caller.c
@@ -1,4 +1,8 @@
-/* caller.c -- HTTP requests that are waited for */
+/* caller.c -- HTTP requests that are waited for
+
+   H2o gives back no descriptor of a loop, so the callers of a thread share
+   one that is kept: a program may call many times a second for hours.
+*/
 
 #include <stdlib.h>
 #include <string.h>
@@ -10,6 +14,8 @@
 #define CONNECTIONS_MAX 1
 #define TURN_MS 10
 
+static _Thread_local h2o_loop_t *thread_loop;
+
 typedef struct Wait {
     BwCallReply *reply;
     bool is_over;
@@ -37,7 +43,9 @@
 bool
 BwCaller_Init(BwCaller *caller, const char *host, uint16_t port)
 {
-    caller->loop = h2o_evloop_create();
+    if (thread_loop == NULL)
+        thread_loop = h2o_evloop_create();
+    caller->loop = thread_loop;
     return BwHttpClient_Init(&caller->client, caller->loop, host, port,
                              CONNECTIONS_MAX, REPLY_BYTES_MAX);
 }
--- a/packages/cli/caller.h
+++ b/packages/cli/caller.h
@@ -1,7 +1,7 @@
 /* caller.h -- HTTP requests that are waited for
 
-   A caller has a loop and connections of its own, so each thread of a program
-   may use one.
+   A caller has connections of its own and shares the loop of its thread: one
+   is made, used and finished by the same thread.
 */
 
 #ifndef BW_CALLER_H
--- a/packages/cli/explain.c
+++ b/packages/cli/explain.c
@@ -131,7 +131,8 @@
              (unsigned long long)job.low);
     snprintf(path, sizeof(path), "/v1/decisions/%s/%s", options->member,
              options->argv[0]);
-    nodes = BwCli_ListNodes(options, BwClock_Now() + options->timeout_us);
+    nodes =
+        BwCli_ListNodes(options, BwClock_Now() + options->timeout_us, NULL);
     json_array_foreach(nodes, index, node) ask(options, &story, node, path);
     if (nodes == NULL) {
         fprintf(stderr, "brasswing: no answer; give --entry HOST:PORT of a "
--- a/packages/cli/fleetview.c
+++ b/packages/cli/fleetview.c
@@ -122,6 +122,20 @@
     return BwSpan_Equal(BwRecord_Text(node, "role"), BwSpan_FromString(role));
 }
 
+static bool
+has_agent(const json_t *nodes)
+{
+    json_t *node;
+    size_t index;
+
+    json_array_foreach(nodes, index, node)
+    {
+        if (is_role(node, "agent"))
+            return true;
+    }
+    return false;
+}
+
 static uint64_t
 newest_revision(const json_t *nodes)
 {
@@ -164,7 +178,8 @@
 }
 
 json_t *
-BwCli_ListNodes(const BwCliOptions *options, uint64_t deadline_us)
+BwCli_ListNodes(const BwCliOptions *options, uint64_t deadline_us,
+                bool *is_whole)
 {
     json_t *nodes = get_nodes(options, options->entry, deadline_us);
     json_t *seen = ask_an_agent(options, nodes, deadline_us);
@@ -176,6 +191,8 @@
         if (is_role(node, "entry") && !has_node(nodes, node))
             json_array_append_new(nodes, ask_node(options, node, deadline_us));
     }
+    if (is_whole != NULL)
+        *is_whole = seen != NULL || !has_agent(nodes);
     json_decref(seen);
     return nodes;
 }
@@ -236,7 +253,7 @@
         get_json(options, options->entry, "/v1/status", deadline_us);
     json_t *nodes = stands_alone(status)
                         ? json_array()
-                        : BwCli_ListNodes(options, deadline_us);
+                        : BwCli_ListNodes(options, deadline_us, NULL);
 
     if (status == NULL || nodes == NULL) {
         fprintf(stderr,
@@ -277,7 +294,7 @@
         snprintf(out, size_bytes, "%s", name);
         return true;
     }
-    nodes = BwCli_ListNodes(options, deadline_us);
+    nodes = BwCli_ListNodes(options, deadline_us, NULL);
     json_array_foreach(nodes, index, node)
     {
         if (is_role(node, "agent") &&
--- a/packages/cli/publish.c
+++ b/packages/cli/publish.c
@@ -7,6 +7,10 @@
    read to its end and does not hold the record.  Should a slow first copy
    arrive after all, then the second has a base that is no longer in force and
    changes nothing.
+
+   A list of the fleet may lack nodes, most of all one that is made when time
+   runs out.  So whoever was listed once is counted from then on, and without
+   one whole list the text is not said to be in force everywhere.
 */
 
 #include <stdio.h>
@@ -134,15 +138,33 @@
 
 /* ----------------------------------------------------------- in force */
 
+/* The nodes listed so far, by role and name. */
+static void
+note_nodes(json_t *fleet, const json_t *nodes)
+{
+    json_t *node;
+    size_t index;
+    char name[BW_NAME_BYTES_MAX + 16];
+
+    json_array_foreach(nodes, index, node)
+    {
+        snprintf(name, sizeof(name), "%s %s",
+                 json_string_value(json_object_get(node, "role")),
+                 json_string_value(json_object_get(node, "name")));
+        json_object_set(fleet, name, node);
+    }
+}
+
 /* Counts the nodes that have the revision in force, and names the others. */
 static size_t
-list_laggards(const json_t *nodes, uint64_t number, json_t *laggards)
+list_laggards(json_t *fleet, uint64_t number, json_t *laggards)
 {
     json_t *node;
-    size_t index;
+    const char *name;
     size_t ready = 0;
 
-    json_array_foreach(nodes, index, node)
+    json_array_clear(laggards);
+    json_object_foreach(fleet, name, node)
     {
         if (json_is_true(json_object_get(node, "up")) &&
             BwRecord_Number(node, "revision") >= number)
@@ -178,10 +200,9 @@
 
 static BwExit
 report_reach(const BwCliOptions *options, uint64_t number, size_t ready,
-             const json_t *laggards, uint64_t took_us)
+             const json_t *laggards, bool is_whole, uint64_t took_us)
 {
     size_t count = ready + json_array_size(laggards);
-    bool is_whole = json_array_size(laggards) == 0;
 
     if (BwCli_IsJson(options))
         BwCli_PrintJson(json_pack(
@@ -191,8 +212,11 @@
     else
         printf("published: revision %llu, in force on %zu of %zu nodes\n",
                (unsigned long long)number, ready, count);
-    if (is_whole)
+    if (is_whole && json_array_size(laggards) == 0)
         return BW_EXIT_OK;
+    if (!is_whole)
+        fprintf(stderr, "brasswing: no agent answered in time, so entries "
+                        "other than --entry are not known\n");
     fprintf(stderr, "brasswing: accepted, and does not revert; these nodes "
                     "do not have it yet:\n");
     print_laggards(laggards);
@@ -205,26 +229,30 @@
 wait_in_force(Publication *publication, uint64_t number, uint64_t started_us)
 {
     const BwCliOptions *options = publication->options;
+    json_t *fleet = json_object();
     json_t *laggards = json_array();
     size_t ready = 0;
-    bool is_seen = false;
+    bool is_seen = false, is_whole = false;
     BwExit code;
 
     do {
-        json_t *nodes = BwCli_ListNodes(options, publication->deadline_us);
+        bool is_list_whole;
+        json_t *nodes =
+            BwCli_ListNodes(options, publication->deadline_us, &is_list_whole);
 
         if (nodes != NULL) {
             is_seen = true;
-            json_array_clear(laggards);
-            ready = list_laggards(nodes, number, laggards);
+            is_whole |= is_list_whole;
+            note_nodes(fleet, nodes);
             json_decref(nodes);
-            if (json_array_size(laggards) == 0)
+            ready = list_laggards(fleet, number, laggards);
+            if (is_whole && json_array_size(laggards) == 0)
                 break;
         }
         usleep(POLL_US);
     } while (time_left(publication) > 0);
     if (is_seen) {
-        code = report_reach(options, number, ready, laggards,
+        code = report_reach(options, number, ready, laggards, is_whole,
                             BwClock_Now() - started_us);
     }
     else {
@@ -234,6 +262,7 @@
                 (unsigned long long)number, options->entry);
         code = BW_EXIT_LAGGING;
     }
+    json_decref(fleet);
     json_decref(laggards);
     return code;
 }
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -345,6 +345,9 @@
     if (process->pid == 0)
         return;
     kill(process->pid, number);
+    /* It may run on for a while after the call. */
+    if (number == SIGSTOP)
+        waitpid(process->pid, NULL, WUNTRACED);
     if (number == SIGKILL) {
         waitpid(process->pid, NULL, 0);
         process->pid = 0;
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -330,6 +330,31 @@
     Fleet_WaitRing(&fleet, fleet.plan.agents);
 }
 
+static uint32_t
+count_descriptors(void)
+{
+    GDir *dir = g_dir_open("/proc/self/fd", 0, NULL);
+    uint32_t count = 0;
+
+    while (g_dir_read_name(dir) != NULL)
+        count++;
+    g_dir_close(dir);
+    return count;
+}
+
+/* Programs that wait for something call many times a second. */
+static void
+test_calls_close(void)
+{
+    uint32_t before;
+
+    Fleet_Counter(fleet.entries[0].http_port, "brasswing_waiting");
+    before = count_descriptors();
+    for (uint32_t i = 0; i < 20; i++)
+        Fleet_Counter(fleet.entries[i % 2].http_port, "brasswing_waiting");
+    g_assert_cmpuint(count_descriptors(), ==, before);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -352,6 +377,7 @@
     g_test_add_func("/path/single-request", test_single_request);
     g_test_add_func("/path/cut-body", test_cut_body);
     g_test_add_func("/path/entry-stops", test_entry_stops);
+    g_test_add_func("/path/calls-close", test_calls_close);
     code = g_test_run();
     Fleet_Finish(&fleet);
     return code;
--- a/tests/test_publish.c
+++ b/tests/test_publish.c
@@ -276,6 +276,8 @@
 
     Fleet_Signal(&fleet.agents[1], SIGSTOP);
     Fleet_Run(&fleet, &run, "--timeout 5 publish " BW_EXAMPLE_PATH);
+    g_assert_cmpstr(strstr(run.out, "in force on"), ==,
+                    "in force on 4 of 5 nodes\n");
     g_assert_cmpint(run.code, ==, 6);
     g_assert_nonnull(strstr(run.err, "agent agent-1: revision"));
     g_assert_null(strstr(run.err, "agent-0"));
