Believe a declaration of a size that never ran here

Cause: the ratio of run time to declaration, or the mean, was learnt from tasks of 50 to 200 ms and applied to one that declares 5 s. With few runs the mean was taken whatever was declared. So a job of 5 s with 1 s to its deadline was expected to take 0.1 s, was admitted and started. Ruled out: the placement and the deadline check, which had the wrong forecast already.

--- a/packages/core/control.h
+++ b/packages/core/control.h
@@ -15,6 +15,7 @@
 /* -------------------------------------------------------------- Estimate */
 
 #define BW_ESTIMATE_BUCKETS 48
+#define BW_ESTIMATE_SIZES 32
 
 /* Run times of one kind of task.  Errors and the ratio are in 1/256 of a
    factor of two. */
@@ -25,6 +26,7 @@
     uint32_t error_mean;                   /* of the mean as a forecast */
     uint32_t error_declared;               /* of the corrected declaration */
     uint16_t buckets[BW_ESTIMATE_BUCKETS]; /* half octaves */
+    uint8_t sizes[BW_ESTIMATE_SIZES];      /* runs by the time declared */
 } BwEstimate;
 
 /* Records a run; `declared_us` is 0 when nothing was declared. */
@@ -33,7 +35,8 @@
 
 /* Returns the expected run time; 0 when nothing is known.  A declaration is
    used where, corrected by its usual ratio, it forecast better than the mean
-   did. */
+   did.  What was learnt from declarations of another size never makes one
+   shorter. */
 uint64_t
 BwEstimate_Expect(const BwEstimate *estimate, uint64_t declared_us);
 
--- a/packages/core/estimate.c
+++ b/packages/core/estimate.c
@@ -5,6 +5,10 @@
    fixed number of bytes for each kind of task; a quantile is exact to a factor
    of 1.41, which admission can afford.
 
+   What is learnt of declarations holds for those of their size: a task that
+   declares far more than any that ran is another kind of task, and is
+   believed.
+
    Logarithms are in 1/256 of a factor of two, with a linear mantissa: the
    error is under 9%.
 */
@@ -57,6 +61,13 @@
                                        : BW_ESTIMATE_BUCKETS - 1;
 }
 
+/* The class, two octaves wide, of a declared time. */
+static uint32_t
+size_of(uint64_t declared_us)
+{
+    return (uint32_t)(log_of(declared_us) / LOG_ONE / 2);
+}
+
 static uint32_t
 distance(int32_t a, int32_t b)
 {
@@ -98,6 +109,9 @@
     estimate->mean_us =
         (estimate->mean_us * (runs - 1) + ran_us + runs / 2) / runs;
     estimate->count++;
+    if (declared_us > 0 &&
+        estimate->sizes[size_of(declared_us)] < RUNS_TO_TRUST)
+        estimate->sizes[size_of(declared_us)]++;
     estimate->buckets[bucket]++;
     if (estimate->buckets[bucket] < BUCKET_FULL)
         return;
@@ -108,12 +122,19 @@
 uint64_t
 BwEstimate_Expect(const BwEstimate *estimate, uint64_t declared_us)
 {
+    uint64_t learnt_us = estimate->mean_us;
+
     if (estimate->count == 0)
         return declared_us;
-    if (declared_us == 0 || estimate->count < RUNS_TO_TRUST ||
-        estimate->error_declared >= estimate->error_mean)
-        return estimate->mean_us;
-    return power_of(log_of(declared_us) + estimate->ratio);
+    if (declared_us == 0)
+        return learnt_us;
+    if (estimate->count >= RUNS_TO_TRUST &&
+        estimate->error_declared < estimate->error_mean)
+        learnt_us = power_of(log_of(declared_us) + estimate->ratio);
+    if (learnt_us < declared_us &&
+        estimate->sizes[size_of(declared_us)] < RUNS_TO_TRUST)
+        return declared_us;
+    return learnt_us;
 }
 
 uint64_t
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -419,6 +419,7 @@
 {
     BwEstimate steady = {0};
     BwEstimate scaled = {0};
+    BwEstimate honest = {0};
     BwRandom random;
 
     BwRandom_Init(&random, 11);
@@ -430,6 +431,14 @@
         BwEstimate_Record(&steady, 100000, off_us);
         BwEstimate_Record(&scaled, ran_us, ran_us * 10);
     }
+    /* an honest declaration is believed, whatever others were like */
+    g_assert_cmpuint(BwEstimate_Expect(&scaled, 100000000), ==, 100000000);
+    BwEstimate_Record(&honest, 100000, 100000);
+    g_assert_cmpuint(BwEstimate_Expect(&honest, 5000000), ==, 5000000);
+    for (uint32_t i = 0; i < 500; i++)
+        BwEstimate_Record(&honest, 50000 + i % 2 * 100000, 100000);
+    g_assert_cmpuint(BwEstimate_Expect(&honest, 5000000), ==, 5000000);
+    g_assert_cmpuint(BwEstimate_Expect(&honest, 100000), <, 150000);
     /* declarations without sense are dropped, a steady factor is learnt */
     g_assert_cmpuint(BwEstimate_Expect(&steady, 10000000), ==, 100000);
     g_assert_cmpuint(BwEstimate_Expect(&scaled, 2000000), >, 150000);
