Do not tell a slot as free that a reservation pulls next

Cause: the answer of a task carried the free slots as they were just before the executor pulled for the next reservation. A home that read "one free" moved a waiting task there, was declined, and its task went to the end of that queue without its other reservations, released at the move.

Change: reservations that wait are taken off the free slots that are told.

Seen: /reservation/awaited failed before (1 free, not 0) and passes.

--- a/packages/core/executor.c
+++ b/packages/core/executor.c
@@ -177,7 +177,11 @@
 void
 BwLedger_DescribeLoad(const BwExecutor *executor, BwDone *done)
 {
-    done->free_slots = BwExecutor_FreeSlots(executor);
+    uint32_t unused = BwExecutor_FreeSlots(executor);
+
+    /* Reservations pull the others right after this. */
+    done->free_slots =
+        unused > executor->queue.slots ? unused - executor->queue.slots : 0;
     done->ended = executor->outcomes.ended;
     done->failed_permille = executor->outcomes.failed_permille;
     done->pace_permille = executor->outcomes.pace_permille;
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -412,6 +412,49 @@
     BwExecutor_Finish(&executor);
 }
 
+static void
+note_done(void *ctx, uint32_t peer, const BwDone *done)
+{
+    (void)peer;
+    *(uint32_t *)ctx = done->free_slots;
+}
+
+/* A slot for which others wait is not told as free: whoever took it for free
+   would be declined, and lose its place in the queue. */
+static void
+test_awaited_slot_is_taken(void)
+{
+    static const BwExecutorPort executor_port = {.start = ignore_start,
+                                                 .done = note_done,
+                                                 .pull = ignore_pull,
+                                                 .decide = take_decision};
+    BwGrantedTask tasks[2] = {{.index = 0}, {.index = 1}};
+    BwGrant grant = {.job = id_of("a"),
+                     .not_after_us = NOW_US,
+                     .deadline_us = NOW_US + SECOND_US,
+                     .service = BwSpan_FromString(SERVICE),
+                     .tasks = tasks,
+                     .task_count = 2};
+    BwGrant other = {.job = id_of("b"),
+                     .not_after_us = NOW_US,
+                     .deadline_us = NOW_US + SECOND_US,
+                     .service = BwSpan_FromString(SERVICE),
+                     .reserve = 1};
+    BwSpan none = {"", 0};
+    BwExecutor executor;
+    uint32_t free_slots = 9;
+
+    BwExecutor_Init(&executor, SECOND_US, &executor_port, &free_slots);
+    BwExecutor_Announce(&executor, grant.service, 2);
+    BwExecutor_OnGrant(&executor, NOW_US, 1, &grant);
+    BwExecutor_OnGrant(&executor, NOW_US, 2, &other);
+    BwExecutor_TaskEnded(&executor, NOW_US, grant.job, 0, BW_OK, 200, none);
+    g_assert_cmpuint(free_slots, ==, 0);
+    BwExecutor_TaskEnded(&executor, NOW_US, grant.job, 1, BW_OK, 200, none);
+    g_assert_cmpuint(free_slots, ==, 1);
+    BwExecutor_Finish(&executor);
+}
+
 /* ------------------------------------------------------- estimates */
 
 static void
@@ -850,6 +893,7 @@
     g_test_add_func("/order/shares", test_fair_shares);
     g_test_add_func("/order/ageing", test_low_class_ages);
     g_test_add_func("/reservation/release", test_release_is_a_number);
+    g_test_add_func("/reservation/awaited", test_awaited_slot_is_taken);
     g_test_add_func("/estimate", test_estimate);
     g_test_add_func("/health/ejected", test_failing_is_ejected);
     g_test_add_func("/health/ceiling", test_ejections_have_a_ceiling);
