Spread reservations, and hedge those that wait long

Cause: a home hears of a queue once a second at worst. Jobs that still failed had most of their reservations where a queue had seemed short (9 and 7 of 23 at two of eleven workers), or all but two tasks done and those at one worker whose slots renewals kept (0.7 s without a pull).

Change: a round leaves no worker more than two equal shares of a job's reservations, and tasks that still wait after a quarter of the job's time are reserved a second time, once, at other short queues.

Seen: /placement/spread and /placement/hedge pass.

--- a/packages/core/home.c
+++ b/packages/core/home.c
@@ -906,6 +906,8 @@
     HASH_ITER(hh, home->jobs, job, next)
     {
         end_in_time(home, now_us, job);
+        if (now_us >= job->hedge_at_us)
+            BwHome_HedgeJob(home, now_us, job);
         if (job->is_ended && now_us >= job->drop_us)
             BwHome_RemoveJob(home, job);
     }
--- a/packages/core/job.h
+++ b/packages/core/job.h
@@ -49,6 +49,7 @@
     bool is_noted;    /* the guardian knows that it runs on this host */
     uint64_t start_by_us;   /* an unstarted job that is later ends too late */
     uint64_t last_start_us; /* a task that starts later does */
+    uint64_t hedge_at_us;   /* UINT64_MAX: was hedged */
     uint64_t drop_us;       /* the answer is forgotten then */
     uint64_t epoch;
     uint32_t priority;
@@ -106,6 +107,10 @@
 void
 BwHome_PlaceJob(BwHome *home, uint64_t now_us, BwJob *job);
 
+/* Leaves a second reservation for each task that still waits. */
+void
+BwHome_HedgeJob(BwHome *home, uint64_t now_us, BwJob *job);
+
 void
 BwHome_RemoveJob(BwHome *home, BwJob *job);
 
--- a/packages/core/rounds.c
+++ b/packages/core/rounds.c
@@ -12,6 +12,7 @@
 
 #define WASTE_FIRST 1
 #define MOVE_MESSAGES 2
+#define SHARES_MAX 2
 
 /* Grants up to `room` waiting tasks to one worker in a single message, and
    asks it to keep `reserve` reservations. */
@@ -145,20 +146,31 @@
     }
 }
 
+/* What is known of a queue may be old, and the last task ends the job: no
+   worker gets more than SHARES_MAX equal shares, however short its queue
+   seems. */
 static void
 pick_reserves(Round *round, uint32_t needed)
 {
     BwHomeService *service = round->job->of;
     const BwPlacement *placement = service->policy->placement;
+    uint32_t most = 0;
 
+    if (round->group->usable.count > round->hidden_count)
+        most = SHARES_MAX * needed /
+                   (round->group->usable.count - round->hidden_count) +
+               1;
     while (needed-- > 0) {
         BwWorkerView *worker =
             placement->reserve(&service->placement, round->group);
 
         if (worker == NULL || !note_picked(round, worker))
-            return;
+            break;
         worker->picked_reserves++;
+        worker->is_hidden = worker->picked_reserves >= most;
     }
+    for (uint32_t i = 0; i < round->picked.count; i++)
+        round->picked.items[i]->is_hidden = false;
 }
 
 /* Keeps a worker out of a round.  Its slots come back with show_all. */
@@ -287,6 +299,24 @@
     send_round(round);
 }
 
+void
+BwHome_HedgeJob(BwHome *home, uint64_t now_us, BwJob *job)
+{
+    BwWorkerGroup *group = BwWorkers_Group(&home->workers, job->service);
+    Round round = {.home = home, .job = job, .group = group};
+
+    job->hedge_at_us = UINT64_MAX;
+    if (!job->is_listed || group == NULL || group->usable.count == 0 ||
+        !BwHome_Owns(home, now_us, job->id))
+        return;
+    home->now_us = now_us;
+    hide_unfit(&round, now_us);
+    pick_reserves(&round, job->waiting);
+    job->of->wasted_ahead += job->waiting * MOVE_MESSAGES;
+    show_all(&round);
+    send_round(&round);
+}
+
 void
 BwHome_PlaceJob(BwHome *home, uint64_t now_us, BwJob *job)
 {
--- a/packages/core/submission.c
+++ b/packages/core/submission.c
@@ -14,6 +14,8 @@
 
 #include "job.h"
 
+#define HEDGE_PART 4
+
 static char *
 copy_span(char **cursor, BwSpan *span)
 {
@@ -322,6 +324,8 @@
     job->last_start_us =
         job->deadline_us -
         (job->expected_us < time_left_us ? job->expected_us : time_left_us);
+    job->hedge_at_us =
+        home->now_us + (job->last_start_us - home->now_us) / HEDGE_PART;
     if (admission.error == BW_OK && use >= 0) {
         service->teams[use].tasks += ask.tasks;
         job->team_use = use;
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -247,6 +247,49 @@
     end_fake(fake);
 }
 
+/* What is known of a queue may be old: no worker gets most of a job. */
+static void
+test_reservations_spread(void)
+{
+    Fake *fake = make_fake(&BwPlacement_Frugal, 11, 0);
+    BwQueueCount queued[1] = {{50}};
+    BwLoad load = {.service = BwSpan_FromString(SERVICE),
+                   .slots = 8,
+                   .clock_us = NOW_US,
+                   .queued = queued,
+                   .queued_count = 1};
+
+    for (uint32_t i = 0; i < 11; i++) {
+        if (i != 5)
+            BwHome_WorkerLoad(&fake->home, NOW_US, i, BwSpan_FromString("w"),
+                              i == 0, &load);
+    }
+    submit(fake, "a", 22, SECOND_US);
+    g_assert_cmpuint(sum(fake->reserved), ==, 22);
+    g_assert_cmpuint(fake->reserved[5], >=, 2);
+    g_assert_cmpuint(fake->reserved[5], <=, 5);
+    end_fake(fake);
+}
+
+/* A job is not held up by one long queue: what still waits after a quarter of
+   its time is reserved once more. */
+static void
+test_hedges_what_waits(void)
+{
+    Fake *fake = make_fake(&BwPlacement_Frugal, 4, 0);
+    BwPull pull = {id_of("a"), 1};
+
+    submit(fake, "a", 6, SECOND_US);
+    BwHome_OnPull(&fake->home, NOW_US, 1, &pull);
+    BwHome_Tick(&fake->home, NOW_US + 200000);
+    g_assert_cmpuint(sum(fake->reserved), ==, 6);
+    BwHome_Tick(&fake->home, NOW_US + 300000);
+    g_assert_cmpuint(sum(fake->reserved), ==, 11);
+    BwHome_Tick(&fake->home, NOW_US + 400000);
+    g_assert_cmpuint(sum(fake->reserved), ==, 11);
+    end_fake(fake);
+}
+
 static void
 test_service_policies_differ(void)
 {
@@ -928,6 +971,8 @@
     g_test_add_func("/placement/prompt", test_prompt_spreads);
     g_test_add_func("/placement/cover", test_reservations_cover);
     g_test_add_func("/placement/budget", test_surplus_has_budget);
+    g_test_add_func("/placement/spread", test_reservations_spread);
+    g_test_add_func("/placement/hedge", test_hedges_what_waits);
     g_test_add_func("/placement/services", test_service_policies_differ);
     g_test_add_func("/order/fifo", test_fifo);
     g_test_add_func("/order/shares", test_fair_shares);
