--- a/packages/core/job.h
+++ b/packages/core/job.h
@@ -46,7 +46,7 @@
     uint64_t held_by_us; /* then it fails */
     bool is_note_asked;
     uint64_t note_asked_us;
-    bool is_noted;    /* the guardian knows that it runs on this host */
+    bool is_noted;          /* the guardian knows that it runs on this host */
     uint64_t start_by_us;   /* an unstarted job that is later ends too late */
     uint64_t last_start_us; /* a task that starts later does */
     uint64_t hedge_at_us;   /* UINT64_MAX: was hedged */
