--- a/packages/core/job.c
+++ b/packages/core/job.c
@@ -338,6 +338,17 @@
     job->waiter_count = 0;
 }
 
+bool
+BwHome_IsTooLate(const BwJob *job, uint64_t now_us)
+{
+    bool is_begun =
+        job->waiting < job->task_count || job->tasks[0].attempt > 0;
+
+    if (job->is_ended || job->is_held || job->waiting == 0)
+        return false;
+    return now_us > (is_begun ? job->last_start_us : job->start_by_us);
+}
+
 /* A job has run nothing when no grant is outstanding or done, no earlier
    attempt failed, and no other home may have run it; a declined grant is a
    task that was not started. */
--- a/packages/core/job.h
+++ b/packages/core/job.h
@@ -50,8 +50,11 @@
     uint64_t held_by_us; /* then it fails */
     bool is_note_asked;
     uint64_t note_asked_us;
-    bool is_noted;    /* the guardian knows that it runs on this host */
-    uint64_t drop_us; /* the answer is forgotten then */
+    bool is_noted;          /* the guardian knows that it runs on this host */
+    uint64_t start_by_us;   /* an unstarted job that is later ends too late */
+    uint64_t last_start_us; /* a task that starts later does */
+    uint64_t hedge_at_us;   /* UINT64_MAX: was hedged */
+    uint64_t drop_us;       /* the answer is forgotten then */
     uint64_t epoch;
     uint32_t priority;
     uint32_t flags;
@@ -151,6 +154,10 @@
 bool
 BwHome_HasRun(const BwHome *home, uint64_t now_us, const BwJob *job);
 
+/* Whether tasks wait that can no longer end by the deadline. */
+bool
+BwHome_IsTooLate(const BwJob *job, uint64_t now_us);
+
 /* Reports one decision on a job for the log. */
 void
 BwHome_Decide(BwHome *home, const char *what, const BwJob *job, uint32_t count,
@@ -208,6 +215,10 @@
 void
 BwHome_PlaceJob(BwHome *home, uint64_t now_us, BwJob *job);
 
+/* Leaves a second reservation for each task that still waits. */
+void
+BwHome_HedgeJob(BwHome *home, uint64_t now_us, BwJob *job);
+
 /* Grants up to `room` waiting tasks to one worker in a single message, and
    asks it to keep `reserve` reservations.  Returns how many were granted. */
 uint32_t
--- a/packages/emulator/player.c
+++ b/packages/emulator/player.c
@@ -527,12 +527,13 @@
     }
 }
 
-static void
-read_usable(BwPlayer *player)
+/* Returns how many workers the dispatcher that has fewest may use. */
+static uint32_t
+count_usable(const BwPlayer *player)
 {
     const BwFleet *fleet = &player->fleet;
+    uint32_t least = UINT32_MAX;
 
-    player->usable_workers = UINT32_MAX;
     for (uint32_t i = 0; i < fleet->plan.dispatchers; i++) {
         uint32_t usable;
 
@@ -540,11 +541,28 @@
             continue;
         usable = (uint32_t)BwFleet_Counter(fleet->ready_ports[i],
                                            "brasswing_workers_usable");
-        if (usable < player->usable_workers)
-            player->usable_workers = usable;
+        if (usable < least)
+            least = usable;
+    }
+    return least == UINT32_MAX ? 0 : least;
+}
+
+/* A process that has just been started needs a while, so that the number that
+   is expected is waited for. */
+static void
+read_usable(BwPlayer *player)
+{
+    const BwExperiment *experiment = player->experiment;
+    uint64_t give_up_us = BwClock_Now() + UP_TIMEOUT_US;
+    uint32_t expected = 0;
+
+    for (uint32_t i = 0; i < experiment->outcome_count; i++) {
+        if (strcmp(experiment->outcomes[i].expect, "usable_workers") == 0)
+            expected = experiment->outcomes[i].at_least;
     }
-    if (player->usable_workers == UINT32_MAX)
-        player->usable_workers = 0;
+    while ((player->usable_workers = count_usable(player)) < expected &&
+           BwClock_Now() < give_up_us)
+        usleep(POLL_US);
 }
 
 bool
--- a/packages/emulator/process.c
+++ b/packages/emulator/process.c
@@ -129,6 +129,9 @@
     if (process->pid == 0)
         return;
     kill(process->pid, number);
+    /* It may run on for a while after the call. */
+    if (number == SIGSTOP)
+        waitpid(process->pid, NULL, WUNTRACED);
     if (number == SIGKILL) {
         waitpid(process->pid, NULL, 0);
         process->pid = 0;
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -247,6 +247,49 @@
     end_fake(fake);
 }
 
+/* What is known of a queue may be old: no worker gets most of a job. */
+static void
+test_reservations_spread(void)
+{
+    Fake *fake = make_fake(&BwPlacement_Frugal, 11, 0);
+    BwQueueCount queued[1] = {{50}};
+    BwLoad load = {.service = BwSpan_FromString(SERVICE),
+                   .slots = 8,
+                   .clock_us = NOW_US,
+                   .queued = queued,
+                   .queued_count = 1};
+
+    for (uint32_t i = 0; i < 11; i++) {
+        if (i != 5)
+            BwHome_WorkerLoad(&fake->home, NOW_US, i, BwSpan_FromString("w"),
+                              i == 0, &load);
+    }
+    submit(fake, "a", 22, SECOND_US);
+    g_assert_cmpuint(sum(fake->reserved), ==, 22);
+    g_assert_cmpuint(fake->reserved[5], >=, 2);
+    g_assert_cmpuint(fake->reserved[5], <=, 5);
+    end_fake(fake);
+}
+
+/* A job is not held up by one long queue: what still waits after a quarter of
+   its time is reserved once more. */
+static void
+test_hedges_what_waits(void)
+{
+    Fake *fake = make_fake(&BwPlacement_Frugal, 4, 0);
+    BwPull pull = {id_of("a"), 1};
+
+    submit(fake, "a", 6, SECOND_US);
+    BwHome_OnPull(&fake->home, NOW_US, 1, &pull);
+    BwHome_Tick(&fake->home, NOW_US + 200000);
+    g_assert_cmpuint(sum(fake->reserved), ==, 6);
+    BwHome_Tick(&fake->home, NOW_US + 300000);
+    g_assert_cmpuint(sum(fake->reserved), ==, 11);
+    BwHome_Tick(&fake->home, NOW_US + 400000);
+    g_assert_cmpuint(sum(fake->reserved), ==, 11);
+    end_fake(fake);
+}
+
 static void
 test_service_policies_differ(void)
 {
@@ -412,6 +455,49 @@
     BwExecutor_Finish(&executor);
 }
 
+static void
+note_done(void *ctx, uint32_t peer, const BwDone *done)
+{
+    (void)peer;
+    *(uint32_t *)ctx = done->free_slots;
+}
+
+/* A slot for which others wait is not told as free: whoever took it for free
+   would be declined, and lose its place in the queue. */
+static void
+test_awaited_slot_is_taken(void)
+{
+    static const BwExecutorPort executor_port = {.start = ignore_start,
+                                                 .done = note_done,
+                                                 .pull = ignore_pull,
+                                                 .decide = take_decision};
+    BwGrantedTask tasks[2] = {{.index = 0}, {.index = 1}};
+    BwGrant grant = {.job = id_of("a"),
+                     .not_after_us = NOW_US,
+                     .deadline_us = NOW_US + SECOND_US,
+                     .service = BwSpan_FromString(SERVICE),
+                     .tasks = tasks,
+                     .task_count = 2};
+    BwGrant other = {.job = id_of("b"),
+                     .not_after_us = NOW_US,
+                     .deadline_us = NOW_US + SECOND_US,
+                     .service = BwSpan_FromString(SERVICE),
+                     .reserve = 1};
+    BwSpan none = {"", 0};
+    BwExecutor executor;
+    uint32_t free_slots = 9;
+
+    BwExecutor_Init(&executor, SECOND_US, &executor_port, &free_slots);
+    BwExecutor_Announce(&executor, grant.service, 2);
+    BwExecutor_OnGrant(&executor, NOW_US, 1, &grant);
+    BwExecutor_OnGrant(&executor, NOW_US, 2, &other);
+    BwExecutor_TaskEnded(&executor, NOW_US, grant.job, 0, BW_OK, 200, none);
+    g_assert_cmpuint(free_slots, ==, 0);
+    BwExecutor_TaskEnded(&executor, NOW_US, grant.job, 1, BW_OK, 200, none);
+    g_assert_cmpuint(free_slots, ==, 1);
+    BwExecutor_Finish(&executor);
+}
+
 /* ------------------------------------------------------- estimates */
 
 static void
@@ -419,6 +505,7 @@
 {
     BwEstimate steady = {0};
     BwEstimate scaled = {0};
+    BwEstimate honest = {0};
     BwRandom random;
 
     BwRandom_Init(&random, 11);
@@ -430,6 +517,14 @@
         BwEstimate_Record(&steady, 100000, off_us);
         BwEstimate_Record(&scaled, ran_us, ran_us * 10);
     }
+    /* an honest declaration is believed, whatever others were like */
+    g_assert_cmpuint(BwEstimate_Expect(&scaled, 100000000), ==, 100000000);
+    BwEstimate_Record(&honest, 100000, 100000);
+    g_assert_cmpuint(BwEstimate_Expect(&honest, 5000000), ==, 5000000);
+    for (uint32_t i = 0; i < 500; i++)
+        BwEstimate_Record(&honest, 50000 + i % 2 * 100000, 100000);
+    g_assert_cmpuint(BwEstimate_Expect(&honest, 5000000), ==, 5000000);
+    g_assert_cmpuint(BwEstimate_Expect(&honest, 100000), <, 150000);
     /* declarations without sense are dropped, a steady factor is learnt */
     g_assert_cmpuint(BwEstimate_Expect(&steady, 10000000), ==, 100000);
     g_assert_cmpuint(BwEstimate_Expect(&scaled, 2000000), >, 150000);
@@ -693,6 +788,39 @@
     end_fake(fake);
 }
 
+/* What can no longer end in time is given up at once: nothing of it starts, or
+   no more of it. */
+static void
+test_gives_up_what_is_late(void)
+{
+    Fake *fake = make_fake(&BwPlacement_Frugal, 2, 0);
+    BwDoneTask task = {.ran_us = 100000};
+    BwDone done = {.job = id_of("first"), .tasks = &task, .task_count = 1};
+    BwPull pull = {id_of("first"), 1};
+
+    submit(fake, "first", 1, SECOND_US);
+    BwHome_OnPull(&fake->home, NOW_US, 1, &pull);
+    BwHome_OnDone(&fake->home, NOW_US, 1, &done);
+    submit(fake, "unstarted", 2, SECOND_US);
+    submit(fake, "begun", 2, SECOND_US);
+    pull.job = id_of("begun");
+    BwHome_OnPull(&fake->home, NOW_US + 800000, 1, &pull);
+    g_assert_cmpuint(fake->started[1], ==, 2);
+    pull.job = id_of("unstarted");
+    BwHome_OnPull(&fake->home, NOW_US + 890000, 1, &pull);
+    g_assert_cmpuint(fake->started[1], ==, 2);
+    BwHome_Tick(&fake->home, NOW_US + 890000);
+    g_assert_cmpuint(fake->results, ==, 2);
+    g_assert_cmpuint(fake->last_error, ==, BW_ERR_TIMED_OUT);
+    pull.job = id_of("begun");
+    BwHome_OnPull(&fake->home, NOW_US + 910000, 1, &pull);
+    g_assert_cmpuint(fake->started[1], ==, 2);
+    BwHome_Tick(&fake->home, NOW_US + 910000);
+    g_assert_cmpuint(fake->results, ==, 3);
+    g_assert_cmpuint(fake->last_error, ==, BW_ERR_TIMED_OUT_RUNNING);
+    end_fake(fake);
+}
+
 /* -------------------------------------------------- operators' text */
 
 static void
@@ -828,6 +956,13 @@
     g_assert_cmpuint(BwAdmission_Decide(&policy, &load, &ask).error, ==,
                      BW_OK);
     load.busy_before = BwAdmitted_SlotsBefore(&admitted, now_us, 4, 12);
+    g_assert_cmpuint(BwAdmission_Decide(&policy, &load, &ask).error, ==,
+                     BW_ERR_OVERLOADED);
+    /* what is foreseen is not sure: little time is refused without a queue */
+    load.waiting[4] = 0;
+    g_assert_cmpuint(BwAdmission_Decide(&policy, &load, &ask).error, ==,
+                     BW_OK);
+    ask.time_left_us = 250000;
     g_assert_cmpuint(BwAdmission_Decide(&policy, &load, &ask).error, ==,
                      BW_ERR_OVERLOADED);
     now_us += 60000000;
@@ -843,11 +978,14 @@
     g_test_add_func("/placement/prompt", test_prompt_spreads);
     g_test_add_func("/placement/cover", test_reservations_cover);
     g_test_add_func("/placement/budget", test_surplus_has_budget);
+    g_test_add_func("/placement/spread", test_reservations_spread);
+    g_test_add_func("/placement/hedge", test_hedges_what_waits);
     g_test_add_func("/placement/services", test_service_policies_differ);
     g_test_add_func("/order/fifo", test_fifo);
     g_test_add_func("/order/shares", test_fair_shares);
     g_test_add_func("/order/ageing", test_low_class_ages);
     g_test_add_func("/reservation/release", test_release_is_a_number);
+    g_test_add_func("/reservation/awaited", test_awaited_slot_is_taken);
     g_test_add_func("/estimate", test_estimate);
     g_test_add_func("/health/ejected", test_failing_is_ejected);
     g_test_add_func("/health/ceiling", test_ejections_have_a_ceiling);
@@ -857,6 +995,7 @@
     g_test_add_func("/retry/budget", test_retry_budget);
     g_test_add_func("/admission/cases", test_admission);
     g_test_add_func("/admission/late", test_refuses_what_would_be_late);
+    g_test_add_func("/admission/given-up", test_gives_up_what_is_late);
     g_test_add_func("/admission/barred", test_barred_workers_count);
     g_test_add_func("/text", test_text_selects);
     g_test_add_func("/cancel/wave", test_wave_of_cancels);
