Free the loop of the mesh's tests

Cause: run with the address sanitizer test_mesh reported its loops, 480 bytes, as leaked. With their end it reports nothing; supervisor, dispatcher, schedules and the 37 cases of test_bound pass there as well.

--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -114,6 +114,7 @@
     for (uint32_t i = 0; i < NODES; i++)
         BwMesh_Finish(&f->meshes[i]);
     h2o_evloop_run(f->loop, 0);
+    h2o_evloop_destroy(f->loop);
 }
 
 /* Nothing is news: heartbeats alone, and a part of the list to one. */
