--- a/packages/emulator/labreport.c
+++ b/packages/emulator/labreport.c
@@ -7,6 +7,7 @@
 
 #define STEP_MS 100
 #define QUANTILE_COUNT 4
+#define HELD_UP_MS 500 /* that is told */
 
 static const uint32_t bounds_ms[] = {5,   10,   20,   50,   100,   200,
                                      500, 1000, 2000, 5000, 10000, UINT32_MAX};
@@ -264,14 +265,16 @@
     for (uint32_t i = 0; i < experiment->class_count; i++)
         json_array_append_new(classes, make_class(player, i));
     return json_pack(
-        "{s:s, s:s, s:I, s:{s:i, s:i}, s:i, s:i, s:o, s:o, s:o, s:o, s:o}",
+        "{s:s, s:s, s:I, s:{s:i, s:i}, s:i, s:i, s:i, s:o, s:o, s:o, s:o, "
+        "s:o}",
         "experiment", experiment->name, "about", experiment->about, "seed",
         (json_int_t)experiment->seed, "fleet", "dispatchers",
         (int)experiment->fleet.dispatchers, "workers",
-        (int)experiment->fleet.workers, "jobs", (int)player->job_count, "runs",
-        (int)facts->run_count, "classes", classes, "not_completed",
-        make_refusals(player), "outcomes", make_outcomes(player, facts),
-        "faults", make_faults(player), "series", make_series(player, facts));
+        (int)experiment->fleet.workers, "jobs", (int)player->job_count,
+        "held_up_ms", (int)player->held_up_ms, "runs", (int)facts->run_count,
+        "classes", classes, "not_completed", make_refusals(player), "outcomes",
+        make_outcomes(player, facts), "faults", make_faults(player), "series",
+        make_series(player, facts));
 }
 
 /* ---------------------------------------------------------------- text */
@@ -319,6 +322,9 @@
     fprintf(out, "%s: %lld jobs, %lld runs, seed %lld\n",
             text_of(report, "experiment"), integer_of(report, "jobs"),
             integer_of(report, "runs"), integer_of(report, "seed"));
+    if (integer_of(report, "held_up_ms") > HELD_UP_MS)
+        fprintf(out, "  the player was held up for %lld ms\n",
+                integer_of(report, "held_up_ms"));
     json_array_foreach(json_object_get(report, "classes"), i, item)
     {
         json_t *ends = json_object_get(item, "ends");
--- a/packages/emulator/player.c
+++ b/packages/emulator/player.c
@@ -444,7 +444,7 @@
 play(BwPlayer *player, FILE *progress)
 {
     const BwExperiment *experiment = player->experiment;
-    uint64_t shown_us = 0, now_us = BwClock_Now(), quiet_us;
+    uint64_t shown_us = 0, now_us = BwClock_Now(), quiet_us, turn_us;
 
     player->start_us = now_us;
     quiet_us =
@@ -458,7 +458,10 @@
             send_due(player, i, now_us);
         do_faults(player, now_us);
         BwCalls_Run(&player->calls, TURN_MS);
+        turn_us = now_us;
         now_us = BwClock_Now();
+        if (now_us - turn_us > (uint64_t)player->held_up_ms * 1000)
+            player->held_up_ms = (uint32_t)((now_us - turn_us) / 1000);
         if (now_us - shown_us > PROGRESS_US) {
             show_progress(player, progress, now_us);
             shown_us = now_us;
--- a/packages/emulator/player.h
+++ b/packages/emulator/player.h
@@ -58,6 +58,7 @@
     json_t *workers;           /* ledger of each worker */
     json_t *ingress;           /* rows of connections */
     uint32_t usable_workers;   /* in the end, as dispatchers see them */
+    uint32_t held_up_ms;       /* the longest turn of the player */
     uint32_t crashes;          /* ends that no fault did, or with a code */
     char fault[320];
 } BwPlayer;
