End emulated runs at the time they were due to end

Cause: an emulated worker wrote down the end of a run when it got to it. Ruled out: a hold that renews a lease after its end, since the runs are looked at before each order. Change: a run ends at its due time, its stop or the end of the lease, whichever is first.

--- a/packages/emulator/worker.c
+++ b/packages/emulator/worker.c
@@ -217,9 +217,9 @@
 }
 
 static void
-end_run(Run *run, const char *how)
+end_run(Run *run, uint64_t now_us, const char *how)
 {
-    run->ended_us = BwClock_Now();
+    run->ended_us = now_us;
     run->how = how;
     run->number = ++me.next_end;
     set_mark(run->task, run->run);
@@ -292,22 +292,40 @@
     }
 }
 
+/* When the lease ends, or did; NEVER without one. */
+static uint64_t
+lapse_us(void)
+{
+    if (me.lease_ms == 0)
+        return NEVER;
+    if (me.lease_ms < CLOCK_START_MS)
+        return me.born_us;
+    return me.born_us +
+           (me.lease_ms - CLOCK_START_MS) * 1000 * 1000 / me.clock_permille;
+}
+
+/* A run ends when it was due to, however late this process gets to it: what
+   the host of an emulated worker lacks must not pass for a fault. */
 static void
 tick_runs(uint64_t now_us)
 {
-    bool is_lapsed = me.lease_ms != 0 && clock_ms() >= me.lease_ms;
+    uint64_t lapsed_us = lapse_us();
     Run *run;
 
     DL_FOREACH(me.runs, run)
     {
+        uint64_t end_us =
+            run->stopped_us < run->due_us ? run->stopped_us : run->due_us;
+
         if (!is_running(run))
             continue;
-        if (is_lapsed)
-            end_run(run, "lapsed");
-        else if (now_us >= run->stopped_us)
-            end_run(run, "stopped");
-        else if (now_us >= run->due_us)
-            end_run(run, run->fails || me.is_failing ? "failed" : "done");
+        if (lapsed_us <= now_us && lapsed_us < end_us)
+            end_run(run, lapsed_us, "lapsed");
+        else if (end_us <= now_us && end_us == run->due_us)
+            end_run(run, end_us,
+                    run->fails || me.is_failing ? "failed" : "done");
+        else if (end_us <= now_us)
+            end_run(run, end_us, "stopped");
     }
 }
 
@@ -642,7 +660,7 @@
     DL_FOREACH(me.runs, run)
     {
         if (is_running(run))
-            end_run(run, "crashed");
+            end_run(run, BwClock_Now(), "crashed");
     }
     HASH_ITER(hh, me.marks, mark, next)
     {
