--- a/packages/core/control.h
+++ b/packages/core/control.h
@@ -14,7 +14,6 @@
 
 /* -------------------------------------------------------------- Estimate */
 
-#define BW_ESTIMATE_BUCKETS 48
 #define BW_ESTIMATE_SIZES 32
 
 /* Run times of one kind of task.  Errors and the ratio are in 1/256 of a
@@ -22,11 +21,10 @@
 typedef struct BwEstimate {
     uint64_t count;
     uint64_t mean_us;
-    int32_t ratio;                         /* of observed to declared */
-    uint32_t error_mean;                   /* of the mean as a forecast */
-    uint32_t error_declared;               /* of the corrected declaration */
-    uint16_t buckets[BW_ESTIMATE_BUCKETS]; /* half octaves */
-    uint8_t sizes[BW_ESTIMATE_SIZES];      /* runs by the time declared */
+    int32_t ratio;                    /* of observed to declared */
+    uint32_t error_mean;              /* of the mean as a forecast */
+    uint32_t error_declared;          /* of the corrected declaration */
+    uint8_t sizes[BW_ESTIMATE_SIZES]; /* runs by the time declared */
 } BwEstimate;
 
 /* Records a run; `declared_us` is 0 when nothing was declared. */
@@ -40,11 +38,6 @@
 uint64_t
 BwEstimate_Expect(const BwEstimate *estimate, uint64_t declared_us);
 
-/* Returns a time that `permille` of the recent runs stayed within, rounded up
-   to a half octave; 0 when nothing is known. */
-uint64_t
-BwEstimate_Quantile(const BwEstimate *estimate, uint32_t permille);
-
 /* ---------------------------------------------------------------- Health */
 
 /* Records how a task ended.  Failures leave the pace as it is. */
--- a/packages/core/estimate.c
+++ b/packages/core/estimate.c
@@ -1,9 +1,7 @@
 /* estimate.c -- expected run times, from what was observed
 
-   A mean over recent runs, and a histogram with buckets of half an octave
-   whose counts are halved when they fill, so that old runs fade.  All in a
-   fixed number of bytes for each kind of task; a quantile is exact to a factor
-   of 1.41, which admission can afford.
+   A mean over recent runs, and how far it and the declarations were off, in a
+   fixed number of bytes for each kind of task.
 
    What is learnt of declarations holds for those of their size: a task that
    declares far more than any that ran is another kind of task, and is
@@ -20,8 +18,6 @@
 #define MEAN_RUNS 32
 #define ERROR_RUNS 16
 #define RUNS_TO_TRUST 8
-#define BUCKET_FIRST_US 256
-#define BUCKET_FULL 4096
 #define LOG_ONE 256
 
 static int32_t
@@ -50,17 +46,6 @@
     return whole >= 8 ? mantissa << (whole - 8) : mantissa >> (8 - whole);
 }
 
-static uint32_t
-bucket_of(uint64_t ran_us)
-{
-    int32_t place = (log_of(ran_us) - log_of(BUCKET_FIRST_US)) * 2 / LOG_ONE;
-
-    if (place < 0)
-        return 0;
-    return place < BW_ESTIMATE_BUCKETS ? (uint32_t)place
-                                       : BW_ESTIMATE_BUCKETS - 1;
-}
-
 /* The class, two octaves wide, of a declared time. */
 static uint32_t
 size_of(uint64_t declared_us)
@@ -100,7 +85,6 @@
 {
     uint64_t runs =
         estimate->count < MEAN_RUNS ? estimate->count + 1 : MEAN_RUNS;
-    uint32_t bucket = bucket_of(ran_us);
 
     if (estimate->count > 0)
         record_errors(estimate, ran_us, declared_us);
@@ -112,11 +96,6 @@
     if (declared_us > 0 &&
         estimate->sizes[size_of(declared_us)] < RUNS_TO_TRUST)
         estimate->sizes[size_of(declared_us)]++;
-    estimate->buckets[bucket]++;
-    if (estimate->buckets[bucket] < BUCKET_FULL)
-        return;
-    for (uint32_t i = 0; i < BW_ESTIMATE_BUCKETS; i++)
-        estimate->buckets[i] /= 2;
 }
 
 uint64_t
@@ -136,20 +115,3 @@
         return declared_us;
     return learnt_us;
 }
-
-uint64_t
-BwEstimate_Quantile(const BwEstimate *estimate, uint32_t permille)
-{
-    uint64_t total = 0;
-    uint64_t below = 0;
-
-    for (uint32_t i = 0; i < BW_ESTIMATE_BUCKETS; i++)
-        total += estimate->buckets[i];
-    for (uint32_t i = 0; i < BW_ESTIMATE_BUCKETS; i++) {
-        below += estimate->buckets[i];
-        if (below > 0 && below * 1000 >= total * permille)
-            return power_of(log_of(BUCKET_FIRST_US) +
-                            (int32_t)(i + 1) * LOG_ONE / 2);
-    }
-    return 0;
-}
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -529,9 +529,6 @@
     g_assert_cmpuint(BwEstimate_Expect(&steady, 10000000), ==, 100000);
     g_assert_cmpuint(BwEstimate_Expect(&scaled, 2000000), >, 150000);
     g_assert_cmpuint(BwEstimate_Expect(&scaled, 2000000), <, 250000);
-    g_assert_cmpuint(BwEstimate_Quantile(&steady, 950), >=, 100000);
-    g_assert_cmpuint(BwEstimate_Quantile(&steady, 950), <=, 200000);
-    g_assert_cmpuint(BwEstimate_Quantile(&scaled, 990), >=, 900000);
     g_assert_cmpuint(sizeof(BwEstimate), <=, 192);
 }
 
