Give up a first read of the store sooner

The store left their first read without an answer, and it was given up after 1.5 s. Ruled out: the pause between reads (100 ms), and peers, which had none either. Change: without a configuration the first three reads are given up after 250 ms each, later ones after 1.5 s as before, for a store that is merely slow.

--- a/packages/daemon/storereader.c
+++ b/packages/daemon/storereader.c
@@ -10,6 +10,8 @@
 
 #define WAIT_MS 4000
 #define CALL_TIMEOUT_US 1500000
+#define FIRST_TIMEOUT_US 250000 /* while there is no configuration */
+#define FIRST_TRIES 3
 #define RETRY_FIRST_US 100000
 #define RETRY_SHIFT_MAX 4
 #define REPLY_BYTES_MAX (4u * 1024 * 1024)
@@ -151,12 +153,22 @@
         note_failure(reader);
 }
 
+/* A call whose answer is lost must not hold up a start for long; a store that
+   is merely slow gets more time after a few. */
+static uint64_t
+timeout_us(const BwStoreReader *reader)
+{
+    if (reader->has_config)
+        return CALL_TIMEOUT_US;
+    return reader->failures < FIRST_TRIES ? FIRST_TIMEOUT_US : CALL_TIMEOUT_US;
+}
+
 static void
 read_next(BwStoreReader *reader, uint64_t now_us)
 {
     BwSpan none = {"", 0};
     BwCallText call;
-    uint64_t deadline_us = now_us + CALL_TIMEOUT_US;
+    uint64_t deadline_us = now_us + timeout_us(reader);
     BwHttpCallback callback;
 
     if (!reader->has_config) {
