Give free room on slow workers as before

Since tasks that stand still are moved, free room on a worker whose pace is six times the mean or more was taken only within the objective: 14 workers there are slow for 6 s beside a burst, and jobs that they would have ended, late, were refused. The rule is needless: a worker where all stands still tells no free room. Change: the rule is gone.

--- a/packages/core/boundplace.c
+++ b/packages/core/boundplace.c
@@ -23,7 +23,6 @@
 #define CROWDED_PERMILLE 100
 #define URGENT_LIMIT_PERMILLE 1200
 #define LIMIT_PERMILLE 850
-#define STILL_PERMILLE 6000
 #define NEVER UINT64_MAX
 
 /* ---------------------------------------------------------- foresight */
@@ -154,13 +153,10 @@
 
         if (foresight.end_us < soonest_us)
             soonest_us = foresight.end_us;
-        /* Room that is free is given: only waiting keeps others waiting, and
-           on a worker that stands still nothing is gained. */
+        /* Room that is free is given: only waiting keeps others waiting. */
         if (foresight.end_us == NEVER ||
             foresight.end_us >
-                (foresight.wait_us == 0 && view_pace(view) < STILL_PERMILLE
-                     ? job->deadline_us
-                     : limit_us))
+                (foresight.wait_us == 0 ? job->deadline_us : limit_us))
             continue;
         if (view == piece->avoid) {
             last = view;
