Sort records by time in one place

Cause: the story of a bound job sorted its log lines by a copy of what explain does with decisions. Change: both call BwRecord_Sort with their own comparison. No behaviour changes; test_log and test_operate cover both.

--- a/packages/adapters/configlog.c
+++ b/packages/adapters/configlog.c
@@ -27,6 +27,24 @@
     return json_is_integer(value) ? (uint64_t)json_integer_value(value) : 0;
 }
 
+json_t *
+BwRecord_Sort(const json_t *records,
+              int (*compare)(const void *left, const void *right))
+{
+    size_t count = json_array_size(records);
+    json_t **items = calloc(count + 1, sizeof(json_t *));
+    json_t *sorted = json_array();
+
+    for (size_t i = 0; items != NULL && i < count; i++)
+        items[i] = json_array_get(records, i);
+    if (items != NULL)
+        qsort(items, count, sizeof(json_t *), compare);
+    for (size_t i = 0; items != NULL && i < count; i++)
+        json_array_append(sorted, items[i]);
+    free(items);
+    return sorted;
+}
+
 void
 BwConfigLog_Init(BwConfigLog *log)
 {
--- a/packages/adapters/configlog.h
+++ b/packages/adapters/configlog.h
@@ -75,4 +75,11 @@
 uint64_t
 BwRecord_Number(const json_t *record, const char *key);
 
+/* Returns the records in the order of `compare`, which takes what qsort's
+   does: pointers to json_t pointers.  json_decref it.  Without memory it is
+   empty. */
+json_t *
+BwRecord_Sort(const json_t *records,
+              int (*compare)(const void *left, const void *right));
+
 #endif
--- a/packages/cli/explain.c
+++ b/packages/cli/explain.c
@@ -49,24 +49,6 @@
     return a < b ? -1 : a > b;
 }
 
-/* Returns the decisions by time. */
-static json_t *
-sort(const json_t *decisions)
-{
-    size_t count = json_array_size(decisions);
-    json_t **items = calloc(count + 1, sizeof(json_t *));
-    json_t *sorted = json_array();
-
-    for (size_t i = 0; items != NULL && i < count; i++)
-        items[i] = json_array_get(decisions, i);
-    if (items != NULL)
-        qsort(items, count, sizeof(json_t *), compare_times);
-    for (size_t i = 0; items != NULL && i < count; i++)
-        json_array_append(sorted, items[i]);
-    free(items);
-    return sorted;
-}
-
 static void
 print_decision(const json_t *decision)
 {
@@ -93,7 +75,7 @@
 static void
 print_story(const BwCliOptions *options, const Story *story, const char *id)
 {
-    json_t *sorted = sort(story->decisions);
+    json_t *sorted = BwRecord_Sort(story->decisions, compare_times);
     json_t *decision;
     size_t index;
 
--- a/packages/cli/logstory.c
+++ b/packages/cli/logstory.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "configlog.h"
 #include "logstory.h"
 
 static const char *const heads[] = {"at", "level", "name", "event"};
@@ -137,16 +138,5 @@
 json_t *
 BwLogStory_Sort(const json_t *lines)
 {
-    size_t count = json_array_size(lines);
-    json_t **items = calloc(count + 1, sizeof(json_t *));
-    json_t *sorted = json_array();
-
-    for (size_t i = 0; items != NULL && i < count; i++)
-        items[i] = json_array_get(lines, i);
-    if (items != NULL)
-        qsort(items, count, sizeof(json_t *), compare_times);
-    for (size_t i = 0; items != NULL && i < count; i++)
-        json_array_append(sorted, items[i]);
-    free(items);
-    return sorted;
+    return BwRecord_Sort(lines, compare_times);
 }
