Take what all answers to orders have in common once

Cause: the answers to starts and to stops began with the same checks, of the order's number, the worker's clock and its instance. Change: take_answer does them and finds the seat.

--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -237,19 +237,28 @@
         send_hold(s, now_us, 0);
 }
 
-void
-BwSupervisor_OnStarted(BwSupervisor *s, uint64_t now_us, uint64_t number,
-                       const BwWorkerAnswer *answer)
+/* Returns the seat that the order was for, while the answer still matters to
+   one. */
+static BwSeat *
+take_answer(BwSupervisor *s, uint64_t now_us, uint64_t number,
+            const BwWorkerAnswer *answer)
 {
-    BwSeat *seat = find_number(s, number);
-
     if (number < s->first_number)
-        return;
+        return NULL;
     take_clock(s, now_us, answer);
     if (answer->verdict == BW_WORKER_OTHER) {
         on_other_instance(s, now_us);
-        return;
+        return NULL;
     }
+    return find_number(s, number);
+}
+
+void
+BwSupervisor_OnStarted(BwSupervisor *s, uint64_t now_us, uint64_t number,
+                       const BwWorkerAnswer *answer)
+{
+    BwSeat *seat = take_answer(s, now_us, number, answer);
+
     if (seat == NULL || !BwSeats_IsOnWorker(seat))
         return;
     switch (answer->verdict) {
@@ -276,15 +285,8 @@
 BwSupervisor_OnStopped(BwSupervisor *s, uint64_t now_us, uint64_t number,
                        const BwWorkerAnswer *answer)
 {
-    BwSeat *seat = find_number(s, number);
+    BwSeat *seat = take_answer(s, now_us, number, answer);
 
-    if (number < s->first_number)
-        return;
-    take_clock(s, now_us, answer);
-    if (answer->verdict == BW_WORKER_OTHER) {
-        on_other_instance(s, now_us);
-        return;
-    }
     if (seat == NULL || seat->state != BW_SEAT_STOPPING)
         return;
     seat->is_stop_in_flight = false;
