Answer GET /metrics by one function for all roles

Cause: the new roles' node wrote the reply as the old daemon did, line by line. Change: BwDaemon_ReplyCounters. The counters of either are as they were.

--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -91,6 +91,11 @@
 BwDaemon_ReplyLater(BwExchange *exchange, BwErrorKind error,
                     const char *detail, uint32_t retry_after_ms);
 
+/* Replies with the counters as text. */
+void
+BwDaemon_ReplyCounters(BwExchange *exchange, const BwCounter *counters,
+                       uint32_t count);
+
 /* Refuses a request whose body is over the limit. */
 void
 BwDaemon_RefuseTooLarge(void *ctx, BwExchange *exchange);
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -70,6 +70,17 @@
                         status == 429 || status == 503 ? 1000 : 0);
 }
 
+void
+BwDaemon_ReplyCounters(BwExchange *exchange, const BwCounter *counters,
+                       uint32_t count)
+{
+    char *text = BwCounters_Write(counters, count);
+
+    BwExchange_Reply(exchange, 200, "text/plain; version=0.0.4",
+                     BwSpan_FromString(text != NULL ? text : ""), 0);
+    free(text);
+}
+
 void
 BwDaemon_RefuseTooLarge(void *ctx, BwExchange *exchange)
 {
@@ -103,7 +114,6 @@
     const BwLinkCounters *links = &daemon->peers.counters;
     BwCounter counters[COUNTERS_MAX];
     uint32_t n = daemon->ops->counters(daemon, counters, COUNTERS_MAX);
-    char *text;
 
 #define ADD(name, help, kind, value)                                          \
     n = BwCounters_Add(counters, n, COUNTERS_MAX, name, help, kind, value)
@@ -126,10 +136,7 @@
     ADD("brasswing_ring_agents", "Agents of the ring", BW_GAUGE,
         daemon->ring.agent_count);
 #undef ADD
-    text = BwCounters_Write(counters, n);
-    BwExchange_Reply(exchange, 200, "text/plain; version=0.0.4",
-                     BwSpan_FromString(text != NULL ? text : ""), 0);
-    free(text);
+    BwDaemon_ReplyCounters(exchange, counters, n);
 }
 
 static void
--- a/packages/daemon/node.c
+++ b/packages/daemon/node.c
@@ -41,7 +41,6 @@
     const BwLinkCounters *links = &node->mesh.counters;
     BwCounter counters[COUNTERS_MAX];
     uint32_t n;
-    char *text;
 
     n = node->ops->counters(node, counters, COUNTERS_MAX);
 #define ADD(name, help, kind, value)                                          \
@@ -55,10 +54,7 @@
     ADD("brasswing_resident_bytes", "Resident memory", BW_GAUGE,
         BwCounters_ResidentBytes());
 #undef ADD
-    text = BwCounters_Write(counters, n);
-    BwExchange_Reply(exchange, 200, "text/plain; version=0.0.4",
-                     BwSpan_FromString(text != NULL ? text : ""), 0);
-    free(text);
+    BwDaemon_ReplyCounters(exchange, counters, n);
 }
 
 static void
