Let stand-ins, emulator and tests share what they had twice

Change: BwEmulator_ReplyJson, BwLabReport_Integer and _Text, BwRecord_Number, BwEmulator_Ready in place of standin.h, tests/portstubs, one wait_running. A report without a name prints nothing in place of (null).

--- a/packages/emulator/emulator.c
+++ b/packages/emulator/emulator.c
@@ -40,6 +40,17 @@
     free(mail);
 }
 
+void
+BwEmulator_ReplyJson(BwExchange *exchange, int status, json_t *document)
+{
+    char *text = json_dumps(document, JSON_COMPACT);
+
+    BwExchange_Reply(exchange, status, "application/json",
+                     BwSpan_FromString(text), 0);
+    free(text);
+    json_decref(document);
+}
+
 uint32_t
 BwEmulator_Draw(uint64_t *seed, uint32_t bound)
 {
--- a/packages/emulator/emulator.h
+++ b/packages/emulator/emulator.h
@@ -13,6 +13,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <jansson.h>
+
 #include "brasswing.h"
 #include "httpserver.h"
 #include "taskloop.h"
@@ -39,6 +41,10 @@
 void
 BwEmulator_DropMail(void *ctx, BwMail *mail);
 
+/* Answers with the document and frees it. */
+void
+BwEmulator_ReplyJson(BwExchange *exchange, int status, json_t *document);
+
 /* A number below `bound` from a seeded sequence. */
 uint32_t
 BwEmulator_Draw(uint64_t *seed, uint32_t bound);
--- a/packages/emulator/ingress.c
+++ b/packages/emulator/ingress.c
@@ -459,17 +459,6 @@
     }
 }
 
-static void
-reply_json(BwExchange *exchange, int status, json_t *document)
-{
-    char *text = json_dumps(document, JSON_COMPACT);
-
-    BwExchange_Reply(exchange, status, "application/json",
-                     BwSpan_FromString(text), 0);
-    free(text);
-    json_decref(document);
-}
-
 static void
 serve_control(BwExchange *exchange)
 {
@@ -482,7 +471,7 @@
         me.resend_us = (uint64_t)json_integer_value(resend) * 1000;
     if (silent != NULL)
         set_silent((uint32_t)json_integer_value(silent));
-    reply_json(exchange, root != NULL ? 200 : 400, json_object());
+    BwEmulator_ReplyJson(exchange, root != NULL ? 200 : 400, json_object());
     json_decref(root);
 }
 
@@ -501,7 +490,7 @@
                             (json_int_t)row->ended_us, "how",
                             row->how != NULL ? row->how : ""));
     }
-    reply_json(exchange, 200, json_pack("{s:o}", "rows", rows));
+    BwEmulator_ReplyJson(exchange, 200, json_pack("{s:o}", "rows", rows));
 }
 
 static void
@@ -513,7 +502,7 @@
     else if (BwSpan_Equal(exchange->path, BwSpan_FromString("/ledger")))
         serve_ledger(exchange);
     else
-        reply_json(exchange, 404, json_object());
+        BwEmulator_ReplyJson(exchange, 404, json_object());
 }
 
 static void
--- a/packages/emulator/labreport.c
+++ b/packages/emulator/labreport.c
@@ -279,16 +279,18 @@
 
 /* ---------------------------------------------------------------- text */
 
-static json_int_t
-integer_of(const json_t *object, const char *field)
+json_int_t
+BwLabReport_Integer(const json_t *object, const char *field)
 {
     return json_integer_value(json_object_get(object, field));
 }
 
-static const char *
-text_of(const json_t *object, const char *field)
+const char *
+BwLabReport_Text(const json_t *object, const char *field)
 {
-    return json_string_value(json_object_get(object, field));
+    const char *text = json_string_value(json_object_get(object, field));
+
+    return text != NULL ? text : "";
 }
 
 static void
@@ -302,12 +304,15 @@
         bool is_met = json_is_true(json_object_get(outcome, "met"));
 
         fprintf(out, "  %-9s%-21s %-10s seen %lld", is_met ? "" : "VIOLATED",
-                text_of(outcome, "expect"), text_of(outcome, "class"),
-                integer_of(outcome, "seen"));
-        if (integer_of(outcome, "at_least") > 0)
-            fprintf(out, ", at least %lld", integer_of(outcome, "at_least"));
-        if (integer_of(outcome, "at_most") >= 0)
-            fprintf(out, ", at most %lld", integer_of(outcome, "at_most"));
+                BwLabReport_Text(outcome, "expect"),
+                BwLabReport_Text(outcome, "class"),
+                BwLabReport_Integer(outcome, "seen"));
+        if (BwLabReport_Integer(outcome, "at_least") > 0)
+            fprintf(out, ", at least %lld",
+                    BwLabReport_Integer(outcome, "at_least"));
+        if (BwLabReport_Integer(outcome, "at_most") >= 0)
+            fprintf(out, ", at most %lld",
+                    BwLabReport_Integer(outcome, "at_most"));
         fprintf(out, "\n");
     }
 }
@@ -320,17 +325,19 @@
     const char *key;
 
     fprintf(out, "%s: %lld jobs, %lld runs, seed %lld\n",
-            text_of(report, "experiment"), integer_of(report, "jobs"),
-            integer_of(report, "runs"), integer_of(report, "seed"));
-    if (integer_of(report, "held_up_ms") > HELD_UP_MS)
+            BwLabReport_Text(report, "experiment"),
+            BwLabReport_Integer(report, "jobs"),
+            BwLabReport_Integer(report, "runs"),
+            BwLabReport_Integer(report, "seed"));
+    if (BwLabReport_Integer(report, "held_up_ms") > HELD_UP_MS)
         fprintf(out, "  the player was held up for %lld ms\n",
-                integer_of(report, "held_up_ms"));
+                BwLabReport_Integer(report, "held_up_ms"));
     json_array_foreach(json_object_get(report, "classes"), i, item)
     {
         json_t *ends = json_object_get(item, "ends");
         json_t *count;
 
-        fprintf(out, "  %-12s", text_of(item, "class"));
+        fprintf(out, "  %-12s", BwLabReport_Text(item, "class"));
         for (uint32_t q = 0; q < QUANTILE_COUNT; q++)
             fprintf(out, " %s %.0f", quantiles[q].name,
                     json_real_value(json_object_get(item, quantiles[q].name)));
@@ -373,7 +380,7 @@
 
     json_array_foreach(json_object_get(report, "classes"), i, item)
     {
-        if (strcmp(text_of(item, "class"), name) == 0)
+        if (strcmp(BwLabReport_Text(item, "class"), name) == 0)
             return item;
     }
     return NULL;
@@ -382,7 +389,7 @@
 static void
 compare_class(const json_t *a, const json_t *b, FILE *out)
 {
-    const char *name = text_of(a, "class");
+    const char *name = BwLabReport_Text(a, "class");
     json_t *ends = json_object_get(a, "ends");
     json_t *count;
     const char *key;
@@ -396,7 +403,8 @@
     }
     json_object_foreach(ends, key, count)
     {
-        json_int_t other = integer_of(json_object_get(b, "ends"), key);
+        json_int_t other =
+            BwLabReport_Integer(json_object_get(b, "ends"), key);
 
         if (json_integer_value(count) > 0 || other > 0)
             fprintf(out, "%-12s %-14s %10lld %10lld\n", name, key,
@@ -411,15 +419,16 @@
     size_t i;
     json_t *item;
 
-    fprintf(out, "%-27s %10.10s %10.10s\n", "", text_of(a, "experiment"),
-            text_of(b, "experiment"));
-    fprintf(out, "%-27s %10lld %10lld\n", "jobs", integer_of(a, "jobs"),
-            integer_of(b, "jobs"));
-    fprintf(out, "%-27s %10lld %10lld\n", "runs", integer_of(a, "runs"),
-            integer_of(b, "runs"));
+    fprintf(out, "%-27s %10.10s %10.10s\n", "",
+            BwLabReport_Text(a, "experiment"),
+            BwLabReport_Text(b, "experiment"));
+    fprintf(out, "%-27s %10lld %10lld\n", "jobs",
+            BwLabReport_Integer(a, "jobs"), BwLabReport_Integer(b, "jobs"));
+    fprintf(out, "%-27s %10lld %10lld\n", "runs",
+            BwLabReport_Integer(a, "runs"), BwLabReport_Integer(b, "runs"));
     json_array_foreach(json_object_get(a, "classes"), i, item)
     {
-        const json_t *other = find_class(b, text_of(item, "class"));
+        const json_t *other = find_class(b, BwLabReport_Text(item, "class"));
 
         if (other != NULL)
             compare_class(item, other, out);
@@ -428,10 +437,12 @@
     {
         const json_t *other = json_array_get(outcomes, i);
 
-        if (other != NULL &&
-            strcmp(text_of(item, "expect"), text_of(other, "expect")) == 0)
-            fprintf(out, "%-27s %10lld %10lld%s\n", text_of(item, "expect"),
-                    integer_of(item, "seen"), integer_of(other, "seen"),
+        if (other != NULL && strcmp(BwLabReport_Text(item, "expect"),
+                                    BwLabReport_Text(other, "expect")) == 0)
+            fprintf(out, "%-27s %10lld %10lld%s\n",
+                    BwLabReport_Text(item, "expect"),
+                    BwLabReport_Integer(item, "seen"),
+                    BwLabReport_Integer(other, "seen"),
                     json_is_true(json_object_get(item, "met")) ==
                             json_is_true(json_object_get(other, "met"))
                         ? ""
--- a/packages/emulator/labreport.h
+++ b/packages/emulator/labreport.h
@@ -27,6 +27,13 @@
 uint32_t
 BwLabReport_CountOutcomes(const json_t *report, uint32_t *violated);
 
+/* Read a report's values; an absent or wrong one is 0 or "". */
+json_int_t
+BwLabReport_Integer(const json_t *object, const char *field);
+
+const char *
+BwLabReport_Text(const json_t *object, const char *field);
+
 /* A page of reports that needs no network.  Returns false with errno set. */
 bool
 BwLabPage_Write(const json_t *reports, const char *path);
--- a/packages/emulator/page.c
+++ b/packages/emulator/page.c
@@ -45,20 +45,6 @@
 
 #define LINE_COUNT (sizeof(lines) / sizeof(lines[0]))
 
-static json_int_t
-integer_of(const json_t *object, const char *field)
-{
-    return json_integer_value(json_object_get(object, field));
-}
-
-static const char *
-text_of(const json_t *object, const char *field)
-{
-    const char *text = json_string_value(json_object_get(object, field));
-
-    return text != NULL ? text : "";
-}
-
 static void
 put_text(FILE *out, const char *text)
 {
@@ -124,17 +110,18 @@
 
     json_array_foreach(faults, i, fault)
     {
-        double x =
-            PLOT_LEFT +
-            PLOT_WIDTH * ((double)integer_of(fault, "at_ms") / 1000) / seconds;
+        double x = PLOT_LEFT +
+                   PLOT_WIDTH *
+                       ((double)BwLabReport_Integer(fault, "at_ms") / 1000) /
+                       seconds;
 
         fprintf(out,
                 "<line x1=\"%.1f\" x2=\"%.1f\" y1=\"8\" y2=\"%d\" "
                 "stroke=\"#c77700\" stroke-dasharray=\"3 3\"><title>",
                 x, x, PLOT_HEIGHT + 8);
-        put_text(out, text_of(fault, "do"));
+        put_text(out, BwLabReport_Text(fault, "do"));
         fputc(' ', out);
-        put_text(out, text_of(fault, "target"));
+        put_text(out, BwLabReport_Text(fault, "target"));
         fprintf(out,
                 "</title></line><text x=\"%.1f\" y=\"%d\" "
                 "style=\"fill:#c77700\">%zu</text>\n",
@@ -149,7 +136,7 @@
     const json_t *first = json_object_get(series, lines[0].name);
     size_t count = json_array_size(first);
     double seconds =
-        (double)count * (double)integer_of(series, "step_ms") / 1000;
+        (double)count * (double)BwLabReport_Integer(series, "step_ms") / 1000;
     json_int_t top = find_top(series);
 
     if (count == 0)
@@ -177,7 +164,7 @@
     }
     put_marks(out, json_object_get(report, "faults"), seconds);
     fprintf(out, "</svg>\n<p class=\"key\">each %lld ms: ",
-            integer_of(series, "step_ms"));
+            BwLabReport_Integer(series, "step_ms"));
     for (size_t line = 0; line < LINE_COUNT; line++)
         fprintf(out, "<span><i style=\"background:%s\"></i>%s</span>",
                 lines[line].colour, lines[line].label);
@@ -245,11 +232,12 @@
     json_array_foreach(json_object_get(report, "classes"), i, item)
     {
         fprintf(out, "<tr><td>");
-        put_text(out, text_of(item, "class"));
+        put_text(out, BwLabReport_Text(item, "class"));
         fprintf(out, "</td>");
         for (size_t j = 0; j < sizeof(ends) / sizeof(ends[0]); j++)
-            fprintf(out, "<td>%lld</td>",
-                    integer_of(json_object_get(item, "ends"), ends[j]));
+            fprintf(
+                out, "<td>%lld</td>",
+                BwLabReport_Integer(json_object_get(item, "ends"), ends[j]));
         for (size_t j = 0; j < sizeof(figures) / sizeof(figures[0]); j++)
             fprintf(out, "<td>%.0f</td>",
                     json_real_value(json_object_get(item, figures[j])));
@@ -259,7 +247,7 @@
     json_array_foreach(json_object_get(report, "classes"), i, item)
     {
         fprintf(out, "<h3>Completed jobs of ");
-        put_text(out, text_of(item, "class"));
+        put_text(out, BwLabReport_Text(item, "class"));
         fprintf(out, " by latency, ms</h3>\n");
         put_histogram(out, item);
     }
@@ -278,14 +266,15 @@
     {
         bool is_met = json_is_true(json_object_get(item, "met"));
 
-        fprintf(out, "<tr><td>%s%s</td><td>", text_of(item, "expect"),
+        fprintf(out, "<tr><td>%s%s</td><td>", BwLabReport_Text(item, "expect"),
                 json_is_true(json_object_get(item, "rule")) ? " (rule)" : "");
-        put_text(out, text_of(item, "class"));
-        fprintf(out, "</td><td>%lld</td><td>", integer_of(item, "at_least"));
-        if (integer_of(item, "at_most") >= 0)
-            fprintf(out, "%lld", integer_of(item, "at_most"));
+        put_text(out, BwLabReport_Text(item, "class"));
+        fprintf(out, "</td><td>%lld</td><td>",
+                BwLabReport_Integer(item, "at_least"));
+        if (BwLabReport_Integer(item, "at_most") >= 0)
+            fprintf(out, "%lld", BwLabReport_Integer(item, "at_most"));
         fprintf(out, "</td><td>%lld</td><td class=\"%s\">%s</td></tr>\n",
-                integer_of(item, "seen"), is_met ? "good" : "bad",
+                BwLabReport_Integer(item, "seen"), is_met ? "good" : "bad",
                 is_met ? "met" : "violated");
     }
     fprintf(out, "</table>\n");
@@ -304,12 +293,12 @@
     json_array_foreach(json_object_get(report, "faults"), i, item)
     {
         fprintf(out, "<tr><td>%zu</td><td>%lld ms</td><td>", i + 1,
-                integer_of(item, "at_ms"));
-        put_text(out, text_of(item, "do"));
+                BwLabReport_Integer(item, "at_ms"));
+        put_text(out, BwLabReport_Text(item, "do"));
         fprintf(out, "</td><td>");
-        put_text(out, text_of(item, "target"));
+        put_text(out, BwLabReport_Text(item, "target"));
         fprintf(out, "</td><td>");
-        put_text(out, text_of(item, "text"));
+        put_text(out, BwLabReport_Text(item, "text"));
         fprintf(out, "</td></tr>\n");
     }
     if (json_array_size(json_object_get(report, "faults")) > 0)
@@ -333,14 +322,15 @@
     uint32_t outcomes = BwLabReport_CountOutcomes(report, &violated);
 
     fprintf(out, "<h2>");
-    put_text(out, text_of(report, "experiment"));
+    put_text(out, BwLabReport_Text(report, "experiment"));
     fprintf(out, "</h2>\n<p>");
-    put_text(out, text_of(report, "about"));
+    put_text(out, BwLabReport_Text(report, "about"));
     fprintf(out,
             "</p>\n<p>%lld jobs, %lld runs, seed %lld; <span class=\"%s\">"
             "%u of %u outcomes violated</span></p>\n",
-            integer_of(report, "jobs"), integer_of(report, "runs"),
-            integer_of(report, "seed"), violated > 0 ? "bad" : "good",
+            BwLabReport_Integer(report, "jobs"),
+            BwLabReport_Integer(report, "runs"),
+            BwLabReport_Integer(report, "seed"), violated > 0 ? "bad" : "good",
             violated, outcomes);
     put_series(out, report);
     put_classes(out, report);
--- a/packages/emulator/rules.c
+++ b/packages/emulator/rules.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "configlog.h"
 #include "rules.h"
 
 #define RESEND_US 1300000
@@ -19,12 +20,6 @@
 
 /* --------------------------------------------------------------- facts */
 
-static uint64_t
-number_of(const json_t *object, const char *field)
-{
-    return (uint64_t)json_integer_value(json_object_get(object, field));
-}
-
 static const char *
 text_of(const json_t *object, const char *field)
 {
@@ -75,9 +70,9 @@
             run->task = text_of(row, "task");
             run->job = find_job(player, run->task);
             run->worker = (uint32_t)worker;
-            run->started_us = number_of(row, "started_us");
-            run->ended_us = number_of(row, "ended_us");
-            run->drained_us = number_of(row, "drained_us");
+            run->started_us = BwRecord_Number(row, "started_us");
+            run->ended_us = BwRecord_Number(row, "ended_us");
+            run->drained_us = BwRecord_Number(row, "drained_us");
             run->how = text_of(row, "how");
         }
     }
@@ -103,8 +98,10 @@
     (void)outcome;
     json_array_foreach(facts->player->workers, i, ledger)
     {
-        count += number_of(ledger, "peak_cpu") > number_of(ledger, "cpu") ||
-                 number_of(ledger, "peak_mem") > number_of(ledger, "mem");
+        count += BwRecord_Number(ledger, "peak_cpu") >
+                     BwRecord_Number(ledger, "cpu") ||
+                 BwRecord_Number(ledger, "peak_mem") >
+                     BwRecord_Number(ledger, "mem");
     }
     return count;
 }
@@ -174,18 +171,19 @@
     json_array_foreach(json_object_get(player->ingress, "rows"), i, row)
     {
         const char *how = text_of(row, "how");
-        uint64_t ended_us = number_of(row, "ended_us");
+        uint64_t ended_us = BwRecord_Number(row, "ended_us");
 
         if (strcmp(how, "broken") != 0 && strcmp(how, "given_up") != 0)
             continue;
         for (uint32_t j = 0; j < player->done_count; j++) {
             const BwLabDone *done = &player->done[j];
 
-            count +=
-                done->fault->deed == BW_LAB_STOP &&
-                BwLabTarget_Matches(done->fault->target, "dispatcher",
-                                    (uint32_t)number_of(row, "dispatcher")) &&
-                ended_us > done->at_us && ended_us < done->at_us + STOP_US;
+            count += done->fault->deed == BW_LAB_STOP &&
+                     BwLabTarget_Matches(
+                         done->fault->target, "dispatcher",
+                         (uint32_t)BwRecord_Number(row, "dispatcher")) &&
+                     ended_us > done->at_us &&
+                     ended_us < done->at_us + STOP_US;
         }
     }
     return count;
@@ -246,15 +244,15 @@
     (void)outcome;
     json_array_foreach(json_object_get(player->ingress, "rows"), i, row)
     {
-        uint32_t number = (uint32_t)number_of(row, "dispatcher");
-        uint64_t ended_us = number_of(row, "ended_us");
+        uint32_t number = (uint32_t)BwRecord_Number(row, "dispatcher");
+        uint64_t ended_us = BwRecord_Number(row, "ended_us");
         const BwLabJob *job = find_job(player, text_of(row, "job"));
 
         for (uint32_t j = 0; job != NULL && j < player->done_count; j++) {
             uint64_t lost_us = player->done[j].at_us;
 
             if (is_loss(player, j, "dispatcher", number) &&
-                number_of(row, "started_us") < lost_us &&
+                BwRecord_Number(row, "started_us") < lost_us &&
                 (ended_us == 0 || ended_us > lost_us))
                 count += count_outliving_runs(facts, job, lost_us);
         }
@@ -445,7 +443,7 @@
     (void)outcome;
     json_array_foreach(facts->player->workers, i, ledger)
     {
-        count += (uint32_t)number_of(ledger, "late");
+        count += (uint32_t)BwRecord_Number(ledger, "late");
     }
     return count;
 }
--- a/packages/emulator/worker.c
+++ b/packages/emulator/worker.c
@@ -465,17 +465,6 @@
     json_object_set_new(reply, "ended", ended);
 }
 
-static void
-reply_json(BwExchange *exchange, int status, json_t *document)
-{
-    char *text = json_dumps(document, JSON_COMPACT);
-
-    BwExchange_Reply(exchange, status, "application/json",
-                     BwSpan_FromString(text), 0);
-    free(text);
-    json_decref(document);
-}
-
 static json_t *
 make_reply(void)
 {
@@ -489,7 +478,7 @@
     Hold *hold;
 
     if (me.answer_us == 0) {
-        reply_json(exchange, status, reply);
+        BwEmulator_ReplyJson(exchange, status, reply);
         return;
     }
     hold = calloc(1, sizeof(*hold));
@@ -558,7 +547,7 @@
         }
         DL_DELETE(me.holds, hold);
         hold->exchange->data = NULL;
-        reply_json(hold->exchange, hold->status, reply);
+        BwEmulator_ReplyJson(hold->exchange, hold->status, reply);
         free(hold);
     }
 }
@@ -767,13 +756,13 @@
                             (json_int_t)run->drained_us, "how",
                             is_running(run) ? "" : run->how));
     }
-    reply_json(exchange, 200,
-               json_pack("{s:i, s:I, s:I, s:I, s:I, s:I, s:o}", "running",
-                         running, "cpu", (json_int_t)me.cpu, "mem",
-                         (json_int_t)me.mem, "peak_cpu",
-                         (json_int_t)me.peak_cpu, "peak_mem",
-                         (json_int_t)me.peak_mem, "late",
-                         (json_int_t)me.late_count, "rows", rows));
+    BwEmulator_ReplyJson(
+        exchange, 200,
+        json_pack("{s:i, s:I, s:I, s:I, s:I, s:I, s:o}", "running", running,
+                  "cpu", (json_int_t)me.cpu, "mem", (json_int_t)me.mem,
+                  "peak_cpu", (json_int_t)me.peak_cpu, "peak_mem",
+                  (json_int_t)me.peak_mem, "late", (json_int_t)me.late_count,
+                  "rows", rows));
 }
 
 static void
--- a/tests/boundfleet.c
+++ b/tests/boundfleet.c
@@ -10,6 +10,7 @@
 #include "boundfleet.h"
 #include "calls.h"
 #include "clock.h"
+#include "configlog.h"
 #include "wording.h"
 
 #define WAIT_US 30000000
@@ -175,20 +176,39 @@
     }
 }
 
-void
-BoundFleet_WaitRunning(BoundFleet *fleet, const char *job, uint32_t running)
+static bool
+is_refused(const BoundCall *call)
+{
+    int status = g_atomic_int_get((const gint *)&call->status);
+
+    return status == 429 || status == 503;
+}
+
+/* Returns false when the call, if there is one, is refused meanwhile. */
+static bool
+wait_running(BoundFleet *fleet, const char *job, uint32_t running,
+             const BoundCall *call)
 {
     uint64_t give_up_us = BwClock_Now() + WAIT_US;
     BoundCount count;
 
     BoundFleet_Count(fleet, job, &count);
     while (count.running != running) {
+        if (call != NULL && is_refused(call))
+            return false;
         if (BwClock_Now() > give_up_us)
             g_error("%u tasks of %s run, not %u, see %s", count.running, job,
                     running, fleet->dir);
         g_usleep(POLL_US);
         BoundFleet_Count(fleet, job, &count);
     }
+    return true;
+}
+
+void
+BoundFleet_WaitRunning(BoundFleet *fleet, const char *job, uint32_t running)
+{
+    wait_running(fleet, job, running, NULL);
 }
 
 /* ------------------------------------------------------------ stand-ins */
@@ -253,12 +273,6 @@
 
 /* ------------------------------------------------------------- ledgers */
 
-static uint64_t
-number_of(const json_t *object, const char *field)
-{
-    return (uint64_t)json_integer_value(json_object_get(object, field));
-}
-
 static const char *
 text_of(const json_t *object, const char *field)
 {
@@ -269,12 +283,12 @@
 static bool
 is_overlap(const json_t *a, const json_t *b)
 {
-    uint64_t a_end_us = number_of(a, "ended_us");
-    uint64_t b_end_us = number_of(b, "ended_us");
+    uint64_t a_end_us = BwRecord_Number(a, "ended_us");
+    uint64_t b_end_us = BwRecord_Number(b, "ended_us");
 
     return strcmp(text_of(a, "task"), text_of(b, "task")) == 0 &&
-           (a_end_us == 0 || number_of(b, "started_us") < a_end_us) &&
-           (b_end_us == 0 || number_of(a, "started_us") < b_end_us);
+           (a_end_us == 0 || BwRecord_Number(b, "started_us") < a_end_us) &&
+           (b_end_us == 0 || BwRecord_Number(a, "started_us") < b_end_us);
 }
 
 static void
@@ -316,9 +330,10 @@
         json_array_append(rows, row);
     }
     count->workers += count->starts > starts;
-    count->late += (uint32_t)number_of(root, "late");
-    count->overfull += number_of(root, "peak_cpu") > number_of(root, "cpu") ||
-                       number_of(root, "peak_mem") > number_of(root, "mem");
+    count->late += (uint32_t)BwRecord_Number(root, "late");
+    count->overfull +=
+        BwRecord_Number(root, "peak_cpu") > BwRecord_Number(root, "cpu") ||
+        BwRecord_Number(root, "peak_mem") > BwRecord_Number(root, "mem");
     json_decref(root);
 }
 
@@ -469,34 +484,14 @@
     memset(call, 0, sizeof(*call));
 }
 
-static bool
-is_refused(BoundCall *call)
-{
-    int status = g_atomic_int_get((gint *)&call->status);
-
-    return status == 429 || status == 503;
-}
-
 bool
 BoundCall_WaitRunning(BoundCall *call, BoundFleet *fleet, const char *job,
                       uint32_t running)
 {
-    uint64_t give_up_us = BwClock_Now() + WAIT_US;
-    BoundCount count;
-
-    BoundFleet_Count(fleet, job, &count);
-    while (count.running != running) {
-        if (is_refused(call)) {
-            BoundCall_Clear(call);
-            return false;
-        }
-        if (BwClock_Now() > give_up_us)
-            g_error("%u tasks of %s run, not %u, see %s", count.running, job,
-                    running, fleet->dir);
-        g_usleep(POLL_US);
-        BoundFleet_Count(fleet, job, &count);
-    }
-    return true;
+    if (wait_running(fleet, job, running, call))
+        return true;
+    BoundCall_Clear(call);
+    return false;
 }
 
 void
--- a/tests/measure_bound.c
+++ b/tests/measure_bound.c
@@ -20,6 +20,7 @@
 #include "fleet.h"
 #include "mesh.h"
 #include "nodeprocess.h"
+#include "portstubs.h"
 #include "supervisor.h"
 #include "wire.h"
 
@@ -95,20 +96,8 @@
     *(BwBoundEnd *)data = end;
 }
 
-static void
-drop_decision(void *ctx, const char *event, const BwBoundJob *job,
-              const BwView *view, uint32_t count, const char *reason)
-{
-    (void)ctx;
-    (void)event;
-    (void)job;
-    (void)view;
-    (void)count;
-    (void)reason;
-}
-
 static const BwDispatcherPort dispatcher_port = {take_place, take_answer,
-                                                 drop_decision};
+                                                 PortStub_DropDecision};
 
 static void
 send_session(Bench *bench, uint32_t peer)
@@ -238,14 +227,6 @@
     uint32_t count;
 } Orders;
 
-static void
-drop_message(void *ctx, uint32_t peer, const BwMessage *message)
-{
-    (void)ctx;
-    (void)peer;
-    (void)message;
-}
-
 static bool
 take_start(void *ctx, uint64_t number, const BwTaskOrder *order)
 {
@@ -256,37 +237,9 @@
     return true;
 }
 
-static bool
-drop_stop(void *ctx, uint64_t number, const BwTaskOrder *order)
-{
-    (void)ctx;
-    (void)number;
-    (void)order;
-    return true;
-}
-
-static bool
-drop_hold(void *ctx, uint64_t number, const BwHoldOrder *order)
-{
-    (void)ctx;
-    (void)number;
-    (void)order;
-    return true;
-}
-
-static void
-drop_seat(void *ctx, const char *event, const BwSeat *seat, uint32_t count,
-          const char *reason)
-{
-    (void)count;
-    (void)ctx;
-    (void)event;
-    (void)seat;
-    (void)reason;
-}
-
 static const BwSupervisorPort supervisor_port = {
-    drop_message, take_start, drop_stop, drop_hold, drop_seat};
+    PortStub_DropMessage, take_start, PortStub_DropOrder, PortStub_DropHold,
+    PortStub_DropSeat};
 
 static void
 start_worker(BwSupervisor *supervisor, uint64_t slots)
--- /dev/null
+++ b/tests/portstubs.c
@@ -0,0 +1,52 @@
+/* portstubs.c -- functions of the core's ports that do nothing */
+
+#include "portstubs.h"
+
+void
+PortStub_DropMessage(void *ctx, uint32_t peer, const BwMessage *message)
+{
+    (void)ctx;
+    (void)peer;
+    (void)message;
+}
+
+void
+PortStub_DropDecision(void *ctx, const char *event, const BwBoundJob *job,
+                      const BwView *view, uint32_t count, const char *reason)
+{
+    (void)ctx;
+    (void)event;
+    (void)job;
+    (void)view;
+    (void)count;
+    (void)reason;
+}
+
+bool
+PortStub_DropOrder(void *ctx, uint64_t number, const BwTaskOrder *order)
+{
+    (void)ctx;
+    (void)number;
+    (void)order;
+    return true;
+}
+
+bool
+PortStub_DropHold(void *ctx, uint64_t number, const BwHoldOrder *order)
+{
+    (void)ctx;
+    (void)number;
+    (void)order;
+    return true;
+}
+
+void
+PortStub_DropSeat(void *ctx, const char *event, const BwSeat *seat,
+                  uint32_t count, const char *reason)
+{
+    (void)ctx;
+    (void)event;
+    (void)seat;
+    (void)count;
+    (void)reason;
+}
--- a/tests/standins/backend_standin.c
+++ b/tests/standins/backend_standin.c
@@ -19,9 +19,9 @@
 #include <utlist.h>
 
 #include "clock.h"
+#include "emulator.h"
 #include "httpclient.h"
 #include "httpserver.h"
-#include "standin.h"
 
 #define ANNOUNCE_US 1000000
 
@@ -240,7 +240,7 @@
 
     (void)ctx;
     BwHttpClient_Tick(&me.agent, now_us);
-    if (standin_stop && !me.is_leaving) {
+    if (BwEmulator_IsStopping() && !me.is_leaving) {
         me.is_leaving = true;
         announce(now_us);
     }
@@ -285,7 +285,7 @@
         me.task.loop, timerfd_create(CLOCK_BOOTTIME, TFD_NONBLOCK),
         H2O_SOCKET_FLAG_DONT_READ);
     h2o_socket_read_start(me.timer, on_timer);
-    standin_ready("backend", me.http.port);
+    BwEmulator_Ready("backend", me.http.port);
     BwTaskLoop_Run(&me.task);
     return 0;
 }
--- a/tests/standins/log_standin.c
+++ b/tests/standins/log_standin.c
@@ -16,8 +16,8 @@
 #include <utlist.h>
 
 #include "clock.h"
+#include "emulator.h"
 #include "httpserver.h"
-#include "standin.h"
 
 typedef struct Stream {
     char name[64];
@@ -127,7 +127,7 @@
     (void)ctx;
     DL_FOREACH_SAFE(me.waiting, waiting, next)
     tick_waiting(waiting, BwClock_Now());
-    if (standin_stop)
+    if (BwEmulator_IsStopping())
         BwTaskLoop_Stop(&me.task);
 }
 
@@ -243,7 +243,7 @@
         perror("log_standin");
         return 1;
     }
-    standin_ready("log", me.http.port);
+    BwEmulator_Ready("log", me.http.port);
     BwTaskLoop_Run(&me.task);
     return 0;
 }
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -10,6 +10,7 @@
 
 #include "brasswing.h"
 #include "dispatcher.h"
+#include "portstubs.h"
 
 #define SECOND_US 1000000ull
 #define SENT_MAX 4096
@@ -85,19 +86,8 @@
     answer->retry_after_ms = retry_after_ms;
 }
 
-static void
-ignore_log(void *ctx, const char *event, const BwBoundJob *job,
-           const BwView *view, uint32_t count, const char *reason)
-{
-    (void)ctx;
-    (void)event;
-    (void)job;
-    (void)view;
-    (void)count;
-    (void)reason;
-}
-
-static const BwDispatcherPort port = {record_send, record_answer, ignore_log};
+static const BwDispatcherPort port = {record_send, record_answer,
+                                      PortStub_DropDecision};
 
 static void
 set_up(Fixture *f)
--- a/tests/test_schedules.c
+++ b/tests/test_schedules.c
@@ -12,6 +12,7 @@
 
 #include "brasswing.h"
 #include "dispatcher.h"
+#include "portstubs.h"
 
 #define MS 1000ull
 #define SEEDS 150
@@ -281,19 +282,8 @@
     }
 }
 
-static void
-on_log(void *ctx, const char *event, const BwBoundJob *job, const BwView *view,
-       uint32_t count, const char *reason)
-{
-    (void)ctx;
-    (void)event;
-    (void)job;
-    (void)view;
-    (void)count;
-    (void)reason;
-}
-
-static const BwDispatcherPort port = {on_send, on_answer, on_log};
+static const BwDispatcherPort port = {on_send, on_answer,
+                                      PortStub_DropDecision};
 
 /* Whoever still has tasks of a job that ended must have been told. */
 static void
--- a/tests/test_status.c
+++ b/tests/test_status.c
@@ -11,6 +11,7 @@
 #include "brasswing.h"
 #include "nodeprocess.h"
 #include "nodestatus.h"
+#include "portstubs.h"
 
 #define NOW_US 5000000
 #define POLL_US 10000
@@ -18,14 +19,6 @@
 
 /* --------------------------------------------------------- from structs */
 
-static void
-drop_message(void *ctx, uint32_t peer, const BwMessage *message)
-{
-    (void)ctx;
-    (void)peer;
-    (void)message;
-}
-
 static void
 drop_answer(void *ctx, void *data, BwBoundEnd end, uint32_t retry_after_ms)
 {
@@ -35,51 +28,11 @@
     (void)retry_after_ms;
 }
 
-static void
-drop_decision(void *ctx, const char *event, const BwBoundJob *job,
-              const BwView *view, uint32_t count, const char *reason)
-{
-    (void)ctx;
-    (void)event;
-    (void)job;
-    (void)view;
-    (void)count;
-    (void)reason;
-}
-
-static bool
-drop_order(void *ctx, uint64_t number, const BwTaskOrder *order)
-{
-    (void)ctx;
-    (void)number;
-    (void)order;
-    return true;
-}
-
-static bool
-drop_hold(void *ctx, uint64_t number, const BwHoldOrder *order)
-{
-    (void)ctx;
-    (void)number;
-    (void)order;
-    return true;
-}
-
-static void
-drop_seat(void *ctx, const char *event, const BwSeat *seat, uint32_t count,
-          const char *reason)
-{
-    (void)count;
-    (void)ctx;
-    (void)event;
-    (void)seat;
-    (void)reason;
-}
-
-static const BwDispatcherPort dispatcher_port = {drop_message, drop_answer,
-                                                 drop_decision};
+static const BwDispatcherPort dispatcher_port = {
+    PortStub_DropMessage, drop_answer, PortStub_DropDecision};
 static const BwSupervisorPort supervisor_port = {
-    drop_message, drop_order, drop_order, drop_hold, drop_seat};
+    PortStub_DropMessage, PortStub_DropOrder, PortStub_DropOrder,
+    PortStub_DropHold, PortStub_DropSeat};
 
 static json_int_t
 number_at(json_t *object, const char *key, const char *inner)
