Make reads of the configuration visible to monitoring

An incident of a change that was not in force in time could not be told from its evidence: logs that were collected did not reach back to it, and no metric told whether a dispatcher had read the store or had not applied what it read.

A dispatcher counts its reads of the store and the failed ones, and tells for how long the store has been silent and the configuration in force; log lines of configurations name their source. No decision has changed.

--- a/packages/adapters/settings.c
+++ b/packages/adapters/settings.c
@@ -121,6 +121,7 @@
     NESTED(BwSettings, "http", http, true, endpoint_schema),
     NESTED(BwSettings, "peer", peer, false, endpoint_schema),
     NESTED(BwSettings, "ready", ready, false, endpoint_schema),
+    NESTED(BwSettings, "metrics", metrics, false, endpoint_schema),
     NESTED(BwSettings, "worker", worker, false, endpoint_schema),
     NESTED(BwSettings, "log", log, true, endpoint_schema),
     TEXT(BwSettings, "log_stream", log_stream, false,
@@ -245,6 +246,20 @@
     check_address(path, key, false, endpoint, faults);
 }
 
+/* Entries and agents serve metrics where callers connect. */
+static void
+check_metrics(const char *path, bool may_have, BwEndpoint *endpoint,
+              BwYamlFaults *faults)
+{
+    bool is_given = endpoint->host[0] != '\0' || endpoint->address[0] != '\0';
+
+    if (!may_have && is_given)
+        BwYaml_AddFault(faults, path, 1,
+                        "'metrics' is for dispatchers and supervisors; remove "
+                        "it or correct 'role'");
+    check_address(path, "metrics", false, endpoint, faults);
+}
+
 static bool
 is_same_address(const BwEndpoint *left, const BwEndpoint *right)
 {
@@ -261,9 +276,10 @@
         const BwEndpoint *endpoint;
     } listeners[] = {{"http", &settings->http},
                      {"peer", &settings->peer},
-                     {"ready", &settings->ready}};
+                     {"ready", &settings->ready},
+                     {"metrics", &settings->metrics}};
 
-    for (size_t i = 0; i < 3; i++) {
+    for (size_t i = 0; i < sizeof(listeners) / sizeof(listeners[0]); i++) {
         for (size_t j = 0; j < i; j++) {
             if (is_same_address(listeners[i].endpoint, listeners[j].endpoint))
                 BwYaml_AddFault(faults, path, 1,
@@ -354,6 +370,8 @@
     check_role_address(path, "worker", is_supervisor, "supervisor",
                        "give the address where its worker takes orders",
                        &settings->worker, faults);
+    check_metrics(path, is_dispatcher || is_supervisor, &settings->metrics,
+                  faults);
     check_address(path, "log", true, &settings->log, faults);
     for (uint32_t i = 0; i < settings->peer_count; i++)
         check_address(path, "peers", true, &settings->peers[i], faults);
@@ -366,7 +384,7 @@
         BwYaml_AddFault(faults, path, 1,
                         "a dispatcher lacks 'peer'; give the address where "
                         "supervisors connect");
-    if (is_dispatcher)
+    if (is_dispatcher || is_supervisor)
         check_distinct(path, settings, faults);
     if (faults->count == 0 && (is_dispatcher || is_supervisor))
         check_leases(path, &settings->limits, faults);
--- a/packages/adapters/settings.h
+++ b/packages/adapters/settings.h
@@ -69,9 +69,10 @@
     char region[BW_NAME_BYTES_MAX];
     char domain[BW_NAME_BYTES_MAX];
     BwEndpoint http;
-    BwEndpoint peer;   /* agents, dispatchers: where other processes connect */
-    BwEndpoint ready;  /* dispatchers: where readiness is served */
-    BwEndpoint worker; /* supervisors: where the worker takes orders */
+    BwEndpoint peer;  /* agents, dispatchers: where other processes connect */
+    BwEndpoint ready; /* dispatchers: where readiness is served */
+    BwEndpoint metrics; /* dispatchers, supervisors: a port for monitoring */
+    BwEndpoint worker;  /* supervisors: where the worker takes orders */
     BwEndpoint log;
     char log_stream[BW_NAME_BYTES_MAX];
     uint32_t log_level;       /* BwLogLevel */
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -72,6 +72,7 @@
     BwRoutes routes;
     char *config_text;
     uint32_t config_bytes;
+    uint64_t in_force_us;        /* since when the configuration is in force */
     uint64_t announced_revision; /* newest revision that was announced */
     /* The link that announced it first; 0: it was already sent a request. */
     uint32_t announcer_link;
@@ -154,11 +155,11 @@
     BwMesh_BroadcastToDispatchers(mesh, &message);
 }
 
-/* Puts a configuration into force if its revision is newer. */
+/* Puts a configuration into force if its revision is newer.  `from` names its
+   source for the log. */
 static void
-apply_config(void *ctx, BwSpan text)
+apply_config(Role *role, BwSpan text, const char *from)
 {
-    Role *role = ctx;
     const BwDriver *driver = role->node->driver;
     const char *fault = "";
     BwRouteRows rows;
@@ -168,7 +169,7 @@
 
     if (!driver->read_routes(text, &rows, &fault)) {
         BW_LOG(&role->node->logger, BW_LOG_ERROR, "config_refused",
-               BW_LOG_TEXT("fault", fault));
+               BW_LOG_TEXT("fault", fault), BW_LOG_TEXT("from", from));
         driver->release(rows.memory);
         return;
     }
@@ -188,11 +189,19 @@
     role->routes = routes;
     BwRouteStats_Keep(&role->dispatcher.route_stats, &role->routes);
     BW_LOG(&role->node->logger, BW_LOG_INFO, "config_in_force",
-           BW_LOG_NUMBER("revision", routes.revision));
+           BW_LOG_NUMBER("revision", routes.revision),
+           BW_LOG_TEXT("from", from));
+    role->in_force_us = BwClock_Now();
     message = make_announcement(role);
     BwMesh_BroadcastToDispatchers(&role->node->mesh, &message);
 }
 
+static void
+apply_store_config(void *ctx, BwSpan text)
+{
+    apply_config(ctx, text, "store");
+}
+
 static void
 add_dispatcher(void *ctx, BwSpan name, BwSpan address)
 {
@@ -207,7 +216,8 @@
                              BwSpan_FromString(host), port, false);
 }
 
-static const BwStoreReaderEvents store_events = {apply_config, add_dispatcher};
+static const BwStoreReaderEvents store_events = {apply_store_config,
+                                                 add_dispatcher};
 
 /* ------------------------------------------------------------ callers */
 
@@ -530,7 +540,7 @@
         if (state->text.size_bytes == 0)
             remember_announcement(role, link->id, state->revision);
         else if (state->revision > role->routes.revision)
-            apply_config(role, state->text);
+            apply_config(role, state->text, "dispatcher");
     }
     else {
         BwDispatcher_OnMessage(&role->dispatcher, BwClock_Now(), link->id,
@@ -712,10 +722,17 @@
     free(role->config_text);
 }
 
+static uint64_t
+age_ms(uint64_t event_us, uint64_t now_us)
+{
+    return now_us > event_us ? (now_us - event_us) / 1000 : 0;
+}
+
 static uint32_t
 counters(BwNode *node, BwCounter *list, uint32_t capacity)
 {
     Role *role = node->role;
+    uint64_t now_us = BwClock_Now();
     const BwDispatcherCounters *c = &role->dispatcher.counters;
     uint32_t n = 0;
 
@@ -730,10 +747,22 @@
     ADD("brasswing_placed_total", "Tasks sent to supervisors", c->placed);
     ADD("brasswing_bounced_total", "Tasks declined there", c->bounced);
     ADD("brasswing_lost_total", "Tasks lost with their worker", c->lost);
+    ADD("brasswing_store_reads_total", "Reads of the platform's store",
+        role->store.reads);
+    ADD("brasswing_store_reads_failed_total",
+        "Reads of the store that were refused or not answered",
+        role->store.reads_failed);
 #undef ADD
+    n = BwCounters_Add(list, n, capacity, "brasswing_store_silent_ms",
+                       "Time since the store last answered a read", BW_GAUGE,
+                       age_ms(role->store.answered_us, now_us));
     n = BwCounters_Add(list, n, capacity, "brasswing_workers_usable",
                        "Workers that take tasks now", BW_GAUGE,
                        BwDispatcher_CountUsable(&role->dispatcher));
+    n = BwCounters_Add(
+        list, n, capacity, "brasswing_config_in_force_ms",
+        "Time for which the configuration has been in force", BW_GAUGE,
+        role->in_force_us != 0 ? age_ms(role->in_force_us, now_us) : 0);
     return BwCounters_Add(list, n, capacity, "brasswing_config_revision",
                           "Configuration in force", BW_GAUGE,
                           role->routes.revision);
@@ -748,6 +777,9 @@
     json_object_set_new(out, "revision",
                         json_integer((json_int_t)role->routes.revision));
     json_object_set_new(out, "store_up", json_boolean(role->store.is_up));
+    json_object_set_new(
+        out, "store_silent_ms",
+        json_integer((json_int_t)age_ms(role->store.answered_us, now_us)));
     json_object_set_new(out, "ready", json_boolean(is_ready(role)));
     return out;
 }
--- a/packages/daemon/node.c
+++ b/packages/daemon/node.c
@@ -23,6 +23,8 @@
     BwFileState file; /* state of the file at the last poll */
     uint64_t next_poll_us;
     bool has_fault; /* the last read of the file found a fault */
+    BwHttpServer metrics;
+    bool has_metrics;
     BwSignals *signals;
 } NodeProcess;
 
@@ -96,6 +98,52 @@
     return true;
 }
 
+/* ------------------------------------------------- port for monitoring */
+
+/* Limits what a request there may cost; none has a body. */
+#define METRICS_BODY_BYTES_MAX 1024
+
+static void
+on_metrics_request(void *ctx, BwExchange *exchange)
+{
+    NodeProcess *process = ctx;
+
+    if (!BwNode_ServeCommon(&process->node, exchange))
+        BwExchange_Reply(exchange, 404, "text/plain",
+                         BwSpan_FromString("only GET of /metrics and "
+                                           "/v1/status is answered here\n"),
+                         0);
+}
+
+static void
+on_metrics_abort(void *ctx, BwExchange *exchange)
+{
+    (void)ctx;
+    (void)exchange;
+}
+
+/* Monitoring must not keep a process from serving: without its port the
+   process runs all the same. */
+static void
+open_metrics(NodeProcess *process)
+{
+    static const BwHttpEvents events = {on_metrics_request, on_metrics_abort,
+                                        on_metrics_request};
+    BwNode *node = &process->node;
+    const BwEndpoint *endpoint = &node->settings.metrics;
+
+    if (endpoint->host[0] == '\0')
+        return;
+    process->has_metrics = BwHttpServer_Init(
+        &process->metrics, node->event_loop.loop, endpoint->host,
+        (uint16_t)endpoint->port, METRICS_BODY_BYTES_MAX, &events, process);
+    if (!process->has_metrics)
+        BW_LOG(&node->logger, BW_LOG_WARNING, "metrics_unavailable",
+               BW_LOG_NUMBER("port", endpoint->port),
+               BW_LOG_TEXT("cause", strerror(errno)),
+               BW_LOG_TEXT("remedy", "give 'metrics' another port"));
+}
+
 static void
 on_thread_message(void *ctx, BwThreadMessage *message)
 {
@@ -203,11 +251,14 @@
                BW_LOG_TEXT("remedy", "check the addresses in the settings"));
         goto cleanup;
     }
+    open_metrics(process);
     BW_LOG(&node->logger, BW_LOG_INFO, "started",
            BW_LOG_TEXT("role", node->ops->name),
            BW_LOG_NUMBER("http_port", node->http_port),
            BW_LOG_NUMBER("ready_port", node->ready_port),
            BW_LOG_NUMBER("peer_port", node->mesh.hello.http_port),
+           BW_LOG_NUMBER("metrics_port",
+                         process->has_metrics ? process->metrics.port : 0),
            BW_LOG_NUMBER("incarnation", node->incarnation));
     BwEventLoop_Run(&node->event_loop);
     node->ops->finish(node);
--- a/packages/daemon/storereader.c
+++ b/packages/daemon/storereader.c
@@ -28,6 +28,7 @@
 {
     memset(reader, 0, sizeof(*reader));
     BwReadPace_Init(&reader->pace, settings->limits.config_apply_ms * 1000);
+    reader->answered_us = BwClock_Now();
     reader->logger = logger;
     reader->driver = driver;
     reader->events = events;
@@ -65,6 +66,8 @@
     };
 
     reader->is_up = false;
+    reader->reads++;
+    reader->reads_failed++;
     if (BwReadPace_OnFailure(&reader->pace, BwClock_Now(), reader->has_config))
         BW_LOG(reader->logger, BW_LOG_WARNING, "store_lost",
                BW_LOG_NUMBER("status", reply->status),
@@ -75,8 +78,11 @@
 record_success(BwStoreReader *reader)
 {
     uint32_t failures = reader->pace.failures;
-    uint64_t lost_for_us = BwReadPace_OnSuccess(&reader->pace, BwClock_Now());
+    uint64_t now_us = BwClock_Now();
+    uint64_t lost_for_us = BwReadPace_OnSuccess(&reader->pace, now_us);
 
+    reader->reads++;
+    reader->answered_us = now_us;
     if (failures > 0)
         BW_LOG(reader->logger, BW_LOG_INFO, "store_regained",
                BW_LOG_NUMBER("after_ms", lost_for_us / 1000),
--- a/packages/daemon/storereader.h
+++ b/packages/daemon/storereader.h
@@ -43,6 +43,9 @@
     uint64_t announce_us; /* earliest time of the next announcement */
     uint64_t next_offset; /* where the next read of the configuration starts */
     bool is_up;           /* the last read was answered */
+    uint64_t reads;       /* that have ended */
+    uint64_t reads_failed;
+    uint64_t answered_us; /* the last answered read; before one: the start */
     char name[BW_NAME_BYTES_MAX];
     char address[BW_ADDRESS_BYTES_MAX]; /* announced by this dispatcher */
 } BwStoreReader;
--- a/tests/nodeprocess.c
+++ b/tests/nodeprocess.c
@@ -46,6 +46,7 @@
     node->http_port = read_port(line, "http_port=");
     node->ready_port = read_port(line, "ready_port=");
     node->peer_port = read_port(line, "peer_port=");
+    node->metrics_port = read_port(line, "metrics_port=");
     g_free(line);
     g_object_unref(lines);
 }
--- a/tests/nodeprocess.h
+++ b/tests/nodeprocess.h
@@ -13,6 +13,7 @@
     uint32_t http_port;
     uint32_t ready_port;
     uint32_t peer_port;
+    uint32_t metrics_port;
 } Node;
 
 /* Starts brasswingd with `settings`, which it writes to a file DIR/NAME.yaml,
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -215,6 +215,11 @@
     "worker: {address: '127.0.0.1:1002'}\n"
     "log: {address: '127.0.0.1:1004'}\n";
 
+static const char entry_settings[] = "role: entry\n"
+                                     "name: e\nregion: r\ndomain: h\n"
+                                     "http: {address: '127.0.0.1:1001'}\n"
+                                     "log: {address: '127.0.0.1:1004'}\n";
+
 /* Loads the settings `text` with `from` replaced by `to`, unless `from` is
    NULL. */
 static bool
@@ -312,6 +317,15 @@
          "port: '65536' is not a number from 0 to 65535; give"},
         {dispatcher_settings, "1003", "1001",
          "'http' and 'ready' have the same address; give"},
+        {dispatcher_settings,
+         "log:", "metrics: {address: '127.0.0.1:1003'}\nlog:",
+         "'ready' and 'metrics' have the same address; give"},
+        {supervisor_settings, "log:",
+         "metrics: {address: '127.0.0.1'}\n"
+         "log:",
+         "metrics.address: '127.0.0.1' is not HOST:PORT; write"},
+        {entry_settings, "log:", "metrics: {address: '127.0.0.1:1009'}\nlog:",
+         "'metrics' is for dispatchers and supervisors; remove it"},
         {dispatcher_settings,
          "log:", "worker: {address: '127.0.0.1:1005'}\nlog:",
          "'worker' is for a supervisor only; remove it"},
--- a/tests/test_status.c
+++ b/tests/test_status.c
@@ -11,6 +11,7 @@
 
 #include <glib/gstdio.h>
 
+#include "blockingclient.h"
 #include "brasswing.h"
 #include "nodeprocess.h"
 #include "nodestatus.h"
@@ -19,6 +20,7 @@
 #define NOW_US 5000000
 #define POLL_US 10000
 #define POLLS_MAX 1000
+#define REQUEST_TIMEOUT_US 5000000
 
 /* --------------------------------------------------------- from structs */
 
@@ -309,6 +311,74 @@
     g_free(dir);
 }
 
+/* Returns the value of a metric in the text that is served on `port`. */
+static uint64_t
+fetch_metric(uint32_t port, const char *name)
+{
+    BwBlockingClient client;
+    BwBlockingReply reply;
+    char *start = g_strdup_printf("\n%s ", name);
+    const char *line;
+    uint64_t value;
+
+    g_assert_true(BwBlockingClient_Init(&client, "127.0.0.1", (uint16_t)port));
+    g_assert_cmpuint(BwBlockingClient_Request(&client, "GET", "/metrics", "",
+                                              BwSpan_FromString(""),
+                                              REQUEST_TIMEOUT_US, &reply),
+                     ==, 200);
+    line = strstr(reply.body, start);
+    g_assert_nonnull(line);
+    value = g_ascii_strtoull(line + strlen(start), NULL, 10);
+    free(reply.body);
+    BwBlockingClient_Finish(&client);
+    g_free(start);
+    return value;
+}
+
+/* Metrics tell how reads of the store go.  A port for monitoring that is in
+   use does not keep a process from starting. */
+static void
+test_metrics_port(void)
+{
+    char *dir = g_dir_make_tmp("brasswing-XXXXXX", NULL);
+    char *text = g_strdup_printf("role: dispatcher\nname: d-1\n%s"
+                                 "ready: {host: 127.0.0.1, port: 0}\n"
+                                 "peer: {host: 127.0.0.1, port: 0}\n"
+                                 "metrics: {host: 127.0.0.1, port: 0}\n",
+                                 common_settings);
+    Node dispatcher, supervisor;
+
+    Node_Start(&dispatcher, dir, "d-1", text);
+    g_free(text);
+    g_assert_cmpuint(dispatcher.metrics_port, !=, 0);
+    while (fetch_metric(dispatcher.metrics_port,
+                        "brasswing_store_reads_failed_total") == 0)
+        g_usleep(POLL_US);
+    g_assert_cmpuint(
+        fetch_metric(dispatcher.metrics_port, "brasswing_store_reads_total"),
+        >, 0);
+    g_assert_cmpuint(
+        fetch_metric(dispatcher.metrics_port, "brasswing_store_silent_ms"), >,
+        0);
+    g_assert_cmpuint(
+        fetch_metric(dispatcher.metrics_port, "brasswing_config_in_force_ms"),
+        ==, 0);
+
+    text = g_strdup_printf("role: supervisor\nname: s-1\n%s"
+                           "worker: {host: 127.0.0.1, port: 1}\n"
+                           "metrics: {host: 127.0.0.1, port: %u}\n",
+                           common_settings, dispatcher.metrics_port);
+    Node_Start(&supervisor, dir, "s-1", text);
+    g_free(text);
+    g_assert_cmpuint(supervisor.metrics_port, ==, 0);
+    assert_text_output(supervisor.http_port,
+                       "supervisor s-1, region tunis-nord", "tasks: 0 queued");
+    Node_Finish(&supervisor);
+    Node_Finish(&dispatcher);
+    g_rmdir(dir);
+    g_free(dir);
+}
+
 /* Runs `brasswingd --settings FILE --check`; returns its exit code.  *faults
    is what it printed to stderr; g_free it. */
 static int
@@ -357,6 +427,7 @@
     g_test_add_func("/status/dispatcher", test_dispatcher);
     g_test_add_func("/status/supervisor", test_supervisor);
     g_test_add_func("/status/processes", test_processes);
+    g_test_add_func("/status/metrics-port", test_metrics_port);
     g_test_add_func("/settings/check", test_check);
     return g_test_run();
 }
