Time entries' and agents' reads of the log by the bound of the configuration

Cause: a poll of 10 s that a silent log had swallowed was given up 15 s after it was sent, whenever the log returned, so a change that was published right after the return was in force up to 15 s later, where 12 s are allowed.

Change: the log client takes the waits, timeouts and pauses of readpace.h, derived from limits.config_apply_ms, which entries and agents have now too (12 s by default). A page that is arriving may take longer than the timeout, 5 s between two parts, so a short timeout does not keep a reader with much to catch up from ever reading it. The wait of a poll is what the other steps leave of the bound: unchanged for 2 s (0.6 s), 6.6 s for 12 s where it was 3.6 s, so that 6,900 idle readers send 1,050 reads/s in place of 1,900.

--- a/packages/adapters/httpclient.c
+++ b/packages/adapters/httpclient.c
@@ -6,6 +6,7 @@
 
 #include <utlist.h>
 
+#include "clock.h"
 #include "httpclient.h"
 #include "net.h"
 
@@ -43,6 +44,15 @@
     free(call);
 }
 
+static void
+extend_deadline(BwHttpCall *call)
+{
+    uint64_t until_us = BwClock_Now() + call->client->progress_us;
+
+    if (call->client->progress_us > 0 && until_us > call->deadline_us)
+        call->deadline_us = until_us;
+}
+
 /* Moves the input to the reply.  Returns false when it gets too large. */
 static bool
 append_input(BwHttpCall *call, h2o_socket_t *sock)
@@ -54,6 +64,7 @@
         return false;
     if (size == 0)
         return true;
+    extend_deadline(call);
     space = h2o_buffer_reserve(&call->reply_body, size);
     memcpy(space.base, sock->input->bytes, size);
     call->reply_body->size += size;
@@ -96,6 +107,7 @@
         return NULL;
     }
     call->status = (uint32_t)status;
+    extend_deadline(call);
     if (err == h2o_http1client_error_is_eos) {
         end_call(call, BW_HTTP_ANSWERED);
         return NULL;
@@ -157,6 +169,12 @@
     client->pool.peer.host = h2o_strdup(NULL, name, SIZE_MAX);
 }
 
+void
+BwHttpClient_AllowProgress(BwHttpClient *client, uint64_t progress_us)
+{
+    client->progress_us = progress_us;
+}
+
 void
 BwHttpClient_Finish(BwHttpClient *client)
 {
--- a/packages/adapters/httpclient.h
+++ b/packages/adapters/httpclient.h
@@ -40,6 +40,7 @@
     char authority[80]; /* host and port, for the Host header */
     uint32_t reply_bytes_max;
     uint32_t active_count;
+    uint64_t progress_us;     /* see BwHttpClient_AllowProgress */
     struct BwHttpCall *calls; /* calls in progress */
 } BwHttpClient;
 
@@ -56,6 +57,13 @@
 void
 BwHttpClient_UseTls(BwHttpClient *client, SSL_CTX *context, const char *name);
 
+/* Lets an answer that is arriving take longer than its call's deadline: after
+   each part, up to `progress_us` until the next one.  So a deadline can be
+   short enough to notice a silent server, and a large answer still arrives
+   whole.  0 is the default: the deadline holds for the whole answer. */
+void
+BwHttpClient_AllowProgress(BwHttpClient *client, uint64_t progress_us);
+
 /* Cancels the calls in progress without their callbacks and closes the
    connections. */
 void
--- a/packages/adapters/logclient.c
+++ b/packages/adapters/logclient.c
@@ -7,26 +7,28 @@
 #include "clock.h"
 #include "logclient.h"
 
-#define READ_WAIT_MS 10000
-#define READ_TIMEOUT_US 15000000
+/* Between two parts of a page that is arriving. */
+#define PROGRESS_TIMEOUT_US 5000000
 #define APPEND_TIMEOUT_US 5000000
-#define RETRY_FIRST_US 50000
-#define RETRY_MAX_US 1000000
 #define CONNECTIONS_MAX 4
 #define REPLY_BYTES_MAX (64u * 1024 * 1024)
 
 bool
 BwLogClient_Init(BwLogClient *client, h2o_loop_t *loop, const char *host,
-                 uint16_t port, const char *stream, const BwLogEvents *events,
-                 void *ctx)
+                 uint16_t port, const char *stream, uint64_t in_force_us,
+                 const BwLogEvents *events, void *ctx)
 {
     memset(client, 0, sizeof(*client));
+    BwReadPace_Init(&client->pace, in_force_us);
     client->events = events;
     client->ctx = ctx;
     snprintf(client->path, sizeof(client->path), "/v1/streams/%s/records",
              stream);
-    return BwHttpClient_Init(&client->http, loop, host, port, CONNECTIONS_MAX,
-                             REPLY_BYTES_MAX);
+    if (!BwHttpClient_Init(&client->http, loop, host, port, CONNECTIONS_MAX,
+                           REPLY_BYTES_MAX))
+        return false;
+    BwHttpClient_AllowProgress(&client->http, PROGRESS_TIMEOUT_US);
+    return true;
 }
 
 void
@@ -98,23 +100,17 @@
 {
     BwLogClient *client = data;
     json_t *page = NULL;
-    uint64_t delay_us = RETRY_FIRST_US;
 
     client->is_reading = false;
     if (reply->outcome == BW_HTTP_ANSWERED && reply->status == 200)
         page = json_loadb(reply->body.base, reply->body.size_bytes, 0, NULL);
     if (page != NULL && deliver(client, page)) {
-        client->failures = 0;
-        client->retry_at_us = 0;
+        BwReadPace_OnSuccess(&client->pace, BwClock_Now());
         json_decref(page);
         return;
     }
     json_decref(page);
-    for (uint32_t i = 0; i < client->failures && delay_us < RETRY_MAX_US; i++)
-        delay_us *= 2;
-    client->failures++;
-    client->retry_at_us =
-        BwClock_Now() + (delay_us < RETRY_MAX_US ? delay_us : RETRY_MAX_US);
+    BwReadPace_OnFailure(&client->pace, BwClock_Now(), true);
     client->events->on_failure(client->ctx);
 }
 
@@ -122,19 +118,23 @@
 BwLogClient_Tick(BwLogClient *client, uint64_t now_us)
 {
     char path[256];
+    uint64_t wait_us;
     BwSpan none = {"", 0};
     BwSpan target;
 
     BwHttpClient_Tick(&client->http, now_us);
-    if (client->is_reading || now_us < client->retry_at_us)
+    if (client->is_reading || now_us < client->pace.retry_us)
         return;
     client->is_reading = true;
-    snprintf(path, sizeof(path), "%s?from=%llu&wait_ms=%u", client->path,
-             (unsigned long long)client->next_offset, READ_WAIT_MS);
+    wait_us = BwReadPace_WaitUs(&client->pace);
+    snprintf(path, sizeof(path), "%s?from=%llu&wait_ms=%llu", client->path,
+             (unsigned long long)client->next_offset,
+             (unsigned long long)(wait_us / 1000));
     target.base = path;
     target.size_bytes = (uint32_t)strlen(path);
     BwHttpClient_Send(&client->http, "GET", target, "", none,
-                      now_us + READ_TIMEOUT_US, on_page, client);
+                      now_us + wait_us + BwReadPace_TimeoutUs(&client->pace),
+                      on_page, client);
 }
 
 void
--- a/packages/adapters/logclient.h
+++ b/packages/adapters/logclient.h
@@ -1,8 +1,9 @@
 /* logclient.h -- client of the platform's append-only log
 
-   It follows one stream of the log from offset 0 by long polling, tries again
-   with exponential backoff when a read fails, and appends records.  The
-   directory calls it.  The protocol, over HTTP:
+   It follows one stream of the log from offset 0 by long polling, and appends
+   records.  readpace.h decides how long a poll waits, when it is given up and
+   when it is sent again, so that a log that was silent is read in time after
+   its return.  The directory calls it.  The protocol, over HTTP:
 
      POST /v1/streams/STREAM/records                 body: the record
        200 {"offset": N}
@@ -21,6 +22,7 @@
 #include <jansson.h>
 
 #include "httpclient.h"
+#include "readpace.h"
 
 typedef struct BwLogClient BwLogClient;
 
@@ -43,20 +45,21 @@
     BwHttpClient http;
     char path[160];
     uint64_t next_offset;
-    uint64_t retry_at_us; /* next read not before this time */
-    uint32_t failures;    /* failed reads in a row */
+    BwReadPace pace;
     bool is_reading;
     bool was_seek_called; /* while a page was being delivered */
     const BwLogEvents *events;
     void *ctx;
 };
 
-/* Sets up a client that reads from offset 0.  `events` must live as long as
-   the client.  Returns false when `host` is not a numeric IP address. */
+/* Sets up a client that reads from offset 0.  `in_force_us` is the time in
+   which a record has to be read and applied everywhere.  `events` must live as
+   long as the client.  Returns false when `host` is not a numeric IP
+   address. */
 bool
 BwLogClient_Init(BwLogClient *client, h2o_loop_t *loop, const char *host,
-                 uint16_t port, const char *stream, const BwLogEvents *events,
-                 void *ctx);
+                 uint16_t port, const char *stream, uint64_t in_force_us,
+                 const BwLogEvents *events, void *ctx);
 
 void
 BwLogClient_Finish(BwLogClient *client);
--- a/packages/adapters/settings.c
+++ b/packages/adapters/settings.c
@@ -12,6 +12,10 @@
 #include "settings.h"
 
 #define STOP_DEFAULT_MS 5000
+/* Time in which a published configuration is in force, of dispatchers and of
+   the other roles. */
+#define CONFIG_APPLY_DISPATCHER_MS 2000
+#define CONFIG_APPLY_DEFAULT_MS 12000
 
 #define TEXT(s, k, f, need, how)                                              \
     {                                                                         \
@@ -171,7 +175,6 @@
     settings->limits.worker_lease_max_ms = 1000;
     settings->limits.worker_stop_ms = 50;
     settings->limits.contact_ms = 3000;
-    settings->limits.config_apply_ms = 2000;
 }
 
 /* Splits `address` into host and port.  Returns false when it is not
@@ -410,6 +413,11 @@
     else
         BwYaml_Read(path, text, &settings_schema, settings, faults);
     derive_lengths(path, &settings->limits, faults);
+    if (settings->limits.config_apply_ms == 0)
+        settings->limits.config_apply_ms =
+            settings->role == BW_SETTINGS_DISPATCHER
+                ? CONFIG_APPLY_DISPATCHER_MS
+                : CONFIG_APPLY_DEFAULT_MS;
     check_addresses(settings, path, faults);
     free(content);
     return faults->count == 0;
--- a/packages/adapters/settings.h
+++ b/packages/adapters/settings.h
@@ -44,9 +44,10 @@
     uint64_t resend_ms;           /* callers resend a bound job no sooner */
     uint64_t worker_lease_max_ms; /* workers accept no longer lease */
     uint64_t worker_stop_ms;      /* workers end a stopped task within */
-    uint64_t contact_ms;      /* silence after which contact counts as lost */
-    uint64_t grace_ms;        /* from SIGTERM to SIGKILL; 0: not stated */
-    uint64_t config_apply_ms; /* a configuration is in force within */
+    uint64_t contact_ms; /* silence after which contact counts as lost */
+    uint64_t grace_ms;   /* from SIGTERM to SIGKILL; 0: not stated */
+    /* A configuration is in force within; by role where the file has none. */
+    uint64_t config_apply_ms;
     /* Longest duration of a planned stop; derived from grace_ms where the file
        has none. */
     uint64_t stop_ms;
--- a/packages/core/readpace.c
+++ b/packages/core/readpace.c
@@ -5,15 +5,16 @@
 #include "readpace.h"
 
 /* Shares of the time in which a configuration has to be in force.  The worst
-   case is a swallowed poll, a pause and a read (300 + 250 + 100 + 250), or a
-   swallowed read of the long timeout, a pause and a read (600 + 100 + 250);
-   the rest is for spreading and applying the configuration. */
-#define WAIT_PERMILLE 300
+   case is a swallowed poll, a pause and a read, or a swallowed read of the
+   long timeout, a pause and a read; the rest is for spreading and applying the
+   configuration.  A poll waits for as long as the other steps leave, since its
+   renewals are what an idle store is asked. */
+#define READ_PERMILLE 900
 #define TIMEOUT_PERMILLE 250
 #define LONG_TIMEOUT_PERMILLE 600
 #define PAUSE_MAX_PERMILLE 100
 /* Longer times save nothing that counts. */
-#define WAIT_MAX_US 4000000
+#define WAIT_MAX_US 10000000
 #define TIMEOUT_MAX_US 1500000
 #define LONG_TIMEOUT_MAX_US 3000000
 #define PAUSE_MIN_US 100000
@@ -33,11 +34,14 @@
 BwReadPace_Init(BwReadPace *pace, uint64_t in_force_us)
 {
     memset(pace, 0, sizeof(*pace));
-    pace->wait_us = share(in_force_us, WAIT_PERMILLE, WAIT_MAX_US);
     pace->timeout_us = share(in_force_us, TIMEOUT_PERMILLE, TIMEOUT_MAX_US);
     pace->long_timeout_us =
         share(in_force_us, LONG_TIMEOUT_PERMILLE, LONG_TIMEOUT_MAX_US);
     pace->pause_max_us = share(in_force_us, PAUSE_MAX_PERMILLE, PAUSE_MAX_US);
+    pace->wait_us = share(in_force_us, READ_PERMILLE, UINT64_MAX) -
+                    2 * pace->timeout_us - pace->pause_max_us;
+    if (pace->wait_us > WAIT_MAX_US)
+        pace->wait_us = WAIT_MAX_US;
     pace->pause_min_us =
         pace->pause_max_us < PAUSE_MIN_US ? pace->pause_max_us : PAUSE_MIN_US;
 }
--- a/packages/daemon/directory.c
+++ b/packages/daemon/directory.c
@@ -455,9 +455,10 @@
     BwConfigLog_Init(&directory->config);
     BwRenew_Init(directory);
     BwEventLoop_Init(&directory->event_loop, &loop_events, directory);
-    return BwLogClient_Init(&directory->log, directory->event_loop.loop,
-                            settings->log.host, (uint16_t)settings->log.port,
-                            settings->log_stream, &log_events, directory);
+    return BwLogClient_Init(
+        &directory->log, directory->event_loop.loop, settings->log.host,
+        (uint16_t)settings->log.port, settings->log_stream,
+        settings->limits.config_apply_ms * 1000, &log_events, directory);
 }
 
 void
--- a/tests/test_logclient.c
+++ b/tests/test_logclient.c
@@ -135,8 +135,8 @@
     world->is_silent = false;
     world->requests = world->reads = world->records = 0;
     g_assert_true(BwLogClient_Init(&world->client, world->loop, "127.0.0.1",
-                                   world->server.port, "s", &log_events,
-                                   world));
+                                   world->server.port, "s", IN_FORCE_US,
+                                   &log_events, world));
 }
 
 /* Returns how long after the log's return a record that is appended then is
