--- a/packages/core/routestats.c
+++ b/packages/core/routestats.c
@@ -9,9 +9,7 @@
 #define RATIO_SHIFT 5 /* weight of a task in the moving ratio: 1/32 */
 #define RATIO_START_PERMILLE 1000
 #define RATIO_MAX_PERMILLE 4000
-#define WAIT_SHIFT                                                            \
-    5 /* weight of a task in the moving ratio of waits: 1/32                  \
-       */
+#define WAIT_SHIFT 5 /* the same of the moving ratio of waits */
 #define WAIT_START_PERMILLE 1000
 #define WAIT_MIN_PERMILLE 200
 #define WAIT_MAX_PERMILLE 8000
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -1,11 +1,7 @@
 /* dispatchrole.c -- the role of a dispatcher: callers, routes, readiness
 
    Owns the callers' connections and passes their jobs to dispatcher.h, which
-   decides.  The configuration comes from the store and from other dispatchers,
-   whichever is newer.  Dispatchers announce to each other which revision
-   they have.  A dispatcher that still lacks it REQUEST_DELAY_US later requests
-   the text, first from the one that announced it, then from all: the delay
-   lets the store deliver it first, so that the text is seldom sent twice.
+   decides.  The routes are those of routeconfig.h.
    node.c calls this role through BwDispatcherRole_Ops.
 */
 
@@ -16,11 +12,10 @@
 #include "brasswing.h"
 #include "daemon.h"
 #include "dispatcher.h"
-#include "net.h"
 #include "node.h"
 #include "nodestatus.h"
+#include "routeconfig.h"
 #include "routerecord.h"
-#include "storereader.h"
 
 /* A planned stop closes the callers' listener after this time, or
    CLOSE_MARGIN_US before its end.  By then the load balancer has noticed that
@@ -43,8 +38,6 @@
 #define STATE_BYTES 64
 /* Refused requests are logged as counts, since many may come at once. */
 #define REFUSAL_LOG_INTERVAL_US 200000
-#define REQUEST_DELAY_US 50000
-#define REQUEST_TIMEOUT_US 300000
 
 /* Reasons to refuse a request before it becomes a job. */
 typedef enum RefusalReason {
@@ -66,17 +59,9 @@
     BwNode *node;
     BwHttpServer http; /* for callers */
     BwHttpServer ready;
-    BwStoreReader store;
+    BwRouteConfig config;
     BwRouteRecord route_record;
     BwDispatcher dispatcher;
-    BwRoutes routes;
-    char *config_text;
-    uint32_t config_bytes;
-    uint64_t in_force_us;        /* since when the configuration is in force */
-    uint64_t announced_revision; /* newest revision that was announced */
-    /* The link that announced it first; 0: it was already sent a request. */
-    uint32_t announcer_link;
-    uint64_t request_at_us; /* when to request its text; 0: not due */
     uint64_t refusals[REFUSAL_COUNT];
     uint64_t refusals_logged[REFUSAL_COUNT];
     uint64_t refusals_logged_us;
@@ -92,133 +77,14 @@
     uint64_t ref;
 } PendingRequest;
 
-/* ------------------------------------------------------ configuration */
-
-static BwMessage
-make_announcement(const Role *role)
-{
-    BwMessage message = {.kind = BW_MSG_CONFIG_STATE};
-
-    message.u.config_state.revision = role->routes.revision;
-    message.u.config_state.publish_id = BwSpan_FromString("");
-    message.u.config_state.text = BwSpan_FromString("");
-    return message;
-}
-
-static void
-send_config(Role *role, uint32_t link, uint64_t known)
-{
-    BwMessage message = make_announcement(role);
-
-    if (role->routes.revision <= known)
-        return;
-    message.u.config_state.text.base = role->config_text;
-    message.u.config_state.text.size_bytes = role->config_bytes;
-    BwMesh_Send(&role->node->mesh, link, &message);
-}
-
-static void
-remember_announcement(Role *role, uint32_t link, uint64_t revision)
-{
-    if (revision <= role->routes.revision ||
-        revision <= role->announced_revision)
-        return;
-    role->announced_revision = revision;
-    role->announcer_link = link;
-    role->request_at_us = BwClock_Now() + REQUEST_DELAY_US;
-}
-
-/* Requests the text of the announced revision from its announcer.  If the
-   announcer is no longer connected, or has not sent the text within
-   REQUEST_TIMEOUT_US, requests it from all dispatchers, once. */
-static void
-request_config(Role *role, uint64_t now_us)
-{
-    BwMesh *mesh = &role->node->mesh;
-    BwMessage message = {.kind = BW_MSG_CONFIG_REQUEST};
-
-    if (role->request_at_us == 0 || now_us < role->request_at_us)
-        return;
-    role->request_at_us = 0;
-    if (role->announced_revision <= role->routes.revision)
-        return;
-    message.u.config_request.revision = role->routes.revision;
-    if (role->announcer_link != 0 &&
-        BwMesh_Send(mesh, role->announcer_link, &message)) {
-        role->announcer_link = 0;
-        role->request_at_us = now_us + REQUEST_TIMEOUT_US;
-        return;
-    }
-    /* Forgets the announcement, so that a later one of the same revision is
-       remembered again. */
-    role->announced_revision = role->routes.revision;
-    BwMesh_BroadcastToDispatchers(mesh, &message);
-}
-
-/* Puts a configuration into force if its revision is newer.  `from` names its
-   source for the log. */
 static void
-apply_config(Role *role, BwSpan text, const char *from)
-{
-    const BwDriver *driver = role->node->driver;
-    const char *fault = "";
-    BwRouteRows rows;
-    BwRoutes routes;
-    BwMessage message;
-    char *copy;
-
-    if (!driver->read_routes(text, &rows, &fault)) {
-        BW_LOG(&role->node->logger, BW_LOG_ERROR, "config_refused",
-               BW_LOG_TEXT("fault", fault), BW_LOG_TEXT("from", from));
-        driver->release(rows.memory);
-        return;
-    }
-    copy = malloc(text.size_bytes + 1);
-    if (rows.revision <= role->routes.revision || copy == NULL ||
-        !BwRoutes_Init(&routes, &rows)) {
-        driver->release(rows.memory);
-        free(copy);
-        return;
-    }
-    driver->release(rows.memory);
-    memcpy(copy, text.base, text.size_bytes);
-    free(role->config_text);
-    role->config_text = copy;
-    role->config_bytes = text.size_bytes;
-    BwRoutes_Finish(&role->routes);
-    role->routes = routes;
-    BwRouteStats_Keep(&role->dispatcher.route_stats, &role->routes);
-    BW_LOG(&role->node->logger, BW_LOG_INFO, "config_in_force",
-           BW_LOG_NUMBER("revision", routes.revision),
-           BW_LOG_TEXT("from", from));
-    role->in_force_us = BwClock_Now();
-    message = make_announcement(role);
-    BwMesh_BroadcastToDispatchers(&role->node->mesh, &message);
-}
-
-static void
-apply_store_config(void *ctx, BwSpan text)
-{
-    apply_config(ctx, text, "store");
-}
-
-static void
-add_dispatcher(void *ctx, BwSpan name, BwSpan address)
+on_routes_changed(void *ctx, const BwRoutes *routes)
 {
     Role *role = ctx;
-    char text[BW_ADDRESS_BYTES_MAX];
-    char host[BW_HOST_BYTES_MAX];
-    uint16_t port;
 
-    BwSpan_ToString(address, text, sizeof(text));
-    if (BwNet_SplitAddress(text, host, sizeof(host), &port))
-        BwMesh_AddDispatcher(&role->node->mesh, BwClock_Now(), name,
-                             BwSpan_FromString(host), port, false);
+    BwRouteStats_Keep(&role->dispatcher.route_stats, routes);
 }
 
-static const BwStoreReaderEvents store_events = {apply_store_config,
-                                                 add_dispatcher};
-
 /* ------------------------------------------------------------ callers */
 
 static void
@@ -422,7 +288,7 @@
     const BwRoute *route;
     BwSpan name;
 
-    if (role->routes.revision == 0) {
+    if (role->config.routes.revision == 0) {
         role->refusals[REFUSAL_NO_CONFIG]++;
         BwDaemon_ReplyError(exchange, BW_ERR_NO_BACKEND,
                             "no configuration is in force yet; retry later");
@@ -436,7 +302,8 @@
                             "this dispatcher is stopping; use another one");
         return;
     }
-    route = BwRoutes_Find(&role->routes, exchange->host, exchange->path);
+    route =
+        BwRoutes_Find(&role->config.routes, exchange->host, exchange->path);
     if (route == NULL) {
         BwDaemon_ReplyError(exchange, BW_ERR_NO_SUCH_PATH,
                             "no route matches the host and path");
@@ -474,7 +341,7 @@
 static bool
 is_ready(const Role *role)
 {
-    return role->routes.revision > 0 && !role->node->is_stopping &&
+    return role->config.routes.revision > 0 && !role->node->is_stopping &&
            BwDispatcher_CountUsable(&role->dispatcher) > 0;
 }
 
@@ -506,15 +373,14 @@
 on_up(void *ctx, BwMeshLink *link)
 {
     Role *role = ctx;
-    BwMessage message = make_announcement(role);
 
     if (link->role == BW_ROLE_SUPERVISOR)
         BwDispatcher_PeerUp(&role->dispatcher, BwClock_Now(), link->id,
                             BwSpan_FromString(link->name));
     /* A link with a target was dialled by this process.  Each of two
        dispatchers dials the other, so each announces its revision once. */
-    else if (link->target != NULL && role->routes.revision > 0)
-        BwMesh_Send(&role->node->mesh, link->id, &message);
+    else if (link->target != NULL)
+        BwRouteConfig_Announce(&role->config, link->id);
 }
 
 static void
@@ -531,21 +397,9 @@
 {
     Role *role = ctx;
 
-    if (message->kind == BW_MSG_CONFIG_REQUEST) {
-        send_config(role, link->id, message->u.config_request.revision);
-    }
-    else if (message->kind == BW_MSG_CONFIG_STATE) {
-        const BwConfigState *state = &message->u.config_state;
-
-        if (state->text.size_bytes == 0)
-            remember_announcement(role, link->id, state->revision);
-        else if (state->revision > role->routes.revision)
-            apply_config(role, state->text, "dispatcher");
-    }
-    else {
+    if (!BwRouteConfig_OnMessage(&role->config, link->id, message))
         BwDispatcher_OnMessage(&role->dispatcher, BwClock_Now(), link->id,
                                message);
-    }
 }
 
 static const BwMeshEvents mesh_events = {on_up, on_down, on_received};
@@ -619,9 +473,7 @@
     BwDispatcher_Init(&role->dispatcher, &limits, &dispatcher_port, role);
     if (!(BwMesh_Init(&node->mesh, node->event_loop.loop, settings,
                       &node->logger, node->incarnation, &mesh_events, role) &&
-          BwStoreReader_Init(&role->store, node->event_loop.loop, settings,
-                             &node->logger, node->driver, &store_events,
-                             role) &&
+          BwRouteConfig_Init(&role->config, node, on_routes_changed, role) &&
           BwRouteRecord_Init(&role->route_record, node->event_loop.loop,
                              settings, node->driver, &role->dispatcher) &&
           BwHttpServer_Init(
@@ -674,11 +526,10 @@
 
     log_refusals(role, now_us);
 
-    BwStoreReader_Tick(&role->store, now_us);
+    BwRouteConfig_Tick(&role->config, now_us);
     BwRouteRecord_Tick(&role->route_record, now_us);
-    request_config(role, now_us);
     BwDispatcher_Tick(&role->dispatcher, now_us);
-    if (!role->is_accepting && (role->routes.revision > 0 ||
+    if (!role->is_accepting && (role->config.routes.revision > 0 ||
                                 now_us - role->started_us >= ACCEPT_WAIT_US)) {
         role->is_accepting = true;
         BwHttpServer_Accept(&role->http);
@@ -715,24 +566,15 @@
 {
     Role *role = node->role;
 
-    BwStoreReader_Finish(&role->store);
+    BwRouteConfig_Finish(&role->config);
     BwRouteRecord_Finish(&role->route_record);
     BwDispatcher_Finish(&role->dispatcher);
-    BwRoutes_Finish(&role->routes);
-    free(role->config_text);
-}
-
-static uint64_t
-age_ms(uint64_t event_us, uint64_t now_us)
-{
-    return now_us > event_us ? (now_us - event_us) / 1000 : 0;
 }
 
 static uint32_t
 counters(BwNode *node, BwCounter *list, uint32_t capacity)
 {
     Role *role = node->role;
-    uint64_t now_us = BwClock_Now();
     const BwDispatcherCounters *c = &role->dispatcher.counters;
     uint32_t n = 0;
 
@@ -747,25 +589,12 @@
     ADD("brasswing_placed_total", "Tasks sent to supervisors", c->placed);
     ADD("brasswing_bounced_total", "Tasks declined there", c->bounced);
     ADD("brasswing_lost_total", "Tasks lost with their worker", c->lost);
-    ADD("brasswing_store_reads_total", "Reads of the platform's store",
-        role->store.reads);
-    ADD("brasswing_store_reads_failed_total",
-        "Reads of the store that were refused or not answered",
-        role->store.reads_failed);
 #undef ADD
-    n = BwCounters_Add(list, n, capacity, "brasswing_store_silent_ms",
-                       "Time since the store last answered a read", BW_GAUGE,
-                       age_ms(role->store.answered_us, now_us));
     n = BwCounters_Add(list, n, capacity, "brasswing_workers_usable",
                        "Workers that take tasks now", BW_GAUGE,
                        BwDispatcher_CountUsable(&role->dispatcher));
-    n = BwCounters_Add(
-        list, n, capacity, "brasswing_config_in_force_ms",
-        "Time for which the configuration has been in force", BW_GAUGE,
-        role->in_force_us != 0 ? age_ms(role->in_force_us, now_us) : 0);
-    return BwCounters_Add(list, n, capacity, "brasswing_config_revision",
-                          "Configuration in force", BW_GAUGE,
-                          role->routes.revision);
+    return BwRouteConfig_Counters(&role->config, BwClock_Now(), list, n,
+                                  capacity);
 }
 
 static json_t *
@@ -774,12 +603,7 @@
     Role *role = node->role;
     json_t *out = BwNodeStatus_Dispatcher(&role->dispatcher, now_us);
 
-    json_object_set_new(out, "revision",
-                        json_integer((json_int_t)role->routes.revision));
-    json_object_set_new(out, "store_up", json_boolean(role->store.is_up));
-    json_object_set_new(
-        out, "store_silent_ms",
-        json_integer((json_int_t)age_ms(role->store.answered_us, now_us)));
+    BwRouteConfig_AddStatus(&role->config, now_us, out);
     json_object_set_new(out, "ready", json_boolean(is_ready(role)));
     return out;
 }
--- /dev/null
+++ b/packages/daemon/routeconfig.h
@@ -0,0 +1,73 @@
+/* routeconfig.h -- the configuration that a dispatcher has in force
+
+   The configuration comes from the platform's store and from other
+   dispatchers, whichever is newer; a revision never goes back.  Dispatchers
+   announce to each other which revision they have.  One that still lacks it a
+   little later requests the text, first from the dispatcher that announced it,
+   then from all: the delay lets the store deliver it first, so that the text
+   is seldom sent twice.  Both ways go on beside each other, so that neither a
+   lost message nor a store that does not answer one dispatcher keeps it
+   behind.
+
+   The role in dispatchrole.c passes in the messages and asks for the routes.
+*/
+
+#ifndef BW_ROUTECONFIG_H
+#define BW_ROUTECONFIG_H
+
+#include "node.h"
+#include "routes.h"
+#include "storereader.h"
+
+typedef struct BwRouteConfig {
+    BwNode *node;
+    BwStoreReader store;
+    BwRoutes routes; /* revision 0: none in force yet */
+    char *text;
+    uint32_t text_bytes;
+    uint64_t in_force_us;        /* since when; 0: none yet */
+    uint64_t announced_revision; /* newest revision that was announced */
+    /* The link that announced it first; 0: it was already sent a request. */
+    uint32_t announcer_link;
+    uint64_t request_at_us; /* when to request its text; 0: not due */
+    /* The routes have changed. */
+    void (*on_change)(void *ctx, const BwRoutes *routes);
+    void *ctx;
+} BwRouteConfig;
+
+/* Reads nothing yet.  `node` must outlive the configuration.  Returns false
+   when the store's address in the settings is wrong. */
+bool
+BwRouteConfig_Init(BwRouteConfig *config, BwNode *node,
+                   void (*on_change)(void *ctx, const BwRoutes *routes),
+                   void *ctx);
+
+void
+BwRouteConfig_Finish(BwRouteConfig *config);
+
+/* Reads the store and requests announced revisions when they are due. */
+void
+BwRouteConfig_Tick(BwRouteConfig *config, uint64_t now_us);
+
+/* Announces the revision in force to a dispatcher that has connected. */
+void
+BwRouteConfig_Announce(BwRouteConfig *config, uint32_t link);
+
+/* Handles a message of another dispatcher.  Returns false for one that is not
+   about the configuration. */
+bool
+BwRouteConfig_OnMessage(BwRouteConfig *config, uint32_t link,
+                        const BwMessage *message);
+
+/* Writes up to `capacity` counters after the first `count`; returns how many
+   there are. */
+uint32_t
+BwRouteConfig_Counters(const BwRouteConfig *config, uint64_t now_us,
+                       BwCounter *list, uint32_t count, uint32_t capacity);
+
+/* Adds the fields of GET /v1/status to `status`. */
+void
+BwRouteConfig_AddStatus(const BwRouteConfig *config, uint64_t now_us,
+                        json_t *status);
+
+#endif
--- a/packages/daemon/storereader.h
+++ b/packages/daemon/storereader.h
@@ -7,7 +7,7 @@
    at once, at the price of one open request.  It fetches the newest record
    again when the store no longer has the next one.  readpace.h decides how
    long a read may wait and when to try again after a failure.
-   It runs on the event loop of the dispatcher; dispatchrole.c uses it.
+   It runs on the event loop of the dispatcher; routeconfig.c uses it.
 */
 
 #ifndef BW_STOREREADER_H
