Keep reading a configuration that is arriving

Cause: the deadline of a read held for its whole answer, so a configuration that arrives more slowly than the timeout of a silent store was given up and read again, for ever. Change: while an answer arrives, a read lasts until a timeout after its last part. A store that falls silent in the middle is noticed as soon as one that does not answer. A read that was cut off says so in store_lost. Evidence: test_storereader /storereader/answer-in-parts failed before and passes.

--- a/packages/daemon/storereader.c
+++ b/packages/daemon/storereader.c
@@ -36,9 +36,12 @@
     snprintf(reader->name, sizeof(reader->name), "%s", settings->name);
     snprintf(reader->address, sizeof(reader->address), "%s:%u",
              settings->peer.host, settings->peer.port);
-    return BwHttpClient_Init(&reader->http, loop, settings->log.host,
-                             (uint16_t)settings->log.port, CONNECTIONS_MAX,
-                             REPLY_BYTES_MAX);
+    if (!BwHttpClient_Init(&reader->http, loop, settings->log.host,
+                           (uint16_t)settings->log.port, CONNECTIONS_MAX,
+                           REPLY_BYTES_MAX))
+        return false;
+    BwHttpClient_AllowProgress(&reader->http, reader->pace.timeout_us);
+    return true;
 }
 
 void
@@ -64,6 +67,7 @@
         [BW_HTTP_BROKEN] = "its answer broke off",
         [BW_HTTP_TIMED_OUT] = "it does not answer",
     };
+    bool is_cut = reply->outcome == BW_HTTP_TIMED_OUT && reply->status != 0;
 
     reader->is_up = false;
     reader->reads++;
@@ -71,7 +75,8 @@
     if (BwReadPace_OnFailure(&reader->pace, BwClock_Now(), reader->has_config))
         BW_LOG(reader->logger, BW_LOG_WARNING, "store_lost",
                BW_LOG_NUMBER("status", reply->status),
-               BW_LOG_TEXT("reason", reasons[reply->outcome]));
+               BW_LOG_TEXT("reason", is_cut ? "its answer stopped arriving"
+                                            : reasons[reply->outcome]));
 }
 
 static void
