Ask one dispatcher at a time for a configuration

Cause: a dispatcher that lacked an announced revision for 50 ms asked the announcer for its text, and after 300 ms more all dispatchers, also while the text arrived from the store. Over a thin link each copy delays the one that is needed, and the tasks' messages. Change: configsource.c decides whom to ask and when: nobody while the store's answer arrives, then one announcer after the other. Delay and timeout are shares of the bound of the configuration (50 and 300 ms of 2 s, as before). Evidence: test_configsource has the cases (arriving, lost announcer, an answer that breaks off).

--- a/packages/adapters/httpclient.c
+++ b/packages/adapters/httpclient.c
@@ -234,6 +234,17 @@
         &call->connection, call, &client->context, &client->pool, on_connect);
 }
 
+bool
+BwHttpClient_IsReceiving(const BwHttpClient *client)
+{
+    for (const BwHttpCall *call = client->calls; call != NULL;
+         call = call->next) {
+        if (call->status != 0)
+            return true;
+    }
+    return false;
+}
+
 void
 BwHttpClient_Tick(BwHttpClient *client, uint64_t now_us)
 {
--- a/packages/adapters/httpclient.h
+++ b/packages/adapters/httpclient.h
@@ -79,6 +79,10 @@
                   const char *headers, BwSpan body, uint64_t deadline_us,
                   BwHttpCallback callback, void *data);
 
+/* Returns whether an answer has begun to arrive and is not complete. */
+bool
+BwHttpClient_IsReceiving(const BwHttpClient *client);
+
 /* Ends the calls whose deadline has passed. */
 void
 BwHttpClient_Tick(BwHttpClient *client, uint64_t now_us);
--- a/packages/daemon/routeconfig.c
+++ b/packages/daemon/routeconfig.c
@@ -10,9 +10,6 @@
 #include "net.h"
 #include "routeconfig.h"
 
-#define REQUEST_DELAY_US 50000
-#define REQUEST_TIMEOUT_US 300000
-
 /* ------------------------------------------------- to other dispatchers */
 
 static BwMessage
@@ -49,42 +46,19 @@
 
 /* ---------------------------------------------- from other dispatchers */
 
-static void
-remember_announcement(BwRouteConfig *config, uint32_t link, uint64_t revision)
-{
-    if (revision <= config->routes.revision ||
-        revision <= config->announced_revision)
-        return;
-    config->announced_revision = revision;
-    config->announcer_link = link;
-    config->request_at_us = BwClock_Now() + REQUEST_DELAY_US;
-}
-
-/* Requests the text of the announced revision from its announcer.  If the
-   announcer is no longer connected, or has not sent the text within
-   REQUEST_TIMEOUT_US, requests it from all dispatchers, once. */
 static void
 request_text(BwRouteConfig *config, uint64_t now_us)
 {
-    BwMesh *mesh = &config->node->mesh;
     BwMessage message = {.kind = BW_MSG_CONFIG_REQUEST};
+    uint32_t link =
+        BwConfigSource_Next(&config->source, now_us, config->routes.revision,
+                            BwHttpClient_IsReceiving(&config->store.http));
 
-    if (config->request_at_us == 0 || now_us < config->request_at_us)
-        return;
-    config->request_at_us = 0;
-    if (config->announced_revision <= config->routes.revision)
+    if (link == 0)
         return;
     message.u.config_request.revision = config->routes.revision;
-    if (config->announcer_link != 0 &&
-        BwMesh_Send(mesh, config->announcer_link, &message)) {
-        config->announcer_link = 0;
-        config->request_at_us = now_us + REQUEST_TIMEOUT_US;
-        return;
-    }
-    /* Forgets the announcement, so that a later one of the same revision is
-       remembered again. */
-    config->announced_revision = config->routes.revision;
-    BwMesh_BroadcastToDispatchers(mesh, &message);
+    if (!BwMesh_Send(&config->node->mesh, link, &message))
+        config->source.ask_us = now_us; /* the next announcer at once */
 }
 
 /* --------------------------------------------------------------- force */
@@ -144,7 +118,8 @@
     if (message->kind != BW_MSG_CONFIG_STATE)
         return false;
     if (state->text.size_bytes == 0)
-        remember_announcement(config, link, state->revision);
+        BwConfigSource_OnAnnounced(&config->source, BwClock_Now(), link,
+                                   state->revision, config->routes.revision);
     else if (state->revision > config->routes.revision)
         apply_text(config, state->text, "dispatcher");
     return true;
@@ -234,6 +209,8 @@
                    void *ctx)
 {
     memset(config, 0, sizeof(*config));
+    BwConfigSource_Init(&config->source,
+                        node->settings.limits.config_apply_ms * 1000);
     config->node = node;
     config->on_change = on_change;
     config->ctx = ctx;
--- a/packages/daemon/routeconfig.h
+++ b/packages/daemon/routeconfig.h
@@ -2,12 +2,10 @@
 
    The configuration comes from the platform's store and from other
    dispatchers, whichever is newer; a revision never goes back.  Dispatchers
-   announce to each other which revision they have.  One that still lacks it a
-   little later requests the text, first from the dispatcher that announced it,
-   then from all: the delay lets the store deliver it first, so that the text
-   is seldom sent twice.  Both ways go on beside each other, so that neither a
-   lost message nor a store that does not answer one dispatcher keeps it
-   behind.
+   announce to each other which revision they have, and configsource.h decides
+   which of them is asked for its text.  Both ways go on beside each other, so
+   that neither a lost message nor a store that does not answer one dispatcher
+   keeps it behind.
 
    The role in dispatchrole.c passes in the messages and asks for the routes.
 */
@@ -15,6 +13,7 @@
 #ifndef BW_ROUTECONFIG_H
 #define BW_ROUTECONFIG_H
 
+#include "configsource.h"
 #include "node.h"
 #include "routes.h"
 #include "storereader.h"
@@ -25,11 +24,8 @@
     BwRoutes routes; /* revision 0: none in force yet */
     char *text;
     uint32_t text_bytes;
-    uint64_t in_force_us;        /* since when; 0: none yet */
-    uint64_t announced_revision; /* newest revision that was announced */
-    /* The link that announced it first; 0: it was already sent a request. */
-    uint32_t announcer_link;
-    uint64_t request_at_us; /* when to request its text; 0: not due */
+    uint64_t in_force_us; /* since when; 0: none yet */
+    BwConfigSource source;
     /* The routes have changed. */
     void (*on_change)(void *ctx, const BwRoutes *routes);
     void *ctx;
