Limit how long the store's slow answer keeps others from being asked

A store whose answer trickles for longer than the bound would have kept a dispatcher from asking another one that has the text.

--- a/packages/core/configsource.c
+++ b/packages/core/configsource.c
@@ -5,6 +5,7 @@
 #include "configsource.h"
 
 #define DELAY_PERMILLE 25
+#define ARRIVAL_PERMILLE 600
 #define TIMEOUT_PERMILLE 150
 
 void
@@ -12,6 +13,7 @@
 {
     memset(source, 0, sizeof(*source));
     source->delay_us = in_force_us * DELAY_PERMILLE / 1000;
+    source->arrival_us = in_force_us * ARRIVAL_PERMILLE / 1000;
     source->timeout_us = in_force_us * TIMEOUT_PERMILLE / 1000;
 }
 
@@ -23,6 +25,7 @@
         return;
     if (revision > source->revision) {
         source->revision = revision;
+        source->announced_us = now_us;
         source->ask_us = now_us + source->delay_us;
         source->link_count = 0;
         source->asked_count = 0;
@@ -37,7 +40,9 @@
 {
     if (source->revision <= own)
         source->revision = 0;
-    if (source->revision == 0 || is_arriving || now_us < source->ask_us)
+    if (source->revision == 0 || now_us < source->ask_us)
+        return 0;
+    if (is_arriving && now_us < source->announced_us + source->arrival_us)
         return 0;
     if (source->asked_count == source->link_count) {
         source->revision = 0;
--- a/packages/core/configsource.h
+++ b/packages/core/configsource.h
@@ -5,9 +5,9 @@
    for its text, so that a store which does not answer it, or a lost poll, does
    not keep it behind.  The text may be large and links thin: each copy that is
    not needed delays the one that is, and the tasks' messages.  So nobody is
-   asked while the store's answer arrives, and then one announcer at a time, in
-   the order of their announcements.  The trade-off is that an announcer that
-   has just been lost costs one timeout.
+   asked while the store's answer arrives, for most of the bound at most, and
+   then one announcer at a time, in the order of their announcements.  The
+   trade-off is that an announcer that has just been lost costs one timeout.
 
    Delay and timeout are shares of the time in which a configuration has to be
    in force everywhere.  Times are microseconds of the monotonic clock of the
@@ -24,10 +24,12 @@
 #define BW_CONFIG_SOURCES_MAX 4
 
 typedef struct BwConfigSource {
-    uint64_t delay_us;   /* left to the store after an announcement */
-    uint64_t timeout_us; /* left to an announcer that was asked */
-    uint64_t revision;   /* newest that was announced; 0: none is lacking */
-    uint64_t ask_us;     /* the next request is due */
+    uint64_t delay_us;     /* left to the store after an announcement */
+    uint64_t arrival_us;   /* the same while its answer arrives */
+    uint64_t timeout_us;   /* left to an announcer that was asked */
+    uint64_t revision;     /* newest that was announced; 0: none is lacking */
+    uint64_t announced_us; /* the first announcement of that revision */
+    uint64_t ask_us;       /* the next request is due */
     uint32_t links[BW_CONFIG_SOURCES_MAX]; /* of its announcers */
     uint32_t link_count;
     uint32_t asked_count; /* of the first links */
--- a/tests/test_configsource.c
+++ b/tests/test_configsource.c
@@ -72,6 +72,16 @@
                      1);
 }
 
+/* The store's answer arrives too slowly: an announcer is asked before the
+   bound. */
+static void
+test_slow_answer(void)
+{
+    BwConfigSource_Init(&source, BOUND_US);
+    announce(0, 1, 1, 7, 6);
+    g_assert_cmpuint(count_requests(0, BOUND_US * 3 / 4, 6, true), ==, 1);
+}
+
 /* At most one request is under way, and a dispatcher without luck ends. */
 static void
 test_one_at_a_time(void)
@@ -109,6 +119,7 @@
     g_test_add_func("/configsource/arriving", test_arriving);
     g_test_add_func("/configsource/lost-announcer", test_lost_announcer);
     g_test_add_func("/configsource/answer-breaks-off", test_answer_breaks_off);
+    g_test_add_func("/configsource/slow-answer", test_slow_answer);
     g_test_add_func("/configsource/one-at-a-time", test_one_at_a_time);
     g_test_add_func("/configsource/revisions", test_revisions);
     return g_test_run();
