--- a/tests/test_storereader.c
+++ b/tests/test_storereader.c
@@ -4,32 +4,26 @@
    read of a silent store may.  Guards against giving it up while it arrives:
    the next read gets no further, and its bytes keep the link busy.
 
-   The server is a socket of this process, the driver's store has one record.
-   The reader is given simulated time; only messages are waited for.
+   The store of the driver has one record.  The reader is given simulated time;
+   only messages are waited for.
 */
 
 #include <string.h>
 #include <unistd.h>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-
 #include <glib.h>
 
 #include "brasswing.h"
 #include "clock.h"
 #include "node.h"
+#include "partserver.h"
 #include "storereader.h"
 
-#define LOOP_WAIT_MS 100
 #define PARTS 4
 
 typedef struct World {
-    h2o_loop_t *loop;
     BwStoreReader reader;
-    int listener;
-    int connection;
+    PartServer server;
     uint32_t configs; /* delivered by the reader */
 } World;
 
@@ -87,52 +81,6 @@
                       BwSpan_FromString(""), deadline_us, callback, data);
 }
 
-/* -------------------------------------------------------------- store */
-
-static uint16_t
-listen_on_loopback(World *world)
-{
-    struct sockaddr_in address = {.sin_family = AF_INET};
-    socklen_t length = sizeof(address);
-
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    world->listener = socket(AF_INET, SOCK_STREAM, 0);
-    g_assert_cmpint(world->listener, >=, 0);
-    g_assert_cmpint(bind(world->listener, (struct sockaddr *)&address, length),
-                    ==, 0);
-    g_assert_cmpint(listen(world->listener, 4), ==, 0);
-    g_assert_cmpint(
-        getsockname(world->listener, (struct sockaddr *)&address, &length), ==,
-        0);
-    return ntohs(address.sin_port);
-}
-
-/* Waits until the store has the reader's request. */
-static void
-receive_request(World *world)
-{
-    char request[512];
-    ssize_t size = -1;
-
-    world->connection = accept(world->listener, NULL, NULL);
-    g_assert_cmpint(world->connection, >=, 0);
-    while (size < 0) {
-        h2o_evloop_run(world->loop, LOOP_WAIT_MS);
-        size = recv(world->connection, request, sizeof(request), MSG_DONTWAIT);
-    }
-    g_assert_cmpint(size, >, 0);
-}
-
-/* Sends a part of the answer and lets the reader have it. */
-static void
-send_part(World *world, const char *part)
-{
-    g_assert_cmpint(send(world->connection, part, strlen(part), MSG_NOSIGNAL),
-                    ==, (ssize_t)strlen(part));
-    for (int i = 0; i < 3; i++)
-        h2o_evloop_run(world->loop, LOOP_WAIT_MS);
-}
-
 /* ------------------------------------------------------------- reader */
 
 static void
@@ -160,18 +108,21 @@
     static BwSettings settings;
     static BwLogger logger = {
         .fd = STDERR_FILENO, .level = BW_LOG_ERROR, .name = "d"};
-    World world = {.loop = h2o_evloop_create()};
+    World world = {0};
+    h2o_loop_t *loop = h2o_evloop_create();
     uint64_t now_us = BwClock_Now();
     uint64_t step_us;
 
+    PartServer_Init(&world.server, loop);
     strcpy(settings.log.host, "127.0.0.1");
-    settings.log.port = listen_on_loopback(&world);
+    settings.log.port = world.server.port;
     settings.limits.config_apply_ms = 2000;
-    g_assert_true(BwStoreReader_Init(&world.reader, world.loop, &settings,
-                                     &logger, &driver, &events, &world));
+    g_assert_true(BwStoreReader_Init(&world.reader, loop, &settings, &logger,
+                                     &driver, &events, &world));
     BwStoreReader_Tick(&world.reader, now_us);
-    receive_request(&world);
-    send_part(&world, "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n");
+    PartServer_ReceiveRequest(&world.server);
+    PartServer_Send(&world.server,
+                    "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n");
     /* All parts together take longer than a first read may without an answer,
        and no part later than the timeout after the one before. */
     step_us = world.reader.pace.timeout_us / (PARTS + 1);
@@ -179,13 +130,12 @@
         now_us += step_us;
         BwStoreReader_Tick(&world.reader, now_us);
         g_assert_cmpuint(world.reader.pace.failures, ==, 0);
-        send_part(&world, "x");
+        PartServer_Send(&world.server, "x");
     }
     g_assert_cmpuint(world.configs, ==, 1);
     g_assert_true(world.reader.has_config);
     BwStoreReader_Finish(&world.reader);
-    close(world.connection);
-    close(world.listener);
+    PartServer_Finish(&world.server);
 }
 
 int
