--- a/packages/core/boundadmission.c
+++ b/packages/core/boundadmission.c
@@ -6,8 +6,6 @@
 /* Share of a job's slack that it may be expected to wait. */
 #define URGENT_WAIT_PERMILLE 1000
 #define WAIT_PERMILLE 400
-/* Overdue jobs run while this share of their service's capacity is free. */
-#define SPARE_PERMILLE 100
 
 uint64_t
 BwBoundAdmission_LimitUs(const BwBoundJob *job)
@@ -22,15 +20,3 @@
 
     return limit_us < job->deadline_us ? limit_us : job->deadline_us;
 }
-
-bool
-BwBoundAdmission_IsOverdue(const BwBoundJob *job, uint64_t now_us)
-{
-    return job->waited_us > 0 && now_us + job->expected_us > job->due_us;
-}
-
-bool
-BwBoundAdmission_IsSpare(uint32_t free_permille)
-{
-    return free_permille >= SPARE_PERMILLE;
-}
--- a/packages/core/boundadmission.h
+++ b/packages/core/boundadmission.h
@@ -11,8 +11,9 @@
      only a part of its slack for waiting; urgent jobs (priority 0) may use all
      of it.
    - After a loss of all dispatchers jobs come again that cannot meet their
-     objective any more.  They run while capacity is spare, since a late answer
-     is of some use, and are refused at once otherwise.
+     objective any more.  Their slack is over, so they run where resources are
+     free, since a late answer is of some use, and are refused at once
+     otherwise.
 
    dispatcher.c and boundplace.c ask these functions.
 */
@@ -27,13 +28,4 @@
 uint64_t
 BwBoundAdmission_LimitUs(const BwBoundJob *job);
 
-/* Returns whether the job was sent again so late that it cannot meet its
-   objective even if it starts at once. */
-bool
-BwBoundAdmission_IsOverdue(const BwBoundJob *job, uint64_t now_us);
-
-/* Returns whether so much capacity is free that an overdue job may run. */
-bool
-BwBoundAdmission_IsSpare(uint32_t free_permille);
-
 #endif
--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -395,17 +395,6 @@
     return name.size_bytes > 0 && name.size_bytes < BW_NAME_BYTES_MAX;
 }
 
-static bool
-has_spare_capacity(const BwDispatcher *d, uint64_t now_us,
-                   const BwBoundJob *job)
-{
-    uint32_t free_permille;
-    uint64_t report_age_us;
-
-    BwViews_SumLoad(d, job->service, now_us, &free_permille, &report_age_us);
-    return BwBoundAdmission_IsSpare(free_permille);
-}
-
 /* Places a job of which nothing was placed yet.  Returns false when it was
    refused instead. */
 static bool
@@ -413,13 +402,6 @@
 {
     uint64_t limit_us = BwBoundAdmission_LimitUs(job);
 
-    if (BwBoundAdmission_IsOverdue(job, now_us) &&
-        !has_spare_capacity(d, now_us, job)) {
-        BwDispatcher_EndJob(d, now_us, job, BW_BOUND_EXPIRED,
-                            "its caller has waited too long for it to be in "
-                            "time, and no capacity is spare");
-        return false;
-    }
     if (BwBoundPlace_IsRunnable(d, job, now_us) &&
         BwBoundPlace_PlaceReady(d, now_us, job, limit_us))
         return true;
