--- a/packages/core/boundjob.h
+++ b/packages/core/boundjob.h
@@ -68,11 +68,11 @@
 
 /* Sets the share of the service's capacity that is free at usable workers, by
    their last load reports less the tasks sent since, and the mean age of these
-   reports. */
+   reports.  In a large fleet both are estimated from BW_COMPARED_FULL_MAX
+   workers. */
 void
-BwViews_SumLoad(const BwDispatcher *dispatcher, const char *service,
-                uint64_t now_us, uint32_t *free_permille,
-                uint64_t *report_age_us);
+BwViews_SumLoad(BwDispatcher *dispatcher, const char *service, uint64_t now_us,
+                uint32_t *free_permille, uint64_t *report_age_us);
 
 /* Ejects a worker that fails most of its tasks while others of its service do
    not, or lets an ejected one be probed when its back-off is over. */
--- a/packages/core/boundplace.c
+++ b/packages/core/boundplace.c
@@ -1,11 +1,15 @@
 /* boundplace.c -- chooses the workers that run the tasks of a bound job
 
-   Placement looks at every eligible worker and takes the one that is expected
-   to end the task first, with a small penalty for busy workers so that load
-   spreads (forecast.h).  All tasks that may start are assigned before any is
-   sent, so they are placed together or not at all.  The time for a choice
-   grows with the number of workers; a dispatcher is connected to a few hundred
-   at most.
+   Placement takes the eligible worker that is expected to end the task first,
+   with a small penalty for busy workers so that load spreads (forecast.h).
+   All tasks that may start are assigned before any is sent, so they are placed
+   together or not at all.
+
+   Workers are compared from a random one on.  The comparison ends after
+   BW_COMPARED_MAX of them when one has free resources, and after
+   BW_COMPARED_FULL_MAX when one could run the task at all.  The best of a
+   sample this large is nearly as good as the best of all, and a task of which
+   only few workers have the label is still compared at every one.
 
    dispatcher.c calls this when a job arrives and when tasks are requeued or
    their earlier steps are done.
@@ -44,6 +48,17 @@
     }
 }
 
+/* Returns whether the best of the views that were compared is good enough. */
+static bool
+is_compared_enough(uint32_t compared, uint32_t eligible,
+                   const BwForecast *best)
+{
+    if (compared >= BW_COMPARED_FULL_MAX && eligible > 0)
+        return true;
+    return compared >= BW_COMPARED_MAX && best->end_us != BW_NEVER_US &&
+           best->wait_us == 0;
+}
+
 /* Returns the view with the least cost for the task, or NULL when the task can
    end nowhere in time.  Then *late_us is how far past `limit_us` the earliest
    end is, or 0 when no view is eligible.  The view to avoid is taken only if
@@ -57,11 +72,17 @@
     uint64_t soonest_us = BW_NEVER_US;
     BwForecast best_forecast = BwForecast_None(),
                fallback_forecast = BwForecast_None();
+    uint32_t count = HASH_COUNT(d->views);
+    uint32_t first =
+        count > BW_COMPARED_MAX ? BwRandom_Below(&d->random, count) : 0;
+    uint32_t eligible = 0;
 
-    for (BwSupervisorView *view = d->views; view != NULL;
-         view = view->hh.next) {
+    for (uint32_t i = 0;
+         i < count && !is_compared_enough(i, eligible, &best_forecast); i++) {
+        BwSupervisorView *view = d->view_table[(first + i) % count];
         BwForecast forecast = BwForecast_At(job, task, view, expected, now_us);
 
+        eligible += forecast.end_us != BW_NEVER_US;
         if (forecast.end_us < soonest_us)
             soonest_us = forecast.end_us;
         /* The limit is for tasks that would wait, since these delay other
@@ -108,7 +129,7 @@
            (now_us - view->clock_read_us) * 1000 / BW_LEASE_DRIFT_PERMILLE;
 }
 
-/* Sends the view a PLACE with the tasks of the step assigned to it. */
+/* Sends the view a PLACE with the tasks of its list, and empties that. */
 static void
 send_place(BwDispatcher *d, uint64_t now_us, BwBoundJob *job,
            BwSupervisorView *view, uint32_t step_index, uint64_t run_us)
@@ -116,17 +137,11 @@
     const BwBoundStep *step = &job->steps[step_index];
     BwMessage message = {.kind = BW_MSG_PLACE};
     BwPlace *place = &message.u.place;
-    BwTaskIndex *tasks = malloc(job->task_count * sizeof(*tasks));
+    BwTaskIndex *tasks = d->place_tasks;
     uint32_t count = 0;
 
-    if (tasks == NULL)
-        return;
-    for (uint32_t i = 0; i < job->task_count; i++) {
-        BwBoundTask *task = &job->tasks[i];
-
-        if (task->view != view || task->step != step_index ||
-            task->state != BW_BOUND_TASK_WAITING)
-            continue;
+    for (BwBoundTask *task = view->first_assigned; task != NULL;
+         task = task->next_at_view) {
         task->state = BW_BOUND_TASK_PLACED;
         task->link_generation = view->link_generation;
         task->placed_us = now_us;
@@ -160,7 +175,8 @@
     d->counters.placed += count;
     d->port->log(d->ctx, "place", job, view, count, "earliest expected end");
     d->port->send(d->ctx, view->peer, &message);
-    free(tasks);
+    view->first_assigned = NULL;
+    view->last_assigned = NULL;
 }
 
 /* --------------------------------------------------------- assignment */
@@ -225,19 +241,34 @@
     }
 }
 
+/* Appends every assigned task of the step to the list of its view. */
+static void
+list_assigned(BwBoundJob *job, uint32_t step)
+{
+    for (uint32_t i = 0; i < job->task_count; i++) {
+        BwBoundTask *task = &job->tasks[i];
+        BwSupervisorView *view = task->view;
+
+        if (!is_assigned(task, step))
+            continue;
+        task->next_at_view = NULL;
+        if (view->first_assigned == NULL)
+            view->first_assigned = task;
+        else
+            view->last_assigned->next_at_view = task;
+        view->last_assigned = task;
+    }
+}
+
 static void
 send_step(BwDispatcher *d, uint64_t now_us, BwBoundJob *job, uint32_t step)
 {
-    for (BwSupervisorView *view = d->views; view != NULL;
-         view = view->hh.next) {
-        for (uint32_t i = 0; i < job->task_count; i++) {
-            if (is_assigned(&job->tasks[i], step) &&
-                job->tasks[i].view == view) {
-                send_place(d, now_us, job, view, step,
-                           BwForecast_StepRunUs(&d->route_stats, job, step));
-                break;
-            }
-        }
+    uint64_t run_us = BwForecast_StepRunUs(&d->route_stats, job, step);
+
+    list_assigned(job, step);
+    for (uint32_t i = 0; i < job->task_count; i++) {
+        if (is_assigned(&job->tasks[i], step))
+            send_place(d, now_us, job, job->tasks[i].view, step, run_us);
     }
 }
 
--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -13,6 +13,7 @@
 #include "boundadmission.h"
 #include "boundjob.h"
 #include "brasswing.h"
+#include "jobobjective.h"
 #include "pace.h"
 
 #define REASSIGNMENTS_MAX 24
@@ -42,18 +43,16 @@
     BwMessage message = {.kind = BW_MSG_STOP};
 
     message.u.stop.ref = job->ref;
-    for (BwSupervisorView *view = d->views; view != NULL;
-         view = view->hh.next) {
-        for (uint32_t i = 0; i < job->task_count; i++) {
-            const BwBoundTask *task = &job->tasks[i];
-
-            if (task->view == view && task->state == BW_BOUND_TASK_PLACED &&
-                task->link_generation == view->link_generation &&
-                view->peer != 0) {
-                d->port->send(d->ctx, view->peer, &message);
-                break;
-            }
-        }
+    for (uint32_t i = 0; i < job->task_count; i++) {
+        const BwBoundTask *task = &job->tasks[i];
+        BwSupervisorView *view = task->view;
+
+        if (task->state != BW_BOUND_TASK_PLACED || view->peer == 0 ||
+            task->link_generation != view->link_generation ||
+            view->stopped_ref == job->ref)
+            continue;
+        view->stopped_ref = job->ref;
+        d->port->send(d->ctx, view->peer, &message);
     }
 }
 
@@ -92,6 +91,12 @@
                                                     : RETRY_AFTER_MS_MAX);
 }
 
+static bool
+is_completed(const BwBoundJob *job)
+{
+    return job->done_count == job->task_count;
+}
+
 static void
 log_end(BwDispatcher *d, uint64_t now_us, const BwBoundJob *job,
         const char *event, BwBoundEnd end, const char *reason)
@@ -102,9 +107,13 @@
         .reason = reason,
         .took_us = now_us - job->arrived_us,
         .waited_us = job->waited_us,
-        .objective_us = job->due_us - (job->arrived_us - job->waited_us),
+        .expected_objective_us =
+            BwJobObjective_LatencyUs(job, job->expected_us),
     };
 
+    report.objective_us = is_completed(job) ? BwJobObjective_ActualUs(job)
+                                            : report.expected_objective_us;
+
     BwViews_SumLoad(d, job->service, now_us, &report.free_permille,
                     &report.report_age_us);
     d->port->log_end(d->ctx, job, &report);
@@ -270,7 +279,7 @@
                             end == BW_BOUND_FAILED
                                 ? "a task failed in all its attempts"
                                 : "a task was reassigned too many times");
-    else if (job->done_count == job->task_count)
+    else if (is_completed(job))
         BwDispatcher_EndJob(d, now_us, job, BW_BOUND_COMPLETED,
                             "all tasks are done");
     else
@@ -300,6 +309,8 @@
                        request->steps[i].affinity.size_bytes;
         job->task_count += request->steps[i].task_count;
     }
+    if (job->task_count > BW_JOB_TASKS_MAX)
+        return false;
     job->step_count = request->step_count;
     job->steps = calloc(job->step_count + 1, sizeof(*job->steps));
     job->remaining = calloc(job->step_count + 1, sizeof(*job->remaining));
@@ -328,27 +339,6 @@
     return true;
 }
 
-/* Returns the declared run time of the critical path of the job's steps. */
-static uint64_t
-critical_path_us(const BwBoundJob *job)
-{
-    uint64_t ends_us[BW_STEPS_MAX] = {0};
-    uint64_t longest_us = 0;
-
-    for (uint32_t i = 0; i < job->step_count; i++) {
-        uint64_t start_us = 0;
-
-        for (uint32_t j = 0; j < i; j++) {
-            if ((job->steps[i].after >> j & 1) != 0 && ends_us[j] > start_us)
-                start_us = ends_us[j];
-        }
-        ends_us[i] = start_us + job->steps[i].declared_us;
-        if (ends_us[i] > longest_us)
-            longest_us = ends_us[i];
-    }
-    return longest_us;
-}
-
 static BwBoundJob *
 make_job(BwDispatcher *d, uint64_t now_us, BwSpan name,
          const BwBoundRequest *request, const BwRoute *route,
@@ -375,10 +365,12 @@
     }
     memcpy(job->spec, request->spec.base, request->spec.size_bytes);
     job->waited_us = waited_us;
+    job->target_us = route->target_us;
+    job->stretch_permille = route->stretch_permille;
     job->expected_us = BwRouteStats_ExpectedUs(&d->route_stats, job->route,
-                                               critical_path_us(job));
-    job->due_us = now_us - waited_us + route->target_us +
-                  job->expected_us * route->stretch_permille / 1000;
+                                               BwJobObjective_DeclaredUs(job));
+    job->due_us =
+        now_us - waited_us + BwJobObjective_LatencyUs(job, job->expected_us);
     job->ref = ++d->last_ref;
     return job;
 }
@@ -530,6 +522,7 @@
     d->limits = *limits;
     d->port = port;
     d->ctx = ctx;
+    BwRandom_Init(&d->random, limits->random_seed);
 }
 
 void
@@ -550,5 +543,6 @@
         HASH_DEL(d->views, view);
         free(view);
     }
+    free(d->view_table);
     BwRouteStats_Finish(&d->route_stats);
 }
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -14,6 +14,11 @@
    tasks is left.  That delays them, but keeps a task from running twice at the
    same time.
 
+   Up to BW_COMPARED_MAX workers are compared for each task.  In a larger fleet
+   a dispatcher compares workers from a random one on until it has found one
+   with free resources, so that the time for a task does not grow with the
+   fleet, and dispatchers with the same load reports choose different workers.
+
    The dispatcher role of the daemon (dispatchrole.c) drives this module and
    implements BwDispatcherPort.  All times are microseconds of the monotonic
    clock of the dispatcher's host.
@@ -29,6 +34,10 @@
 #include "routestats.h"
 
 #define BW_IN_FLIGHT_MAX 64
+/* Workers that are compared for a task when one of them has free resources,
+   and at most when none has but some could run it. */
+#define BW_COMPARED_MAX 32
+#define BW_COMPARED_FULL_MAX 256
 
 typedef enum BwBoundTaskState {
     BW_BOUND_TASK_WAITING, /* for earlier steps or for a worker */
@@ -53,7 +62,8 @@
     /* The last view that failed the task, or declined it for another reason
        than being busy; or NULL. */
     struct BwSupervisorView *avoided;
-    uint64_t link_generation; /* of the connection it was sent over */
+    uint64_t link_generation;         /* of the connection it was sent over */
+    struct BwBoundTask *next_at_view; /* in BwSupervisorView.first_assigned */
 } BwBoundTask;
 
 typedef struct BwBoundJob {
@@ -67,10 +77,12 @@
     uint32_t priority;
     uint32_t attempts_max;
     uint64_t arrived_us;
-    uint64_t waited_us;   /* how long the caller had waited by then */
-    uint64_t expected_us; /* run time of its critical path */
-    uint64_t due_us;      /* the route's objective for the response */
-    uint64_t deadline_us; /* the caller's */
+    uint64_t waited_us;        /* how long the caller had waited by then */
+    uint64_t expected_us;      /* run time of its critical path */
+    uint64_t target_us;        /* of the route's latency objective, with */
+    uint32_t stretch_permille; /* this share of the run time added */
+    uint64_t due_us;           /* the objective by the expected run time */
+    uint64_t deadline_us;      /* the caller's */
     BwBoundStep *steps;
     char *labels; /* storage for the label texts of the steps */
     uint32_t step_count;
@@ -95,40 +107,46 @@
     uint32_t task_count;
 } BwInFlight;
 
-/* What is known of one supervisor and its worker. */
+/* What is known of one supervisor and its worker.  The fields that are read
+   when workers are compared come first, so that they share few cache lines. */
 typedef struct BwSupervisorView {
-    char name[BW_NAME_BYTES_MAX];
-    uint32_t peer;            /* number of the connection; 0: none */
-    uint64_t link_generation; /* differs for each connection */
-    char instance[BW_NAME_BYTES_MAX];
-    char service[BW_NAME_BYTES_MAX];
-    char domain[BW_NAME_BYTES_MAX];
-    char labels[BW_LABELS_MAX][BW_NAME_BYTES_MAX];
+    uint32_t peer; /* number of the connection; 0: none */
+    bool is_usable;
+    uint32_t in_flight_count;
     uint32_t label_count;
     BwResources capacity;
-    uint64_t reported_us; /* arrival of the last load report; 0: none yet */
-    /* `free` to `release_in_us` are from that report. */
+    /* `free` to `slow_permille` are from the last load report. */
     BwResources free;
     uint32_t queued;
     uint32_t queued_urgent;
     uint64_t release_in_us;
-    uint32_t pace_permille; /* learnt by this dispatcher, see pace.h */
-    uint32_t slow_permille; /* from the last load report */
-    BwHealth health;
-    bool is_usable;
+    uint32_t slow_permille;
+    uint32_t pace_permille;   /* learnt by this dispatcher, see pace.h */
+    uint32_t step_task_count; /* its tasks of the step that is being placed */
     /* When its session was last renewed; 0: not since it connected. */
     uint64_t session_renewed_us;
+    BwHealth health;
+    char service[BW_NAME_BYTES_MAX];
+    char name[BW_NAME_BYTES_MAX];
+    uint64_t link_generation; /* differs for each connection */
+    char instance[BW_NAME_BYTES_MAX];
+    char domain[BW_NAME_BYTES_MAX];
+    char labels[BW_LABELS_MAX][BW_NAME_BYTES_MAX];
+    uint64_t reported_us; /* arrival of the last load report; 0: none yet */
     uint64_t supervisor_clock_us; /* its clock in its last SESSION */
     uint64_t clock_read_us;       /* local time at which that arrived */
     uint64_t disconnected_us;     /* when the last connection ended */
     /* By this time all tasks placed over ended connections have stopped; 0: no
        such task may be left. */
     uint64_t gone_us;
-    uint32_t step_task_count; /* its tasks of the step that is being placed */
-    uint64_t place_number;    /* of the last PLACE on this connection */
+    /* Tasks of the step that is being sent. */
+    BwBoundTask *first_assigned;
+    BwBoundTask *last_assigned;
+    uint64_t place_number; /* of the last PLACE on this connection */
     BwInFlight in_flight[BW_IN_FLIGHT_MAX];
-    uint32_t in_flight_count;
-    UT_hash_handle hh; /* by name */
+    uint64_t stopped_ref; /* job that a STOP was last sent for */
+    uint32_t table_index; /* in BwDispatcher.view_table */
+    UT_hash_handle hh;    /* by name */
     UT_hash_handle by_peer;
 } BwSupervisorView;
 
@@ -146,9 +164,12 @@
     const char *event; /* "end", or "withdraw" when its caller is gone */
     BwBoundEnd end;    /* of an "end" */
     const char *reason;
-    uint64_t took_us;      /* since its arrival */
-    uint64_t waited_us;    /* that its caller had waited before */
-    uint64_t objective_us; /* for both together */
+    uint64_t took_us;   /* since its arrival */
+    uint64_t waited_us; /* that its caller had waited before */
+    /* For both together; of a job that is completed by its actual run time,
+       else by the expected one. */
+    uint64_t objective_us;
+    uint64_t expected_objective_us; /* as the dispatcher decided by it */
     /* Share of the service's capacity that was free by the last load reports,
        and the mean age of these; both of usable workers. */
     uint32_t free_permille;
@@ -178,6 +199,7 @@
     /* Until then workers are still connecting, and a job that finds no worker
        waits for them. */
     uint64_t forming_until_us;
+    uint64_t random_seed; /* to differ between dispatchers */
 } BwDispatcherLimits;
 
 typedef struct BwDispatcherCounters {
@@ -198,12 +220,16 @@
     void *ctx;
     BwDispatcherLimits limits;
     BwDispatcherCounters counters;
-    BwBoundJob *jobs;         /* hash by ref */
-    BwBoundJob *jobs_by_name; /* hash by name */
-    BwSupervisorView *views;  /* hash by name */
+    BwBoundJob *jobs;              /* hash by ref */
+    BwBoundJob *jobs_by_name;      /* hash by name */
+    BwSupervisorView *views;       /* hash by name */
+    BwSupervisorView **view_table; /* all views, in no order */
+    uint32_t view_table_size;
     /* Hash of the connected views by connection. */
     BwSupervisorView *views_by_peer;
     BwRouteStats *route_stats;
+    BwRandom random; /* of the workers that are compared */
+    BwTaskIndex place_tasks[BW_JOB_TASKS_MAX]; /* of the PLACE being sent */
     uint64_t last_ref;
     uint64_t last_link_generation;
     uint64_t normalized_us; /* when the workers' paces were last normalized */
--- a/packages/core/views.c
+++ b/packages/core/views.c
@@ -132,13 +132,17 @@
 }
 
 void
-BwViews_SumLoad(const BwDispatcher *d, const char *service, uint64_t now_us,
+BwViews_SumLoad(BwDispatcher *d, const char *service, uint64_t now_us,
                 uint32_t *free_permille, uint64_t *report_age_us)
 {
     uint64_t free_milli = 0, capacity_milli = 0, age_us = 0, count = 0;
 
-    for (const BwSupervisorView *view = d->views; view != NULL;
-         view = view->hh.next) {
+    uint32_t all = HASH_COUNT(d->views);
+    uint32_t first =
+        all > BW_COMPARED_FULL_MAX ? BwRandom_Below(&d->random, all) : 0;
+
+    for (uint32_t i = 0; i < all && i < BW_COMPARED_FULL_MAX; i++) {
+        const BwSupervisorView *view = d->view_table[(first + i) % all];
         uint32_t tasks_ahead;
 
         if (view->peer == 0 || !view->is_usable || view->reported_us == 0 ||
@@ -203,6 +207,41 @@
     BwViews_EvaluateHealth(d, now_us, view);
 }
 
+/* -------------------------------------------------------------- table */
+
+/* Adds a view to the table of all views.  Returns false without memory. */
+static bool
+append_view(BwDispatcher *d, BwSupervisorView *view)
+{
+    uint32_t count = HASH_COUNT(d->views);
+
+    if (count == d->view_table_size) {
+        uint32_t size = count > 0 ? 2 * count : 16;
+        BwSupervisorView **table =
+            realloc(d->view_table, size * sizeof(BwSupervisorView *));
+
+        if (table == NULL)
+            return false;
+        d->view_table = table;
+        d->view_table_size = size;
+    }
+    view->table_index = count;
+    d->view_table[count] = view;
+    HASH_ADD_STR(d->views, name, view);
+    return true;
+}
+
+static void
+remove_view(BwDispatcher *d, BwSupervisorView *view)
+{
+    BwSupervisorView *last = d->view_table[HASH_COUNT(d->views) - 1];
+
+    last->table_index = view->table_index;
+    d->view_table[last->table_index] = last;
+    HASH_DEL(d->views, view);
+    free(view);
+}
+
 /* -------------------------------------------------------- connections */
 
 void
@@ -293,7 +332,10 @@
             return;
         strcpy(view->name, text);
         view->pace_permille = BW_PACE_MEAN_PERMILLE;
-        HASH_ADD_STR(d->views, name, view);
+        if (!append_view(d, view)) {
+            free(view);
+            return;
+        }
     }
     else if (view->peer != 0) {
         on_link_down(d, now_us, view);
@@ -354,8 +396,7 @@
             now_us - view->disconnected_us <= VIEW_RETENTION_US ||
             is_referenced(d, view))
             continue;
-        HASH_DEL(d->views, view);
-        free(view);
+        remove_view(d, view);
     }
 }
 
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -441,6 +441,8 @@
            BW_LOG_NUMBER("allowed_ms",
                          (job->deadline_us - job->arrived_us) / 1000),
            BW_LOG_NUMBER("objective_ms", report->objective_us / 1000),
+           BW_LOG_NUMBER("expected_objective_ms",
+                         report->expected_objective_us / 1000),
            BW_LOG_NUMBER("free_permille", report->free_permille),
            BW_LOG_NUMBER("report_ms", report->report_age_us / 1000),
            BW_LOG_TEXT("reason", report->reason));
@@ -462,6 +464,7 @@
         .stop_us = BwLeaseTimes_StopEffectMs(&bounds) * 1000,
         .jobs = settings->limits.waiting_requests,
         .forming_until_us = BwClock_Now() + FORMING_US,
+        .random_seed = node->incarnation,
     };
     Role *role = calloc(1, sizeof(*role));
 
--- /dev/null
+++ b/tests/bound_load.c
@@ -0,0 +1,868 @@
+/* bound_load.c -- a fleet of dispatchers and supervisors under a stated load,
+   see bound_load.h */
+
+#include <math.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "bound_load.h"
+#include "brasswing.h"
+#include "dispatcher.h"
+#include "portstubs.h"
+#include "supervisor.h"
+#include "wire.h"
+
+#define MS 1000ull
+#define SECOND_US (1000 * MS)
+#define TICK_US (10 * MS)
+#define START_US SECOND_US /* of the callers */
+#define SETTLE_US (5 * SECOND_US)
+#define CALL_US 300 /* a call to a worker, one way */
+#define SESSION_US (900 * MS)
+#define LEASE_US (300 * MS)
+#define STOP_US (50 * MS)
+#define ANSWER_US (300 * MS)
+#define POLL_WAIT_US (150 * MS)
+#define RESEND_US (1300 * MS)
+#define WINDOW_US (2 * SECOND_US)
+#define WINDOWS_MAX 64
+#define TASKS_MAX 64
+
+typedef struct Fleet Fleet;
+
+typedef enum EventKind {
+    EVENT_TICK,
+    EVENT_ARRIVAL, /* of the next job of a class */
+    EVENT_TO_SUPERVISOR,
+    EVENT_TO_DISPATCHER,
+    EVENT_STARTED,
+    EVENT_STOPPED,
+    EVENT_POLL_ARRIVED,
+    EVENT_POLL_DUE,
+    EVENT_POLL_ANSWERED,
+    EVENT_TASK_END,
+    EVENT_SUBMIT, /* of a job that was cut off, again */
+    EVENT_KILL,
+    EVENT_RESTART,
+} EventKind;
+
+typedef struct Event {
+    uint64_t at_us;
+    uint64_t order;
+    EventKind kind;
+    uint32_t
+        life; /* of the processes; an event of an earlier one is dropped */
+    uint32_t dispatcher;
+    uint32_t worker;
+    uint64_t number;
+    msgpack_sbuffer *frame;
+    BwWorkerVerdict verdict;
+    uint64_t last_end;
+    void *data;
+} Event;
+
+/* A job of a caller. */
+typedef struct Job {
+    Fleet *fleet;
+    char name[24];
+    uint32_t class_index;
+    uint32_t dispatcher;
+    uint32_t tasks;
+    uint64_t run_us[TASKS_MAX];
+    uint64_t declared_us;
+    uint64_t cpu_milli;
+    uint64_t sent_us;
+    uint64_t ref;
+    double worth;
+    bool is_open;
+} Job;
+
+typedef struct WorkerTask {
+    char job[BW_NAME_BYTES_MAX];
+    uint32_t index;
+    uint32_t run;
+    uint64_t cpu_milli;
+    uint64_t started_us;
+    uint64_t ends_us;
+    uint64_t event_order;
+} WorkerTask;
+
+typedef struct End {
+    char job[BW_NAME_BYTES_MAX];
+    uint32_t index;
+    uint32_t run;
+    uint64_t number;
+    BwEndKind kind;
+} End;
+
+typedef struct Poll {
+    uint64_t number;
+    uint64_t last_end;
+    uint64_t order; /* of its EVENT_POLL_DUE */
+    uint32_t life;
+} Poll;
+
+typedef struct Worker {
+    Fleet *fleet;
+    uint32_t index;
+    BwSupervisor supervisor;
+    GPtrArray *running;
+    GArray *ends;
+    GArray *polls; /* that wait for an end */
+    uint64_t end_count;
+    uint64_t cpu_milli;
+    uint64_t used_milli;
+    uint64_t pace_permille;
+} Worker;
+
+typedef struct Dispatcher {
+    Fleet *fleet;
+    uint32_t index;
+    BwDispatcher core;
+} Dispatcher;
+
+struct Fleet {
+    const LoadPlan *plan;
+    LoadResult *result;
+    GRand *random;
+    GSequence *events;
+    uint64_t now_us;
+    uint64_t order;
+    uint32_t life;
+    bool is_down;
+    Dispatcher *dispatchers;
+    Worker *workers;
+    BwRoute routes[LOAD_CLASSES_MAX];
+    GHashTable *jobs; /* open jobs, by name */
+    uint64_t job_count;
+    double owed[WINDOWS_MAX];
+    double earned[WINDOWS_MAX];
+};
+
+static int
+compare_events(const void *left, const void *right, void *ctx)
+{
+    const Event *a = left, *b = right;
+
+    (void)ctx;
+    if (a->at_us != b->at_us)
+        return a->at_us < b->at_us ? -1 : 1;
+    return a->order < b->order ? -1 : a->order > b->order ? 1 : 0;
+}
+
+static Event *
+schedule(Fleet *fleet, uint64_t in_us, EventKind kind)
+{
+    Event *event = g_new0(Event, 1);
+
+    event->at_us = fleet->now_us + in_us;
+    event->order = ++fleet->order;
+    event->kind = kind;
+    event->life = fleet->life;
+    g_sequence_insert_sorted(fleet->events, event, compare_events, NULL);
+    return event;
+}
+
+static void
+free_event(void *data)
+{
+    Event *event = data;
+
+    if (event->frame != NULL)
+        msgpack_sbuffer_free(event->frame);
+    g_free(event);
+}
+
+/* Draws from a lognormal distribution of that mean. */
+static double
+draw(Fleet *fleet, double mean, double spread, double max)
+{
+    double sum = -6.0, value;
+
+    for (int i = 0; i < 12; i++)
+        sum += g_rand_double(fleet->random);
+    value = mean * exp(sum * spread - spread * spread / 2);
+    return value < max ? value : max;
+}
+
+/* ------------------------------------------------------------ callers */
+
+static LoadCounts *
+counts_of(Job *job)
+{
+    return &job->fleet->result->classes[job->class_index];
+}
+
+static uint32_t
+window_of(const Job *job)
+{
+    uint64_t window = (job->sent_us - START_US) / WINDOW_US;
+
+    return window < WINDOWS_MAX ? (uint32_t)window : WINDOWS_MAX - 1;
+}
+
+static uint64_t
+longest_run_us(const Job *job)
+{
+    uint64_t longest_us = 0;
+
+    for (uint32_t i = 0; i < job->tasks; i++)
+        longest_us = MAX(longest_us, job->run_us[i]);
+    return longest_us;
+}
+
+static void
+on_answer(void *ctx, void *data, BwBoundEnd end, uint32_t retry_after_ms)
+{
+    Dispatcher *dispatcher = ctx;
+    Fleet *fleet = dispatcher->fleet;
+    Job *job = data;
+    LoadCounts *counts = counts_of(job);
+    uint64_t took_us = fleet->now_us - job->sent_us;
+    uint64_t objective_us =
+        fleet->plan->target_us +
+        longest_run_us(job) * fleet->plan->stretch_permille / 1000;
+
+    if (end == BW_BOUND_REFUSED)
+        g_assert_cmpuint(retry_after_ms, >, 0);
+    job->is_open = false;
+    if (end == BW_BOUND_COMPLETED && took_us <= objective_us) {
+        counts->in_time++;
+        counts->earned += job->worth;
+        fleet->earned[window_of(job)] += job->worth;
+    }
+    else if (end == BW_BOUND_COMPLETED) {
+        counts->late++;
+        counts->earned += job->worth / 5;
+        fleet->earned[window_of(job)] += job->worth / 5;
+    }
+    else if (end == BW_BOUND_REFUSED) {
+        counts->refused++;
+    }
+    else {
+        counts->expired++;
+    }
+}
+
+static void
+submit(Fleet *fleet, Job *job)
+{
+    Dispatcher *dispatcher = &fleet->dispatchers[job->dispatcher];
+    const LoadPlan *plan = fleet->plan;
+    BwBoundRequest request = {.ends_with_connection = true, .step_count = 1};
+    uint64_t allowed_us = plan->deadline_us + 3 * longest_run_us(job);
+
+    if (fleet->is_down) {
+        schedule(fleet, RESEND_US, EVENT_SUBMIT)->data = job;
+        return;
+    }
+    allowed_us = job->sent_us + allowed_us - fleet->now_us;
+    request.spec = BwSpan_FromString("spec");
+    request.steps[0].task_count = job->tasks;
+    request.steps[0].resources = (BwResources){job->cpu_milli, 64, 0};
+    request.steps[0].declared_us = job->declared_us;
+    request.steps[0].requirement = BwSpan_FromString("");
+    request.steps[0].affinity = BwSpan_FromString("");
+    job->is_open = true;
+    job->ref = BwDispatcher_Submit(
+        &dispatcher->core, fleet->now_us, BwSpan_FromString(job->name),
+        &request, &fleet->routes[job->class_index], fleet->now_us + allowed_us,
+        allowed_us, job);
+}
+
+static double
+load_factor(const Fleet *fleet, uint32_t class_index)
+{
+    uint64_t at_us = fleet->now_us - START_US;
+    double factor = 1.0;
+
+    for (uint32_t i = 0; i < fleet->plan->burst_count; i++) {
+        const LoadBurst *burst = &fleet->plan->bursts[i];
+
+        if (at_us >= burst->from_us && at_us < burst->until_us &&
+            (burst->class_index < 0 ||
+             burst->class_index == (int32_t)class_index))
+            factor *= burst->factor;
+    }
+    return factor;
+}
+
+static void
+on_arrival(Fleet *fleet, uint32_t class_index)
+{
+    const LoadClass *class = &fleet->plan->classes[class_index];
+    Job *job = g_new0(Job, 1);
+    double work_us = 0.0;
+    double gap_us = -log(1.0 - g_rand_double(fleet->random)) * 1e6 /
+                    (class->jobs_per_s * load_factor(fleet, class_index));
+
+    if (fleet->now_us + (uint64_t)gap_us < START_US + fleet->plan->length_us)
+        schedule(fleet, (uint64_t)gap_us, EVENT_ARRIVAL)->number = class_index;
+    job->fleet = fleet;
+    job->class_index = class_index;
+    job->sent_us = fleet->now_us;
+    g_snprintf(job->name, sizeof(job->name), "job%" G_GUINT64_FORMAT,
+               ++fleet->job_count);
+    g_hash_table_insert(fleet->jobs, job->name, job);
+    job->dispatcher = (uint32_t)g_rand_int_range(
+        fleet->random, 0, (int)fleet->plan->dispatchers);
+    job->tasks = (uint32_t)lround(draw(fleet, class->tasks, 0.4, TASKS_MAX));
+    if (job->tasks == 0)
+        job->tasks = 1;
+    for (uint32_t i = 0; i < job->tasks; i++) {
+        job->run_us[i] = (uint64_t)draw(fleet, (double)class->run_us, 0.3,
+                                        4.0 * (double)class->run_us);
+        work_us += (double)job->run_us[i];
+    }
+    job->declared_us = (uint64_t)draw(fleet, (double)class->run_us, 0.3,
+                                      4.0 * (double)class->run_us);
+    job->cpu_milli = (uint64_t)draw(fleet, (double)class->cpu_milli, 0.2,
+                                    1.5 * (double)class->cpu_milli);
+    job->worth =
+        class->worth * (0.3 + 0.7 * work_us * (double)job->cpu_milli /
+                                  ((double)class->run_us * class->tasks *
+                                   (double)class->cpu_milli));
+    counts_of(job)->jobs++;
+    counts_of(job)->owed += job->worth;
+    fleet->owed[window_of(job)] += job->worth;
+    submit(fleet, job);
+}
+
+/* ------------------------------------------------------------ workers */
+
+static void
+answer_poll(Worker *worker, const Poll *poll)
+{
+    Event *event = schedule(worker->fleet, CALL_US, EVENT_POLL_ANSWERED);
+
+    event->worker = worker->index;
+    event->number = poll->number;
+    event->last_end = poll->last_end;
+}
+
+static void
+end_task(Worker *worker, WorkerTask *task, BwEndKind kind)
+{
+    End end = {.index = task->index,
+               .run = task->run,
+               .number = ++worker->end_count,
+               .kind = kind};
+
+    strcpy(end.job, task->job);
+    g_array_append_val(worker->ends, end);
+    worker->used_milli -= task->cpu_milli;
+    g_ptr_array_remove(worker->running, task);
+    for (uint32_t i = 0; i < worker->polls->len; i++)
+        answer_poll(worker, &g_array_index(worker->polls, Poll, i));
+    g_array_set_size(worker->polls, 0);
+}
+
+static bool
+start_task(void *ctx, uint64_t number, const BwTaskOrder *order)
+{
+    Worker *worker = ctx;
+    Fleet *fleet = worker->fleet;
+    WorkerTask *task = g_new0(WorkerTask, 1);
+    Event *event = schedule(fleet, 2 * CALL_US, EVENT_STARTED);
+    const Job *job;
+
+    event->worker = worker->index;
+    event->number = number;
+    event->verdict = BW_WORKER_OK;
+    BwSpan_ToString(order->job, task->job, sizeof(task->job));
+    job = g_hash_table_lookup(fleet->jobs, task->job);
+    g_assert_nonnull(job);
+    task->index = order->index;
+    task->run = order->run;
+    task->cpu_milli = job->cpu_milli;
+    task->started_us = fleet->now_us + CALL_US;
+    task->ends_us = task->started_us +
+                    job->run_us[order->index] * worker->pace_permille / 1000;
+    worker->used_milli += task->cpu_milli;
+    g_assert_cmpuint(worker->used_milli, <=, worker->cpu_milli);
+    g_ptr_array_add(worker->running, task);
+    event = schedule(fleet, task->ends_us - fleet->now_us, EVENT_TASK_END);
+    event->worker = worker->index;
+    event->data = task;
+    event->life = 0;
+    task->event_order = event->order;
+    return true;
+}
+
+static bool
+stop_task(void *ctx, uint64_t number, const BwTaskOrder *order)
+{
+    Worker *worker = ctx;
+    Event *event = schedule(worker->fleet, 2 * CALL_US, EVENT_STOPPED);
+    char job[BW_NAME_BYTES_MAX];
+
+    event->worker = worker->index;
+    event->number = number;
+    event->verdict = BW_WORKER_OK;
+    BwSpan_ToString(order->job, job, sizeof(job));
+    for (uint32_t i = 0; i < worker->running->len; i++) {
+        WorkerTask *task = g_ptr_array_index(worker->running, i);
+
+        if (strcmp(task->job, job) != 0 || task->index != order->index ||
+            task->run > order->run)
+            continue;
+        end_task(worker, task, BW_END_STOPPED);
+        break;
+    }
+    return true;
+}
+
+static bool
+poll_worker(void *ctx, uint64_t number, const BwPollOrder *order)
+{
+    Worker *worker = ctx;
+    Event *event = schedule(worker->fleet, CALL_US, EVENT_POLL_ARRIVED);
+
+    event->worker = worker->index;
+    event->number = number;
+    event->last_end = order->last_end;
+    event->at_us = worker->fleet->now_us + CALL_US;
+    event->data = GUINT_TO_POINTER(order->wait_ms);
+    return true;
+}
+
+static void
+on_poll_arrived(Fleet *fleet, const Event *event)
+{
+    Worker *worker = &fleet->workers[event->worker];
+    uint64_t wait_us = GPOINTER_TO_UINT(event->data) * MS;
+    Poll poll = {event->number, event->last_end, 0, fleet->life};
+    Event *due;
+
+    if (worker->end_count > event->last_end || wait_us == 0) {
+        answer_poll(worker, &poll);
+        return;
+    }
+    due = schedule(fleet, wait_us, EVENT_POLL_DUE);
+    due->worker = worker->index;
+    due->number = event->number;
+    poll.order = due->order;
+    g_array_append_val(worker->polls, poll);
+}
+
+static void
+on_poll_due(Fleet *fleet, const Event *event)
+{
+    Worker *worker = &fleet->workers[event->worker];
+
+    for (uint32_t i = 0; i < worker->polls->len; i++) {
+        Poll poll = g_array_index(worker->polls, Poll, i);
+
+        if (poll.order != event->order)
+            continue;
+        answer_poll(worker, &poll);
+        g_array_remove_index(worker->polls, i);
+        return;
+    }
+}
+
+static void
+on_poll_answered(Fleet *fleet, const Event *event)
+{
+    Worker *worker = &fleet->workers[event->worker];
+    BwListedTask *running = g_new0(BwListedTask, worker->running->len + 1);
+    BwListedTask *ended = g_new0(BwListedTask, worker->ends->len + 1);
+    BwWorkerAnswer answer = {.verdict = BW_WORKER_OK,
+                             .clock_ms = fleet->now_us / 1000,
+                             .running = running,
+                             .ended = ended};
+
+    for (uint32_t i = 0; i < worker->running->len; i++) {
+        const WorkerTask *task = g_ptr_array_index(worker->running, i);
+        BwListedTask *listed = &running[answer.running_count++];
+        uint64_t whole_us = task->ends_us - task->started_us + 1;
+
+        listed->job = BwSpan_FromString(task->job);
+        listed->index = task->index;
+        listed->run = task->run;
+        if (fleet->now_us > task->started_us)
+            listed->percent = (uint32_t)((fleet->now_us - task->started_us) *
+                                         100 / whole_us);
+    }
+    for (uint32_t i = 0; i < worker->ends->len; i++) {
+        const End *end = &g_array_index(worker->ends, End, i);
+        BwListedTask *listed;
+
+        if (end->number <= event->last_end)
+            continue;
+        listed = &ended[answer.ended_count++];
+        listed->job = BwSpan_FromString(end->job);
+        listed->index = end->index;
+        listed->run = end->run;
+        listed->number = end->number;
+        listed->end = end->kind;
+    }
+    BwSupervisor_OnPolled(&worker->supervisor, fleet->now_us, event->number,
+                          fleet->now_us - 2 * CALL_US, &answer);
+    while (worker->ends->len > 0 &&
+           g_array_index(worker->ends, End, 0).number <= event->last_end)
+        g_array_remove_index(worker->ends, 0);
+    g_free(running);
+    g_free(ended);
+}
+
+static void
+send_heartbeat(Worker *worker)
+{
+    Fleet *fleet = worker->fleet;
+    BwWorkerHeartbeat heartbeat = {0};
+    char name[24];
+
+    g_snprintf(name, sizeof(name), "worker%u", worker->index);
+    heartbeat.instance = BwSpan_FromString(name);
+    heartbeat.service = BwSpan_FromString("service");
+    heartbeat.domain = BwSpan_FromString("domain");
+    heartbeat.capacity = (BwResources){worker->cpu_milli, 1u << 20, 0};
+    heartbeat.has_capacity = true;
+    heartbeat.clock_ms = fleet->now_us / 1000;
+    heartbeat.sequence = fleet->now_us;
+    BwSupervisor_OnHeartbeat(&worker->supervisor, fleet->now_us, &heartbeat);
+}
+
+/* ----------------------------------------------------------- messages */
+
+static msgpack_sbuffer *
+encode(const BwMessage *message)
+{
+    msgpack_sbuffer *frame = msgpack_sbuffer_new();
+
+    g_assert_true(BwWire_Encode(frame, message));
+    return frame;
+}
+
+static void
+send_to_dispatcher(void *ctx, uint32_t peer, const BwMessage *message)
+{
+    Worker *worker = ctx;
+    Event *event = schedule(worker->fleet, worker->fleet->plan->delay_us,
+                            EVENT_TO_DISPATCHER);
+
+    event->worker = worker->index;
+    event->dispatcher = peer - 1;
+    event->frame = encode(message);
+}
+
+static void
+send_to_supervisor(void *ctx, uint32_t peer, const BwMessage *message)
+{
+    Dispatcher *dispatcher = ctx;
+    Event *event =
+        schedule(dispatcher->fleet, dispatcher->fleet->plan->delay_us,
+                 EVENT_TO_SUPERVISOR);
+
+    event->dispatcher = dispatcher->index;
+    event->worker = peer - 1;
+    event->frame = encode(message);
+}
+
+static void
+deliver(Fleet *fleet, const Event *event)
+{
+    BwMessage message;
+    msgpack_zone zone;
+    size_t used;
+
+    g_assert_true(msgpack_zone_init(&zone, 2048));
+    g_assert_cmpint(BwWire_Decode(event->frame->data, event->frame->size,
+                                  &used, &zone, &message),
+                    ==, BW_WIRE_OK);
+    if (event->kind == EVENT_TO_SUPERVISOR)
+        BwSupervisor_OnMessage(&fleet->workers[event->worker].supervisor,
+                               fleet->now_us, event->dispatcher + 1, &message);
+    else
+        BwDispatcher_OnMessage(&fleet->dispatchers[event->dispatcher].core,
+                               fleet->now_us, event->worker + 1, &message);
+    msgpack_zone_destroy(&zone);
+}
+
+/* -------------------------------------------------------------- fleet */
+
+static const BwDispatcherPort dispatcher_port = {
+    send_to_supervisor, on_answer, PortStub_DropDecision, PortStub_DropJobEnd};
+
+static const BwSupervisorPort supervisor_port = {
+    send_to_dispatcher, start_task, stop_task, poll_worker,
+    PortStub_DropTaskEvent};
+
+static void
+open_fleet(Fleet *fleet)
+{
+    const LoadPlan *plan = fleet->plan;
+    BwSupervisorLimits limits = {SESSION_US, LEASE_US, STOP_US, POLL_WAIT_US,
+                                 ANSWER_US};
+
+    fleet->is_down = false;
+    for (uint32_t i = 0; i < plan->workers; i++) {
+        Worker *worker = &fleet->workers[i];
+
+        BwSupervisor_Init(&worker->supervisor, &limits, &supervisor_port,
+                          worker);
+        send_heartbeat(worker);
+    }
+    for (uint32_t i = 0; i < plan->dispatchers; i++) {
+        Dispatcher *dispatcher = &fleet->dispatchers[i];
+        BwDispatcherLimits dispatcher_limits = {SESSION_US,
+                                                LEASE_US,
+                                                STOP_US,
+                                                100000,
+                                                fleet->now_us + 250 * MS,
+                                                fleet->plan->seed * 1000 + i};
+
+        BwDispatcher_Init(&dispatcher->core, &dispatcher_limits,
+                          &dispatcher_port, dispatcher);
+        for (uint32_t j = 0; j < plan->workers; j++) {
+            char name[24];
+
+            g_snprintf(name, sizeof(name), "supervisor%u", j);
+            BwDispatcher_PeerUp(&dispatcher->core, fleet->now_us, j + 1,
+                                BwSpan_FromString(name));
+            BwSupervisor_PeerUp(&fleet->workers[j].supervisor, fleet->now_us,
+                                i + 1);
+        }
+    }
+}
+
+static void
+close_fleet(Fleet *fleet)
+{
+    for (uint32_t i = 0; i < fleet->plan->dispatchers; i++) {
+        BwDispatcher *core = &fleet->dispatchers[i].core;
+
+        fleet->result->placed += core->counters.placed;
+        fleet->result->bounced += core->counters.bounced;
+        BwDispatcher_Finish(core);
+    }
+    for (uint32_t i = 0; i < fleet->plan->workers; i++)
+        BwSupervisor_Finish(&fleet->workers[i].supervisor);
+    fleet->life++;
+}
+
+/* The callers of jobs that were being served get no answer. */
+static void
+kill_fleet(Fleet *fleet)
+{
+    GHashTableIter iter;
+    void *value;
+
+    close_fleet(fleet);
+    fleet->is_down = true;
+    g_hash_table_iter_init(&iter, fleet->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Job *job = value;
+
+        if (job->is_open)
+            counts_of(job)->expired++;
+        job->is_open = false;
+    }
+    for (uint32_t i = 0; i < fleet->plan->workers; i++) {
+        Worker *worker = &fleet->workers[i];
+
+        while (worker->running->len > 0)
+            end_task(worker, g_ptr_array_index(worker->running, 0),
+                     BW_END_LAPSED);
+        g_array_set_size(worker->polls, 0);
+    }
+}
+
+static void
+tick(Fleet *fleet)
+{
+    if (!fleet->is_down) {
+        for (uint32_t i = 0; i < fleet->plan->dispatchers; i++)
+            BwDispatcher_Tick(&fleet->dispatchers[i].core, fleet->now_us);
+        for (uint32_t i = 0; i < fleet->plan->workers; i++)
+            BwSupervisor_Tick(&fleet->workers[i].supervisor, fleet->now_us);
+    }
+    if (fleet->now_us < START_US + fleet->plan->length_us + SETTLE_US)
+        schedule(fleet, TICK_US, EVENT_TICK)->life = 0;
+}
+
+static bool
+is_running(const Worker *worker, const WorkerTask *task, uint64_t order)
+{
+    for (uint32_t i = 0; i < worker->running->len; i++) {
+        const WorkerTask *other = g_ptr_array_index(worker->running, i);
+
+        if (other == task && other->event_order == order)
+            return true;
+    }
+    return false;
+}
+
+static void
+on_event(Fleet *fleet, Event *event)
+{
+    BwWorkerAnswer answer = {.verdict = event->verdict,
+                             .clock_ms = fleet->now_us / 1000};
+    Worker *worker = &fleet->workers[event->worker];
+
+    switch (event->kind) {
+    case EVENT_TICK:
+        tick(fleet);
+        break;
+    case EVENT_ARRIVAL:
+        on_arrival(fleet, (uint32_t)event->number);
+        break;
+    case EVENT_SUBMIT:
+        submit(fleet, event->data);
+        break;
+    case EVENT_TASK_END:
+        if (is_running(worker, event->data, event->order))
+            end_task(worker, event->data, BW_END_DONE);
+        break;
+    case EVENT_KILL:
+        kill_fleet(fleet);
+        schedule(fleet, fleet->plan->down_us, EVENT_RESTART);
+        break;
+    case EVENT_RESTART:
+        open_fleet(fleet);
+        break;
+    case EVENT_TO_SUPERVISOR:
+    case EVENT_TO_DISPATCHER:
+        deliver(fleet, event);
+        break;
+    case EVENT_STARTED:
+        BwSupervisor_OnStarted(&worker->supervisor, fleet->now_us,
+                               event->number, &answer);
+        break;
+    case EVENT_STOPPED:
+        BwSupervisor_OnStopped(&worker->supervisor, fleet->now_us,
+                               event->number, &answer);
+        break;
+    case EVENT_POLL_ARRIVED:
+        on_poll_arrived(fleet, event);
+        break;
+    case EVENT_POLL_DUE:
+        on_poll_due(fleet, event);
+        break;
+    case EVENT_POLL_ANSWERED:
+        on_poll_answered(fleet, event);
+        break;
+    }
+}
+
+/* Events of callers and workers go on while processes are replaced. */
+static bool
+outlives_processes(const Event *event)
+{
+    return event->kind == EVENT_TICK || event->kind == EVENT_ARRIVAL ||
+           event->kind == EVENT_SUBMIT || event->kind == EVENT_TASK_END ||
+           event->kind == EVENT_RESTART;
+}
+
+static void
+run(Fleet *fleet)
+{
+    while (!g_sequence_is_empty(fleet->events)) {
+        GSequenceIter *first = g_sequence_get_begin_iter(fleet->events);
+        Event *event = g_sequence_get(first);
+
+        fleet->now_us = event->at_us;
+        if (event->life == fleet->life || outlives_processes(event))
+            on_event(fleet, event);
+        g_sequence_remove(first);
+        if (fleet->now_us > START_US + fleet->plan->length_us + SETTLE_US)
+            break;
+    }
+}
+
+static void
+init_routes(Fleet *fleet)
+{
+    for (uint32_t i = 0; i < fleet->plan->class_count; i++) {
+        BwRoute *route = &fleet->routes[i];
+
+        g_snprintf(route->name, sizeof(route->name), "route%u", i);
+        strcpy(route->service, "service");
+        route->priority = fleet->plan->classes[i].priority;
+        route->attempts_max = 3;
+        route->stretch_permille = fleet->plan->stretch_permille;
+        route->target_us = fleet->plan->target_us;
+    }
+}
+
+static void
+sum_up(Fleet *fleet)
+{
+    LoadResult *result = fleet->result;
+
+    result->worst_window = 1.0;
+    for (uint32_t i = 0; i < fleet->plan->class_count; i++) {
+        const LoadCounts *counts = &result->classes[i];
+
+        result->all.jobs += counts->jobs;
+        result->all.in_time += counts->in_time;
+        result->all.late += counts->late;
+        result->all.refused += counts->refused;
+        result->all.expired += counts->expired;
+        result->all.owed += counts->owed;
+        result->all.earned += counts->earned;
+    }
+    for (uint32_t i = 0; i < WINDOWS_MAX; i++) {
+        if (fleet->owed[i] <= 0.0)
+            continue;
+        result->last_window = fleet->earned[i] / fleet->owed[i];
+        if (result->last_window < result->worst_window)
+            result->worst_window = result->last_window;
+    }
+}
+
+void
+BoundLoad_Play(const LoadPlan *plan, LoadResult *result)
+{
+    Fleet fleet = {.plan = plan, .result = result, .life = 1};
+
+    memset(result, 0, sizeof(*result));
+    fleet.random = g_rand_new_with_seed(plan->seed);
+    fleet.events = g_sequence_new(free_event);
+    fleet.jobs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    fleet.dispatchers = g_new0(Dispatcher, plan->dispatchers);
+    fleet.workers = g_new0(Worker, plan->workers);
+    init_routes(&fleet);
+    for (uint32_t i = 0; i < plan->dispatchers; i++) {
+        fleet.dispatchers[i].fleet = &fleet;
+        fleet.dispatchers[i].index = i;
+    }
+    for (uint32_t i = 0; i < plan->workers; i++) {
+        Worker *worker = &fleet.workers[i];
+
+        worker->fleet = &fleet;
+        worker->index = i;
+        worker->cpu_milli = plan->worker_cpu_milli;
+        worker->pace_permille = 1000;
+        if (i % 3 == 2) {
+            worker->cpu_milli =
+                plan->worker_cpu_milli * plan->third_size_permille / 1000;
+            worker->pace_permille = plan->third_pace_permille;
+        }
+        worker->running = g_ptr_array_new_with_free_func(g_free);
+        worker->ends = g_array_new(FALSE, FALSE, sizeof(End));
+        worker->polls = g_array_new(FALSE, FALSE, sizeof(Poll));
+    }
+    fleet.now_us = START_US / 2;
+    open_fleet(&fleet);
+    schedule(&fleet, TICK_US, EVENT_TICK);
+    for (uint32_t i = 0; i < plan->class_count; i++)
+        schedule(&fleet, START_US / 2, EVENT_ARRIVAL)->number = i;
+    if (plan->restart_us > 0)
+        schedule(&fleet, START_US / 2 + plan->restart_us, EVENT_KILL);
+    run(&fleet);
+    close_fleet(&fleet);
+    sum_up(&fleet);
+    for (uint32_t i = 0; i < plan->workers; i++) {
+        g_ptr_array_free(fleet.workers[i].running, TRUE);
+        g_array_free(fleet.workers[i].ends, TRUE);
+        g_array_free(fleet.workers[i].polls, TRUE);
+    }
+    g_hash_table_destroy(fleet.jobs);
+    g_sequence_free(fleet.events);
+    g_rand_free(fleet.random);
+    g_free(fleet.dispatchers);
+    g_free(fleet.workers);
+}
--- /dev/null
+++ b/tests/load_plans.h
@@ -0,0 +1,30 @@
+/* load_plans.h -- loads that were seen to go badly, for bound_load.h
+
+   All have three classes: short wide urgent jobs, long ones that are urgent
+   last, and small ones between.  A fleet of any size gets the same load a
+   worker.
+*/
+
+#ifndef LOAD_PLANS_H
+#define LOAD_PLANS_H
+
+#include "bound_load.h"
+
+/* Seven tenths of the capacity, and for 4 s 1.3 to 2.3 times as much. */
+LoadPlan
+LoadPlan_Burst(uint32_t dispatchers, uint32_t workers);
+
+/* All classes come equally often, together 1.6 times the capacity, without an
+   end. */
+LoadPlan
+LoadPlan_LastingOverload(uint32_t dispatchers, uint32_t workers);
+
+/* The same for 4 s, and then half of the capacity. */
+LoadPlan
+LoadPlan_OverloadEnds(uint32_t dispatchers, uint32_t workers);
+
+/* Every process is lost and replaced under seven tenths of the capacity. */
+LoadPlan
+LoadPlan_Return(uint32_t dispatchers, uint32_t workers);
+
+#endif
--- a/tests/measure_bound.c
+++ b/tests/measure_bound.c
@@ -173,7 +173,7 @@
 static void
 measure_dispatcher(uint32_t views, uint32_t tasks)
 {
-    BwDispatcherLimits limits = {500000, 400000, 120000, 4096, 0};
+    BwDispatcherLimits limits = {500000, 400000, 120000, 4096, 0, 1};
     Bench *bench = g_new0(Bench, 1);
     uint32_t rounds = VIEW_TASK_PAIRS_MAX / (views * tasks) + 1;
     double place_us = 0, end_us = 0;
@@ -207,7 +207,7 @@
 static void
 measure_sessions(uint32_t views)
 {
-    BwDispatcherLimits limits = {500000, 400000, 120000, 4096, 0};
+    BwDispatcherLimits limits = {500000, 400000, 120000, 4096, 0, 1};
     Bench *bench = g_new0(Bench, 1);
     double start_us;
 
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -50,6 +50,8 @@
     uint32_t job_count;
     BwRoute route;
     BwOutcomes outcomes[PEERS_MAX]; /* that each supervisor has counted */
+    uint64_t ran_us;                /* of a task that is done; 0: 1 s */
+    BwJobEndReport report;          /* of the job that ended last */
 } Fixture;
 
 static void
@@ -89,13 +91,23 @@
     answer->retry_after_ms = retry_after_ms;
 }
 
-static const BwDispatcherPort port = {
-    record_send, record_answer, PortStub_DropDecision, PortStub_DropJobEnd};
+static void
+record_job_end(void *ctx, const BwBoundJob *job, const BwJobEndReport *report)
+{
+    Fixture *f = ctx;
+
+    (void)job;
+    f->report = *report;
+}
+
+static const BwDispatcherPort port = {record_send, record_answer,
+                                      PortStub_DropDecision, record_job_end};
 
 static void
 set_up(Fixture *f)
 {
-    BwDispatcherLimits limits = {SESSION_US, LEASE_US, STOP_US, JOBS_MAX, 0};
+    BwDispatcherLimits limits = {SESSION_US, LEASE_US, STOP_US,
+                                 JOBS_MAX,   0,        1};
 
     memset(f, 0, sizeof(*f));
     f->now_us = 10 * SECOND_US;
@@ -210,7 +222,8 @@
              uint32_t index, uint32_t kind)
 {
     BwMessage message = {.kind = BW_MSG_OUTCOME};
-    BwTaskOutcome outcome = {index, kind, 0, SECOND_US};
+    BwTaskOutcome outcome = {index, kind, 0,
+                             f->ran_us > 0 ? f->ran_us : SECOND_US};
     BwWorkerLoad load = current_load(f, peer);
 
     if (kind == BW_OUTCOME_NOT_RUN)
@@ -1311,6 +1324,173 @@
     tear_down(&f);
 }
 
+/* The declared run time was far off: by what the task really took the job
+       was in time, by the forecast it was not. */
+static void
+test_actual_objective(void)
+{
+    Fixture f;
+    uint64_t ref;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    ref = submit_simple(&f, 1, 1000);
+    f.now_us += 4 * SECOND_US;
+    f.ran_us = 4 * SECOND_US;
+    send_outcome(&f, 1, ref, 0, 0, BW_OUTCOME_DONE);
+    assert_answer(&f, 0, BW_BOUND_COMPLETED);
+    g_assert_cmpuint(f.report.took_us, ==, 4 * SECOND_US);
+    g_assert_cmpuint(f.report.expected_objective_us, ==, 3 * SECOND_US);
+    g_assert_cmpuint(f.report.objective_us, ==, 9 * SECOND_US);
+    tear_down(&f);
+}
+
+/* The objective of a job of two steps follows from the longest task of
+   each, on a worker of mean speed. */
+static void
+test_actual_objective_of_steps(void)
+{
+    Fixture f;
+    BwBoundStep steps[2] = {make_step(2, 1000), make_step(1, 1000)};
+    uint64_t ref;
+
+    set_up(&f);
+    f.deadline_us = 60 * SECOND_US;
+    connect_worker(&f, 1, "a");
+    f.d.views->pace_permille = 2000;
+    steps[1].after = 1;
+    ref = submit(&f, steps, 2);
+    f.ran_us = 2 * SECOND_US;
+    send_outcome(&f, 1, ref, 0, 0, BW_OUTCOME_DONE);
+    f.ran_us = 6 * SECOND_US;
+    send_outcome(&f, 1, ref, 0, 1, BW_OUTCOME_DONE);
+    f.ran_us = 4 * SECOND_US;
+    send_outcome(&f, 1, ref, 1, 0, BW_OUTCOME_DONE);
+    assert_answer(&f, 0, BW_BOUND_COMPLETED);
+    /* 1 s and twice 3 s and 2 s; this job has changed the pace a little. */
+    g_assert_cmpuint(f.report.objective_us, <=, 11 * SECOND_US);
+    g_assert_cmpuint(f.report.objective_us, >=, 10 * SECOND_US);
+    tear_down(&f);
+}
+
+static void
+connect_many(Fixture *f, uint32_t count)
+{
+    for (uint32_t peer = 1; peer <= count; peer++) {
+        char name[BW_NAME_BYTES_MAX];
+
+        g_snprintf(name, sizeof(name), "worker%u", peer);
+        connect_worker(f, peer, name);
+    }
+}
+
+/* Dispatchers whose load reports are the same choose different workers. */
+static void
+test_choice_differs(void)
+{
+    const uint32_t workers = 400, dispatchers = 20;
+    bool is_chosen[PEERS_MAX] = {false};
+    uint32_t distinct = 0;
+
+    for (uint32_t seed = 1; seed <= dispatchers; seed++) {
+        Fixture f;
+
+        set_up(&f);
+        BwRandom_Init(&f.d.random, seed);
+        connect_many(&f, workers);
+        submit_simple(&f, 1, 1000);
+        distinct += !is_chosen[last_peer(&f)];
+        is_chosen[last_peer(&f)] = true;
+        tear_down(&f);
+    }
+    g_assert_cmpuint(distinct, >=, dispatchers / 2);
+}
+
+/* The only worker that can run a task is found among many, and the best of
+   few workers is always taken. */
+static void
+test_rare_worker(void)
+{
+    Fixture f;
+    BwBoundStep step = make_step(1, 1000);
+    uint64_t ref;
+
+    set_up(&f);
+    connect_many(&f, 400);
+    connect_labelled(&f, 401, "rare", "rare");
+    step.requirement = span("rare");
+    for (uint32_t i = 0; i < 4; i++) {
+        ref = submit(&f, &step, 1);
+        g_assert_cmpuint(placed_at(&f, 401, ref), ==, 1);
+    }
+    tear_down(&f);
+    set_up(&f);
+    connect_many(&f, BW_COMPARED_MAX);
+    for (uint32_t peer = 1; peer < BW_COMPARED_MAX; peer++)
+        send_session(&f, peer, 0, 2000);
+    for (uint32_t i = 0; i < 4; i++)
+        submit_simple(&f, 1, 1000);
+    g_assert_cmpuint(placed_at(&f, BW_COMPARED_MAX, 1), ==, 1);
+    g_assert_cmpuint(placed_at(&f, BW_COMPARED_MAX, 2), ==, 1);
+    tear_down(&f);
+}
+
+/* All of many workers are full: an urgent job waits at one of them, and
+   one that cannot end in time is refused at once, with the time after
+   which it could. */
+static void
+test_many_full(void)
+{
+    Fixture f;
+    const uint32_t workers = 400;
+
+    set_up(&f);
+    connect_many(&f, workers);
+    for (uint32_t peer = 1; peer <= workers; peer++)
+        send_session(&f, peer, 0, 0);
+    submit_simple(&f, 8, 1000);
+    assert_waits(&f, 0);
+    f.route.target_us = 0;
+    f.route.stretch_permille = 1000;
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), ==, 0);
+    assert_answer(&f, 1, BW_BOUND_REFUSED);
+    tear_down(&f);
+}
+
+/* A job with more tasks than a message can carry is refused. */
+static void
+test_too_many_tasks(void)
+{
+    Fixture f;
+    BwBoundStep steps[2] = {make_step(BW_JOB_TASKS_MAX, 1), make_step(1, 1)};
+
+    set_up(&f);
+    connect_many(&f, 300);
+    g_assert_cmpuint(submit(&f, steps, 2), ==, 0);
+    assert_answer(&f, 0, BW_BOUND_REFUSED);
+    tear_down(&f);
+}
+
+/* Views that have been dropped are not compared any more. */
+static void
+test_table_of_views(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    connect_many(&f, 3);
+    for (uint32_t peer = 1; peer <= 2; peer++)
+        BwDispatcher_PeerDown(&f.d, f.now_us, peer);
+    f.now_us += 1300 * SECOND_US;
+    BwDispatcher_Tick(&f.d, f.now_us);
+    g_assert_cmpuint(HASH_COUNT(f.d.views), ==, 1);
+    g_assert_cmpstr(f.d.view_table[0]->name, ==, "worker3");
+    g_assert_cmpuint(f.d.view_table[0]->table_index, ==, 0);
+    connect_worker(&f, 9, "worker9");
+    g_assert_cmpstr(f.d.view_table[1]->name, ==, "worker9");
+    tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1354,6 +1534,13 @@
     ADD(estimate_too_large);
     ADD(routes_gone);
     ADD(view_dropped);
+    ADD(actual_objective);
+    ADD(actual_objective_of_steps);
+    ADD(choice_differs);
+    ADD(rare_worker);
+    ADD(many_full);
+    ADD(too_many_tasks);
+    ADD(table_of_views);
 #undef ADD
     return g_test_run();
 }
--- a/tests/test_schedules.c
+++ b/tests/test_schedules.c
@@ -708,7 +708,7 @@
 static void
 set_up(World *w, uint32_t seed)
 {
-    BwDispatcherLimits limits = {SESSION_US, LEASE_US, STOP_US, JOBS, 0};
+    BwDispatcherLimits limits = {SESSION_US, LEASE_US, STOP_US, JOBS, 0, seed};
 
     memset(w, 0, sizeof(*w));
     w->random = g_rand_new_with_seed(seed);
--- a/tests/test_status.c
+++ b/tests/test_status.c
@@ -95,7 +95,7 @@
 static void
 test_dispatcher(void)
 {
-    BwDispatcherLimits limits = {500000, 400000, 120000, 16, 0};
+    BwDispatcherLimits limits = {500000, 400000, 120000, 16, 0, 1};
     BwBoundRequest request = {.ends_with_connection = true, .step_count = 1};
     BwRoute route = {.name = "q", .service = "render", .target_us = 1000000};
     BwDispatcher dispatcher;
