Let less urgent jobs wait for less while urgent ones are served badly

Cause: under a lasting overload long tasks of the least urgent class take the room, and short urgent jobs find none. Change: classadmission.c measures the share of jobs served badly by class over two seconds, and while it is above a quarter the waits of all less urgent classes shrink by 5% each 0.1 s, to a fifth at least; afterwards they grow again. A job that had no chance when it came does not count.

--- a/packages/core/boundadmission.h
+++ b/packages/core/boundadmission.h
@@ -9,7 +9,8 @@
      enough of its slack, the time between its run time and its objective.  The
      forecast cannot know of more urgent jobs that come later, so a job may use
      only a part of its slack for waiting; urgent jobs (priority 0) may use all
-     of it.
+     of it.  When more urgent jobs are served badly for seconds, the share
+     shrinks (classadmission.h).
    - After a loss of all dispatchers jobs come again that cannot meet their
      objective any more.  Their slack is over, so they run where resources are
      free, since a late answer is of some use, and are refused at once
--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -97,6 +97,25 @@
     return job->done_count == job->task_count;
 }
 
+/* Records whether the job was served badly, unless no dispatcher could have
+   served it in time: it came when its objective was nearly over, no worker can
+   run it, or its tasks failed. */
+static void
+record_class(BwDispatcher *d, uint64_t now_us, const BwBoundJob *job,
+             BwBoundEnd end)
+{
+    bool is_bad = end != BW_BOUND_COMPLETED ||
+                  now_us - job->arrived_us + job->waited_us >
+                      BwJobObjective_ActualUs(job);
+
+    if (end == BW_BOUND_FAILED ||
+        job->arrived_us + job->expected_us > job->due_us ||
+        (end == BW_BOUND_REFUSED && job->late_us == 0))
+        return;
+    BwClassAdmission_Record(&d->class_admission, now_us, job->priority,
+                            is_bad);
+}
+
 static void
 log_end(BwDispatcher *d, uint64_t now_us, const BwBoundJob *job,
         const char *event, BwBoundEnd end, const char *reason)
@@ -132,6 +151,10 @@
     d->counters.failed += end == BW_BOUND_FAILED;
     d->counters.refused += end == BW_BOUND_REFUSED;
     d->counters.expired += end == BW_BOUND_EXPIRED;
+    if (end == BW_BOUND_REFUSED && job->wait_permille < 1000)
+        reason = "more urgent jobs are served badly, and no worker can end "
+                 "it soon enough";
+    record_class(d, now_us, job, end);
     log_end(d, now_us, job, "end", end, reason);
     remove_job(d, job);
     if (data != NULL)
@@ -371,6 +394,8 @@
                                                BwJobObjective_DeclaredUs(job));
     job->due_us =
         now_us - waited_us + BwJobObjective_LatencyUs(job, job->expected_us);
+    job->wait_permille = BwClassAdmission_WaitPermille(&d->class_admission,
+                                                       now_us, job->priority);
     job->ref = ++d->last_ref;
     return job;
 }
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -29,6 +29,7 @@
 
 #include <uthash.h>
 
+#include "classadmission.h"
 #include "control.h"
 #include "driver.h"
 #include "routestats.h"
@@ -81,6 +82,7 @@
     uint64_t expected_us;      /* run time of its critical path */
     uint64_t target_us;        /* of the route's latency objective, with */
     uint32_t stretch_permille; /* this share of the run time added */
+    uint32_t wait_permille;    /* granted by BwClassAdmission */
     uint64_t due_us;           /* the objective by the expected run time */
     uint64_t deadline_us;      /* the caller's */
     BwBoundStep *steps;
@@ -228,6 +230,7 @@
     /* Hash of the connected views by connection. */
     BwSupervisorView *views_by_peer;
     BwRouteStats *route_stats;
+    BwClassAdmission class_admission;
     BwRandom random; /* of the workers that are compared */
     BwTaskIndex place_tasks[BW_JOB_TASKS_MAX]; /* of the PLACE being sent */
     uint64_t last_ref;
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -1491,6 +1491,77 @@
     tear_down(&f);
 }
 
+/* While urgent jobs are refused, a less urgent one may wait for less of
+   its slack; when nothing was refused for a while it may wait as before.
+ */
+static void
+test_waits_yield(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    send_session(&f, 1, 0, 0);
+    f.route.priority = 2;
+    f.route.target_us = SECOND_US;
+    f.route.stretch_permille = 1000;
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), !=, 0);
+    for (uint32_t i = 0; i < 40; i++) {
+        BwClassAdmission_Record(&f.d.class_admission, f.now_us, 0, true);
+        f.now_us += 100000;
+    }
+    send_session(&f, 1, 1, 0);
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), ==, 0);
+    assert_answer(&f, 1, BW_BOUND_REFUSED);
+    f.now_us += 10 * SECOND_US;
+    send_session(&f, 1, 1, 0);
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), !=, 0);
+    assert_waits(&f, 2);
+    tear_down(&f);
+}
+
+static void
+test_class_admission(void)
+{
+    BwClassAdmission admission = {0};
+    uint64_t now_us = SECOND_US;
+
+    /* Three jobs say nothing. */
+    for (uint32_t i = 0; i < 3; i++)
+        BwClassAdmission_Record(&admission, now_us, 1, true);
+    now_us += SECOND_US / 10;
+    g_assert_cmpuint(BwClassAdmission_WaitPermille(&admission, now_us, 2), ==,
+                     1000);
+    /* A fifth is served badly, which is below the limit. */
+    for (uint32_t i = 0; i < 100; i++)
+        BwClassAdmission_Record(&admission, now_us, 1, i % 5 == 0);
+    now_us += SECOND_US;
+    g_assert_cmpuint(BwClassAdmission_WaitPermille(&admission, now_us, 2), ==,
+                     1000);
+    /* Less urgent classes yield, the others do not. */
+    for (uint32_t i = 0; i < 100; i++)
+        BwClassAdmission_Record(&admission, now_us, 1, true);
+    now_us += SECOND_US;
+    g_assert_cmpuint(BwClassAdmission_WaitPermille(&admission, now_us, 0), ==,
+                     1000);
+    g_assert_cmpuint(BwClassAdmission_WaitPermille(&admission, now_us, 1), ==,
+                     1000);
+    g_assert_cmpuint(BwClassAdmission_WaitPermille(&admission, now_us, 2), <,
+                     700);
+    g_assert_cmpuint(BwClassAdmission_WaitPermille(&admission, now_us, 99), <,
+                     700);
+    /* A least share is left. */
+    for (uint32_t i = 0; i < 200; i++) {
+        BwClassAdmission_Record(&admission, now_us, 0, true);
+        now_us += SECOND_US / 10;
+    }
+    g_assert_cmpuint(BwClassAdmission_WaitPermille(&admission, now_us, 2), ==,
+                     200);
+    now_us += 60 * SECOND_US;
+    g_assert_cmpuint(BwClassAdmission_WaitPermille(&admission, now_us, 2), ==,
+                     1000);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1541,6 +1612,8 @@
     ADD(many_full);
     ADD(too_many_tasks);
     ADD(table_of_views);
+    ADD(waits_yield);
+    ADD(class_admission);
 #undef ADD
     return g_test_run();
 }
