An answer that lists nothing because it is incomplete proves nothing

Cause: a task that a poll does not list counts as ended, so that its room is free and it runs again elsewhere. But an answer whose lists were missing, one with a malformed row, and one that was read short of memory also listed nothing; without memory for its owner the rows were even used after they were freed. Change: the reader says whether both lists came whole, and an incomplete answer to a poll counts as none. Result: /supervisor/incomplete_answer (a running task was reported lost before) and /driver/answer_incomplete fail before and pass now; /driver/no_memory fails each allocation of the readers in turn.

--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -252,7 +252,8 @@
 BwSupervisor_OnStopped(BwSupervisor *supervisor, uint64_t now_us,
                        uint64_t number, const BwWorkerAnswer *answer);
 
-/* The same for a poll; `sent_us` is when it was sent. */
+/* The same for a poll; `sent_us` is when it was sent.  An incomplete answer
+   counts as none. */
 void
 BwSupervisor_OnPolled(BwSupervisor *supervisor, uint64_t now_us,
                       uint64_t number, uint64_t sent_us,
--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -535,8 +535,14 @@
 
 void
 BwSupervisor_OnPolled(BwSupervisor *s, uint64_t now_us, uint64_t number,
-                      uint64_t sent_us, const BwWorkerAnswer *answer)
+                      uint64_t sent_us, const BwWorkerAnswer *polled)
 {
+    static const BwWorkerAnswer none = {.verdict = BW_WORKER_NO_ANSWER};
+    const BwWorkerAnswer *answer = polled;
+
+    /* What an incomplete answer does not list may still be on the worker. */
+    if (answer->verdict == BW_WORKER_OK && answer->is_incomplete)
+        answer = &none;
     if (number < s->first_poll)
         return;
     if (s->polls_in_flight > 0)
--- a/packages/ports/driver.h
+++ b/packages/ports/driver.h
@@ -173,6 +173,9 @@
     uint32_t running_count;
     BwListedTask *ended;
     uint32_t ended_count;
+    /* A list is missing or could not be read whole, so that what is not listed
+       may still be there. */
+    bool is_incomplete;
 } BwWorkerAnswer;
 
 /* --------------------------------------------------------------- Store */
@@ -226,7 +229,8 @@
     bool (*make_start)(const BwTaskOrder *order, BwHttpRequest *call);
     bool (*make_stop)(const BwTaskOrder *order, BwHttpRequest *call);
     bool (*make_poll)(const BwPollOrder *order, BwHttpRequest *call);
-    /* `status` is that of HTTP, 0 when there was no answer. */
+    /* `status` is that of HTTP, 0 when there was no answer.  Short of memory
+       the answer is incomplete. */
     void (*read_answer)(uint32_t status, BwSpan body, BwWorkerAnswer *answer);
 
     /* Requests to the store: the newest record of each key, from the key after
--- a/tests/test_driver.c
+++ b/tests/test_driver.c
@@ -592,6 +592,189 @@
     }
 }
 
+/* What an answer does not list may be on the worker, unless both lists came
+   whole. */
+static void
+test_answer_incomplete(void)
+{
+    static const struct {
+        const char *body;
+        bool is_incomplete;
+    } cases[] = {
+        {"{\"running\":[],\"ended\":[]}", false},
+        {"{\"running\":[[\"j.0.0.1\",1,\"\",0]],\"ended\":[]}", false},
+        {"", true},
+        {"{\"clockMs\":1}", true},
+        {"{\"running\":[]}", true},
+        {"{\"ended\":[]}", true},
+        {"{\"running\":null,\"ended\":null}", true},
+        {"{\"running\":[[\"j.0.0.1\"]],\"ended\":[]}", true},
+        {"{\"running\":[],\"ended\":[[1,\"j.0.0.1\",-1,\"done\",\"\"]]}",
+         true},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        BwWorkerAnswer answer;
+
+        read_answer(200, cases[i].body, &answer);
+        g_test_message("%s", cases[i].body);
+        g_assert_true(answer.verdict != BW_WORKER_OK ||
+                      answer.is_incomplete == cases[i].is_incomplete);
+        driver->release(answer.memory);
+    }
+}
+
+/* ------------------------------------------------------------- memory */
+
+static uint32_t allocations_left = UINT32_MAX; /* before one fails */
+
+static bool
+may_allocate(void)
+{
+    return allocations_left > 0 && allocations_left-- > 0;
+}
+
+static void *
+limited_malloc(size_t size)
+{
+    return may_allocate() ? malloc(size) : NULL;
+}
+
+void *
+__real_malloc(size_t size);
+void *
+__real_calloc(size_t count, size_t size);
+void *
+__wrap_malloc(size_t size);
+void *
+__wrap_calloc(size_t count, size_t size);
+
+/* The linker replaces the calls of platform/ by these. */
+void *
+__wrap_malloc(size_t size)
+{
+    return may_allocate() ? __real_malloc(size) : NULL;
+}
+
+void *
+__wrap_calloc(size_t count, size_t size)
+{
+    return may_allocate() ? __real_calloc(count, size) : NULL;
+}
+
+static bool
+answer_without_memory(void)
+{
+    static const char text[] =
+        "{\"clockMs\":7,\"running\":[[\"j.0.0.1\",1,\"\",40]],"
+        "\"ended\":[[1,\"j.0.0.2\",1,\"done\",\"\"]]}";
+    BwSpan body = BwSpan_FromString(text);
+    BwWorkerAnswer answer;
+    bool is_whole;
+
+    driver->read_answer(200, body, &answer);
+    is_whole = answer.verdict == BW_WORKER_OK && !answer.is_incomplete;
+    if (is_whole) {
+        g_assert_cmpuint(answer.running_count, ==, 1);
+        g_assert_cmpuint(answer.ended_count, ==, 1);
+    }
+    driver->release(answer.memory);
+    return is_whole;
+}
+
+static bool
+page_without_memory(void)
+{
+    static const char body[] = "\0\0\0\0\0\0\0\1\0\0\0\0\0\0\0\0"
+                               "\0\0\0\3\1kv";
+    BwSpan span = {body, sizeof(body) - 1};
+    BwStorePage page;
+
+    if (!driver->read_page(0, span, &page))
+        return false;
+    g_assert_cmpuint(page.record_count, ==, 1);
+    driver->release(page.memory);
+    return true;
+}
+
+static bool
+newest_without_memory(void)
+{
+    static const char text[] =
+        "{\"items\":[{\"key\":\"k\",\"value\":\"dg==\",\"offset\":1}],"
+        "\"hasMore\":false,\"end\":2}";
+    BwStorePage page;
+
+    if (!driver->read_newest(BwSpan_FromString(text), &page))
+        return false;
+    g_assert_cmpuint(page.record_count, ==, 1);
+    driver->release(page.memory);
+    return true;
+}
+
+static bool
+request_without_memory(void)
+{
+    static const char text[] =
+        "{\"spec\":\"s\",\"bestEffort\":true,\"steps\":[{\"count\":2,"
+        "\"cpu\":500,\"memMb\":64,\"estimateMs\":9}]}";
+    BwBoundRequest request;
+    const char *fault;
+    bool is_read =
+        driver->read_request(BwSpan_FromString(text), &request, &fault);
+
+    if (is_read)
+        g_assert_cmpuint(request.steps[0].task_count, ==, 2);
+    driver->release(request.memory);
+    return is_read;
+}
+
+static bool
+heartbeat_without_memory(void)
+{
+    static const char text[] =
+        "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\","
+        "\"capacity\":{\"cpu\":4000,\"memMb\":4000,\"gpu\":0},"
+        "\"labels\":[\"a\"],\"clockMs\":5,\"sequence\":1}";
+    BwWorkerHeartbeat heartbeat;
+    const char *fault;
+    bool is_read = driver->read_heartbeat(
+        BwSpan_FromString("/api/Instances.Heartbeat/i-1"),
+        BwSpan_FromString(text), &heartbeat, &fault);
+
+    if (is_read) {
+        g_assert_cmpuint(heartbeat.label_count, ==, 1);
+        driver->release(heartbeat.memory);
+    }
+    return is_read;
+}
+
+/* Each allocation fails in turn; what is read is then refused or incomplete,
+   never shorter than it was sent. */
+static void
+test_no_memory(void)
+{
+    static bool (*const readers[])(void) = {
+        answer_without_memory, page_without_memory, newest_without_memory,
+        request_without_memory, heartbeat_without_memory};
+
+    json_set_alloc_funcs(limited_malloc, free);
+    for (size_t i = 0; i < G_N_ELEMENTS(readers); i++) {
+        uint32_t count = 0;
+        bool is_read;
+
+        do {
+            allocations_left = count++;
+            is_read = readers[i]();
+            allocations_left = UINT32_MAX;
+        } while (!is_read && count < 1000);
+        g_test_message("reader %zu: %u allocations", i, count);
+        g_assert_true(is_read);
+        g_assert_cmpuint(count, >, 1);
+    }
+    json_set_alloc_funcs(malloc, free);
+}
+
 /* Invalid rows are left out; the valid rows next to them are kept. */
 static void
 test_answer_rows(void)
@@ -1033,6 +1216,8 @@
     ADD(answer);
     ADD(answer_verdicts);
     ADD(answer_rows);
+    ADD(answer_incomplete);
+    ADD(no_memory);
     ADD(store_calls);
     ADD(append_and_read);
     ADD(page_truncated);
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -981,6 +981,32 @@
     World_Finish(&w);
 }
 
+/* An answer to a poll that lists nothing, since its lists are missing, does
+   not end the tasks that run. */
+static void
+test_incomplete_answer(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), task;
+    BwWorkerAnswer answer = {.verdict = BW_WORKER_OK, .is_incomplete = true};
+
+    task = World_Place(&w, peer, &(PlaceRequest){.job = "a"});
+    World_Run(&w, 500000);
+    for (uint32_t i = 0; i < 5; i++) {
+        answer.clock_ms = World_Clock(&w);
+        BwSupervisor_OnPolled(&w.supervisor, w.now_us,
+                              w.supervisor.poll_number, w.now_us, &answer);
+        World_Run(&w, 100000);
+    }
+    g_assert_cmpuint(World_FindPlacement(&w, task)->kind, ==, 0);
+    g_assert_cmpuint(w.worker.running->len, ==, 1);
+    g_assert_cmpuint(w.starts, ==, 1);
+    World_StopJob(&w, peer, World_FindPlacement(&w, task)->ref);
+    World_Run(&w, 1000000);
+    World_AssertEmpty(&w);
+    World_Finish(&w);
+}
+
 /* A heartbeat that was sent before the worker reported its end does not make
    it usable again. */
 static void
@@ -1380,6 +1406,7 @@
     g_test_add_func("/supervisor/late_answer", test_late_answer);
     g_test_add_func("/supervisor/stale_beat", test_stale_heartbeat);
     g_test_add_func("/supervisor/stale_end", test_stale_end);
+    g_test_add_func("/supervisor/incomplete_answer", test_incomplete_answer);
     g_test_add_func("/supervisor/gone", test_gone);
     g_test_add_func("/supervisor/many", test_many);
     g_test_add_func("/supervisor/busy", test_busy);
