The store refuses a kept record that is written after a newer one

Cause: a write of a kept record or a dispatcher's address without an answer is repeated, or followed by a newer text, while the store may still carry it out seconds later; so a worker that had left was found ready by the supervisor that started next, until its next heartbeat, and an old address was found again. Change: each attempt names its producer and a higher epoch (appendepoch.c: the wall clock; where that was set back, the epochs skip ahead), and the store fences what is older. The emulator's store does so too.

--- a/packages/daemon/keptrecord.c
+++ b/packages/daemon/keptrecord.c
@@ -17,6 +17,7 @@
 #define WRITE_PAUSE_US 500000 /* after a failure */
 /* A process that has run for this long knows more than the records do. */
 #define READ_FOR_US 5000000
+#define HTTP_CONFLICT 409
 #define REPLY_BYTES_MAX (2u * 1024 * 1024)
 #define CONNECTIONS_MAX 2
 
@@ -109,6 +110,8 @@
     BwKeptRecord *record = data;
 
     record->is_calling = false;
+    if (reply->outcome == BW_HTTP_ANSWERED && reply->status == HTTP_CONFLICT)
+        BwAppendEpoch_OnFenced(&record->epoch);
     if (!is_ok(reply)) {
         record->retry_us = BwClock_Now() + WRITE_PAUSE_US;
         return;
@@ -126,7 +129,9 @@
     BwHttpRequest request;
 
     if (!record->driver->make_append(
-            record->topic, BwSpan_FromString(record->name), value, &request))
+            record->topic, BwSpan_FromString(record->name), value,
+            BwAppendEpoch_Next(&record->epoch, BwClock_WallNow() / 1000),
+            &request))
         return;
     record->is_calling = true;
     record->is_replaced = false;
--- a/packages/daemon/keptrecord.h
+++ b/packages/daemon/keptrecord.h
@@ -7,13 +7,16 @@
    the process works without it.
 
    Only the newest text is written; one that is replaced before it was written
-   is dropped.  workerrecord.c and routerecord.c use this on the event loop of
-   their role.
+   is dropped.  The store refuses a write that arrives after a newer one
+   (appendepoch.h), since the process that follows must not find what no longer
+   holds, such as a worker that has left.  workerrecord.c and routerecord.c use
+   this on the event loop of their role.
 */
 
 #ifndef BW_KEPTRECORD_H
 #define BW_KEPTRECORD_H
 
+#include "appendepoch.h"
 #include "driver.h"
 #include "httpclient.h"
 #include "settings.h"
@@ -34,6 +37,7 @@
     uint64_t retry_us;
     char *text; /* to be written; NULL: nothing is */
     uint32_t text_bytes;
+    BwAppendEpoch epoch;
     bool is_replaced; /* `text` is newer than what is being written */
 } BwKeptRecord;
 
--- a/packages/daemon/storereader.c
+++ b/packages/daemon/storereader.c
@@ -14,6 +14,7 @@
 
 /* Nothing is served before the first configuration, so the reads before it are
    given up early. */
+#define HTTP_CONFLICT 409
 #define STARTUP_TIMEOUT_US 250000
 #define ANNOUNCE_TIMEOUT_US 1500000
 #define ANNOUNCE_PAUSE_US 200000 /* after a failure */
@@ -177,6 +178,8 @@
 
     reader->is_announcing = false;
     reader->is_announced = is_ok(reply);
+    if (reply->outcome == BW_HTTP_ANSWERED && reply->status == HTTP_CONFLICT)
+        BwAppendEpoch_OnFenced(&reader->epoch);
     if (!reader->is_announced)
         reader->announce_us = BwClock_Now() + ANNOUNCE_PAUSE_US;
 }
@@ -227,7 +230,9 @@
 
     if (!reader->driver->make_append(
             BW_TOPIC_DISPATCHERS, BwSpan_FromString(reader->name),
-            BwSpan_FromString(reader->address), &request))
+            BwSpan_FromString(reader->address),
+            BwAppendEpoch_Next(&reader->epoch, BwClock_WallNow() / 1000),
+            &request))
         return;
     reader->is_announcing = true;
     BwNode_SendRequest(&reader->http, &request, now_us + ANNOUNCE_TIMEOUT_US,
--- a/packages/daemon/storereader.h
+++ b/packages/daemon/storereader.h
@@ -13,6 +13,7 @@
 #ifndef BW_STOREREADER_H
 #define BW_STOREREADER_H
 
+#include "appendepoch.h"
 #include "driver.h"
 #include "httpclient.h"
 #include "log.h"
@@ -39,6 +40,7 @@
     bool has_config;
     bool has_dispatchers; /* addresses of dispatchers were read once */
     bool is_announced;    /* the store has this dispatcher's address */
+    BwAppendEpoch epoch;  /* of its announcements */
     bool is_announcing;
     uint64_t announce_us; /* earliest time of the next announcement */
     uint64_t next_offset; /* where the next read of the configuration starts */
--- a/packages/emulator/store.c
+++ b/packages/emulator/store.c
@@ -64,8 +64,16 @@
     uint32_t size_bytes;
 } Record;
 
+/* The highest epoch that was seen of a producer. */
+typedef struct Producer {
+    char name[64];
+    uint64_t epoch;
+} Producer;
+
 typedef struct Topic {
     char name[64];
+    Producer *producers;
+    uint32_t producer_count;
     Record *records; /* by offset up to end_offset, expired ones included */
     uint64_t first_offset, end_offset;
 } Topic;
@@ -336,12 +344,53 @@
     return strtoull(text, NULL, 10);
 }
 
+static Producer *
+find_or_add_producer(Topic *topic, const char *name)
+{
+    Producer *producer;
+
+    for (uint32_t i = 0; i < topic->producer_count; i++) {
+        if (strcmp(topic->producers[i].name, name) == 0)
+            return &topic->producers[i];
+    }
+    topic->producers =
+        realloc(topic->producers,
+                (topic->producer_count + 1) * sizeof(*topic->producers));
+    producer = &topic->producers[topic->producer_count++];
+    snprintf(producer->name, sizeof(producer->name), "%s", name);
+    producer->epoch = 0;
+    return producer;
+}
+
+/* Returns whether the append names a producer and an epoch below one that was
+   seen of it.  Sequence numbers are not checked. */
+static bool
+is_fenced(Topic *topic, const BwExchange *exchange)
+{
+    uint64_t epoch = read_query_number(exchange, "epoch=");
+    Producer *producer;
+    char name[64];
+
+    read_query_text(exchange, "producer=", name, sizeof(name));
+    if (name[0] == '\0')
+        return false;
+    producer = find_or_add_producer(topic, name);
+    if (epoch < producer->epoch)
+        return true;
+    producer->epoch = epoch;
+    return false;
+}
+
 static void
 serve_append(PendingRequest *request, Topic *topic, BwSpan body)
 {
     uint64_t first_offset = topic->end_offset;
     uint32_t at = 0;
 
+    if (is_fenced(topic, request->exchange)) {
+        set_json_reply(request, 409, json_pack("{s:s}", "reason", "fenced"));
+        return;
+    }
     while (at + 4 <= body.size_bytes) {
         uint32_t length = read_big_endian_32(body.base + at);
 
--- a/packages/ports/driver.h
+++ b/packages/ports/driver.h
@@ -239,8 +239,10 @@
     bool (*make_newest)(BwStoreTopic topic, BwSpan after, BwHttpRequest *call);
     bool (*make_read)(BwStoreTopic topic, uint64_t from, uint32_t wait_ms,
                       BwHttpRequest *call);
+    /* The store refuses an append with a lower epoch than it has seen for the
+       key; 0: it is not ordered. */
     bool (*make_append)(BwStoreTopic topic, BwSpan key, BwSpan value,
-                        BwHttpRequest *call);
+                        uint64_t epoch, BwHttpRequest *call);
     bool (*read_newest)(BwSpan body, BwStorePage *page);
     bool (*read_page)(uint64_t from, BwSpan body, BwStorePage *page);
     BwSpan (*config_key)(void);
--- a/tests/test_driver.c
+++ b/tests/test_driver.c
@@ -775,6 +775,18 @@
     json_set_alloc_funcs(malloc, free);
 }
 
+static void
+test_append_ordered(void)
+{
+    BwHttpRequest call;
+
+    g_assert_true(driver->make_append(BW_TOPIC_WORKERS, span("a b"), span("v"),
+                                      1700000000000, &call));
+    g_assert_nonnull(
+        strstr(call.path, "&epoch=1700000000000&sequence=0&producer=a%20b"));
+    free(call.body);
+}
+
 /* Invalid rows are left out; the valid rows next to them are kept. */
 static void
 test_answer_rows(void)
@@ -853,7 +865,7 @@
 
     g_byte_array_append(bytes, (const guint8 *)head, sizeof(head));
     g_assert_true(driver->make_append(BW_TOPIC_DISPATCHERS, span("name"),
-                                      value_span, &http_request));
+                                      value_span, 0, &http_request));
     g_assert_cmpstr(http_request.method, ==, "POST");
     g_assert_cmpstr(http_request.path, ==,
                     "/api/log-append?topic=keyed.members&part=0");
@@ -861,7 +873,7 @@
                         http_request.body_bytes);
     free(http_request.body);
     g_assert_true(driver->make_append(BW_TOPIC_DISPATCHERS, span(key),
-                                      span(""), &http_request));
+                                      span(""), 0, &http_request));
     g_byte_array_append(bytes, (const guint8 *)http_request.body,
                         http_request.body_bytes);
     free(http_request.body);
@@ -883,7 +895,7 @@
     g_free(key);
     key = g_strnfill(256, 'k');
     g_assert_false(driver->make_append(BW_TOPIC_DISPATCHERS, span(key),
-                                       span(""), &http_request));
+                                       span(""), 0, &http_request));
     free(http_request.body);
     g_free(key);
 }
@@ -1217,6 +1229,7 @@
     ADD(answer_verdicts);
     ADD(answer_rows);
     ADD(answer_incomplete);
+    ADD(append_ordered);
     ADD(no_memory);
     ADD(store_calls);
     ADD(append_and_read);
