A less urgent task does not overtake a waiting one at a worker

Cause: a supervisor started whatever fitted, in the order of priority. Of the room that became free bit by bit, small tasks of less urgent jobs took each bit, and a larger urgent task waited for its whole allowed time and was handed back. Change: what a waiting task needs is set aside from less urgent ones; of the same priority a smaller task may still go first.

--- a/packages/core/workertasks.c
+++ b/packages/core/workertasks.c
@@ -2,10 +2,12 @@
 
    Every task here is queued, starting, running or stopping.  The last three
    may be on the worker, and their resources are in `used`.  The queue is in
-   order of priority and due time, and whatever fits is started, so a smaller
-   task may overtake a larger one.  Orders carry times on the worker's clock,
-   computed from its last reading; no task is started when that reading is
-   older than BW_CLOCK_STALE_US.
+   order of priority and due time.  Whatever fits is started, so a smaller task
+   may overtake a larger one of the same priority, but what a waiting task
+   needs is set aside from less urgent ones: else these would take each core
+   that becomes free, and a large urgent task would wait for all of them.
+   Orders carry times on the worker's clock, computed from its last reading; no
+   task is started when that reading is older than BW_CLOCK_STALE_US.
 
    Finding a task is one hash look-up.  A load report, which goes with every
    answer to a dispatcher, is a walk over all tasks, since it includes their
@@ -445,6 +447,9 @@
 BwWorkerTasks_StartQueued(BwSupervisor *s, uint64_t now_us)
 {
     BwWorkerTask *task, *next;
+    BwResources set_aside = {0}; /* for more urgent tasks */
+    BwResources waiting = {0};   /* needed by tasks of `priority` */
+    uint32_t priority = 0;
 
     if (!BwWorkerTasks_IsUsable(s, now_us) ||
         now_us - s->clock_read_us > BW_CLOCK_STALE_US)
@@ -453,11 +458,19 @@
     {
         BwResources left = s->capacity;
 
+        if (task->priority != priority) {
+            BwResources_Add(&set_aside, &waiting);
+            memset(&waiting, 0, sizeof(waiting));
+            priority = task->priority;
+        }
         BwResources_Subtract(&left, &s->used);
-        if (!may_start(s, now_us) ||
-            !BwResources_Fits(&task->resources, &left) ||
-            !BwWorkerTasks_IsInTime(s, now_us, task))
+        BwResources_Subtract(&left, &set_aside);
+        if (!may_start(s, now_us) || !BwWorkerTasks_IsInTime(s, now_us, task))
             continue;
+        if (!BwResources_Fits(&task->resources, &left)) {
+            BwResources_Add(&waiting, &task->resources);
+            continue;
+        }
         DL_DELETE(s->queue, task);
         count_unqueued(s, task);
         BwResources_Add(&s->used, &task->resources);
--- a/packages/core/workertasks.h
+++ b/packages/core/workertasks.h
@@ -103,7 +103,7 @@
                        const BwWorkerTask *task);
 
 /* Starts the queued tasks that fit, in the order of the queue; a smaller task
-   may overtake a larger one. */
+   may overtake a larger one of the same priority. */
 void
 BwWorkerTasks_StartQueued(BwSupervisor *supervisor, uint64_t now_us);
 
--- a/packages/emulator/labcounters.c
+++ b/packages/emulator/labcounters.c
@@ -170,6 +170,25 @@
     return count;
 }
 
+/* A job that is sent again may have run at its first attempt, so only the
+   classes whose callers send once are counted. */
+static uint32_t
+count_ran_though_refused(const BwLabResults *results,
+                         const BwLabOutcome *filter)
+{
+    const BwExperiment *experiment = results->runner->experiment;
+    uint32_t count = 0;
+
+    (void)filter;
+    for (uint32_t i = 0; i < results->run_count; i++) {
+        const BwLabJob *job = results->runs[i].job;
+
+        count += job != NULL && job->end == BW_LAB_REFUSED &&
+                 experiment->classes[job->job_class].resend_ms == 0;
+    }
+    return count;
+}
+
 static uint32_t
 count_lost_at_stop(const BwLabResults *results, const BwLabOutcome *filter)
 {
@@ -521,6 +540,9 @@
      count_starts_after_forbid},
     {"starts_after_drain", true, "starts on a worker that was draining",
      count_starts_after_drain},
+    {"ran_though_refused", true,
+     "runs of jobs whose callers were told that nothing had run",
+     count_ran_though_refused},
     {"lost_at_planned_stop", true,
      "answers lost by a dispatcher that was asked to stop",
      count_lost_at_stop},
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -774,6 +774,53 @@
     World_Finish(&w);
 }
 
+/* Small tasks of a less urgent class must not take what becomes free bit by
+   bit before a large urgent one. */
+static void
+test_no_overtaking(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), urgent;
+
+    World_Place(&w, peer,
+                &(PlaceRequest){
+                    .job = "a", .count = 3, .cpu = 1000, .run_us = 300000});
+    World_Run(&w, 50000);
+    urgent = World_Place(
+        &w, peer, &(PlaceRequest){.job = "b", .cpu = 2000, .run_us = 50000});
+    World_Place(&w, peer,
+                &(PlaceRequest){.job = "c",
+                                .count = 4,
+                                .cpu = 1000,
+                                .run_us = 2000000,
+                                .priority = 1});
+    World_Run(&w, 1000000);
+    g_assert_cmpuint(World_FindPlacement(&w, urgent)->kind, ==,
+                     BW_OUTCOME_DONE);
+    g_assert_cmpuint(g_array_index(w.start_order, uint32_t, 3), ==, urgent);
+    World_Run(&w, 5000000);
+    World_AssertEmpty(&w);
+    World_Finish(&w);
+}
+
+/* A smaller task of the same priority fills what is left. */
+static void
+test_filling(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), small;
+
+    World_Place(&w, peer,
+                &(PlaceRequest){.job = "a", .cpu = 3000, .run_us = 500000});
+    World_Run(&w, 50000);
+    World_Place(&w, peer, &(PlaceRequest){.job = "b", .cpu = 2000});
+    small = World_Place(&w, peer, &(PlaceRequest){.job = "c", .cpu = 1000});
+    World_Run(&w, 100000);
+    g_assert_cmpuint(w.start_order->len, ==, 2);
+    g_assert_cmpuint(g_array_index(w.start_order, uint32_t, 1), ==, small);
+    World_Finish(&w);
+}
+
 static void
 test_deadline(void)
 {
@@ -1400,6 +1447,8 @@
     g_test_add_func("/supervisor/duplicate", test_duplicate);
     g_test_add_func("/supervisor/suits", test_requirements);
     g_test_add_func("/supervisor/priority", test_priority);
+    g_test_add_func("/supervisor/no_overtaking", test_no_overtaking);
+    g_test_add_func("/supervisor/filling", test_filling);
     g_test_add_func("/supervisor/deadline", test_deadline);
     g_test_add_func("/supervisor/unhealthy", test_unhealthy);
     g_test_add_func("/supervisor/silent_queue", test_queue_of_lost_worker);
