A supervisor whose seeds do not answer finds the dispatchers by the store

Change: a supervisor without a connection for 30 ms reads the addresses that dispatchers keep on the store, once. Where its seeds answer nothing is read. Result: /bound/seeds_gone fails before (no dispatcher sees the worker) and passes now.

--- a/packages/daemon/mesh.c
+++ b/packages/daemon/mesh.c
@@ -304,6 +304,19 @@
              dispatcher);
 }
 
+void
+BwMesh_AddAddress(BwMesh *mesh, uint64_t now_us, BwSpan name, BwSpan address)
+{
+    char text[BW_ADDRESS_BYTES_MAX];
+    char host[BW_HOST_BYTES_MAX];
+    uint16_t port;
+
+    BwSpan_ToString(address, text, sizeof(text));
+    if (BwNet_SplitAddress(text, host, sizeof(host), &port))
+        BwMesh_AddDispatcher(mesh, now_us, name, BwSpan_FromString(host), port,
+                             false);
+}
+
 void
 BwMesh_SetSeeds(BwMesh *mesh, uint64_t now_us, const BwSettings *settings)
 {
--- a/packages/daemon/mesh.h
+++ b/packages/daemon/mesh.h
@@ -122,6 +122,11 @@
 BwMesh_AddDispatcher(BwMesh *mesh, uint64_t now_us, BwSpan name, BwSpan host,
                      uint32_t port, bool is_seed);
 
+/* The same for an address as text, as it stands on the store.  A malformed
+   one is ignored. */
+void
+BwMesh_AddAddress(BwMesh *mesh, uint64_t now_us, BwSpan name, BwSpan address);
+
 /* Replaces the seeds by those of the settings.  A previous seed is treated
    like other dispatchers: its address is dropped if it stays unreachable. */
 void
--- a/packages/daemon/routeconfig.c
+++ b/packages/daemon/routeconfig.c
@@ -137,14 +137,8 @@
 add_dispatcher(void *ctx, BwSpan name, BwSpan address)
 {
     BwRouteConfig *config = ctx;
-    char text[BW_ADDRESS_BYTES_MAX];
-    char host[BW_HOST_BYTES_MAX];
-    uint16_t port;
-
-    BwSpan_ToString(address, text, sizeof(text));
-    if (BwNet_SplitAddress(text, host, sizeof(host), &port))
-        BwMesh_AddDispatcher(&config->node->mesh, BwClock_Now(), name,
-                             BwSpan_FromString(host), port, false);
+
+    BwMesh_AddAddress(&config->node->mesh, BwClock_Now(), name, address);
 }
 
 static const BwStoreReaderEvents store_events = {on_store_config,
--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -32,6 +32,9 @@
 /* Time until a stop has taken effect, against worker_stop_ms. */
 #define STOP_PERMILLE 1200
 #define WORKER_CONNECTIONS 48
+/* A supervisor that is connected to no dispatcher for this time after its
+   start reads their addresses from the store. */
+#define SEEDS_ALONE_US 30000
 #define WORKER_REPLY_BYTES (4u * 1024 * 1024)
 
 typedef struct Role {
@@ -40,6 +43,8 @@
     BwHttpClient worker;
     BwSupervisor supervisor;
     BwWorkerRecord record;
+    BwKeptRecord dispatchers; /* their addresses; only read */
+    uint64_t started_us;
     uint64_t slowest_us; /* decaying maximum of order answer times */
 } Role;
 
@@ -241,6 +246,7 @@
 {
     Role *role = ctx;
 
+    BwKeptRecord_StopReading(&role->dispatchers);
     BwSupervisor_PeerUp(&role->supervisor, BwClock_Now(), link->id);
 }
 
@@ -263,6 +269,19 @@
 
 static const BwMeshEvents mesh_events = {on_up, on_down, on_received};
 
+/* The seeds may all be down, or start later than the others. */
+static void
+on_dispatchers_read(void *ctx, const BwStorePage *page)
+{
+    Role *role = ctx;
+
+    BW_LOG(&role->node->logger, BW_LOG_INFO, "dispatchers_read",
+           BW_LOG_NUMBER("count", page->record_count));
+    for (uint32_t i = 0; i < page->record_count; i++)
+        BwMesh_AddAddress(&role->node->mesh, BwClock_Now(),
+                          page->records[i].key, page->records[i].value);
+}
+
 /* --------------------------------------------------------------- role */
 
 static bool
@@ -283,11 +302,15 @@
         return false;
     role->node = node;
     node->role = role;
+    role->started_us = BwClock_Now();
     BwSupervisor_Init(&role->supervisor, &limits, &supervisor_port, role);
     if (!(BwMesh_Init(&node->mesh, node->event_loop.loop, settings,
                       &node->logger, node->incarnation, &mesh_events, role) &&
           BwWorkerRecord_Init(&role->record, node->event_loop.loop, settings,
                               node->driver, on_recalled, role) &&
+          BwKeptRecord_Init(&role->dispatchers, node->event_loop.loop,
+                            settings, node->driver, BW_TOPIC_DISPATCHERS, "",
+                            on_dispatchers_read, role) &&
           BwHttpClient_Init(&role->worker, node->event_loop.loop,
                             settings->worker.host,
                             (uint16_t)settings->worker.port,
@@ -308,6 +331,8 @@
 
     BwHttpClient_Tick(&role->worker, now_us);
     BwWorkerRecord_Tick(&role->record, now_us);
+    if (now_us - role->started_us >= SEEDS_ALONE_US)
+        BwKeptRecord_Tick(&role->dispatchers, now_us);
     BwSupervisor_Tick(&role->supervisor, now_us);
 }
 
@@ -336,6 +361,7 @@
 
     BwHttpClient_Finish(&role->worker);
     BwWorkerRecord_Finish(&role->record);
+    BwKeptRecord_Finish(&role->dispatchers);
     BwSupervisor_Finish(&role->supervisor);
 }
 
--- a/tests/test_bound.c
+++ b/tests/test_bound.c
@@ -18,6 +18,7 @@
 #define WAIT_US 30000000
 #define LONG_TARGET_MS 20000
 #define CALLS 24
+#define CLOSED_PORT 1 /* nobody listens there */
 
 static BoundFleet fleet;
 static bool is_up;
@@ -410,6 +411,28 @@
     check_invariants();
 }
 
+/* None of the dispatchers that the settings of a supervisor name answers; it
+   finds the others by the store. */
+static void
+test_seeds_gone(void)
+{
+    uint32_t ports[BOUND_DISPATCHERS];
+
+    set_up();
+    Fleet_Signal(&fleet.supervisors[0], SIGKILL);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS - 1);
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++) {
+        ports[i] = fleet.peer_ports[i];
+        fleet.peer_ports[i] = CLOSED_PORT;
+    }
+    BoundFleet_StartSupervisor(&fleet, 0);
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++)
+        fleet.peer_ports[i] = ports[i];
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    complete_job(0, 16);
+    check_invariants();
+}
+
 static void
 test_supervisor_killed(void)
 {
@@ -1149,6 +1172,7 @@
         {"/bound/forgotten_history", test_forgotten_history},
         {"/bound/dispatcher_killed", test_dispatcher_killed},
         {"/bound/supervisor_killed", test_supervisor_killed},
+        {"/bound/seeds_gone", test_seeds_gone},
         {"/bound/dispatcher_frozen", test_dispatcher_frozen},
         {"/bound/supervisor_frozen", test_supervisor_frozen},
         {"/bound/supervisor_restarted", test_supervisor_restarted},
