Keep classes apart by service, and find workers near the data in a large fleet

Change: the records of classes are kept by service and dropped with its last route; the comparison ends early only at a worker near the data.

--- a/packages/core/boundplace.c
+++ b/packages/core/boundplace.c
@@ -6,10 +6,10 @@
    together or not at all.
 
    Workers are compared from a random one on.  The comparison ends after
-   BW_COMPARED_MAX of them when one has free resources, and after
-   BW_COMPARED_FULL_MAX when one could run the task at all.  The best of a
-   sample this large is nearly as good as the best of all, and a task of which
-   only few workers have the label is still compared at every one.
+   BW_COMPARED_MAX of them when one near the task's data has free resources,
+   and after BW_COMPARED_FULL_MAX when one could run the task at all.  The best
+   of a sample this large is nearly as good as the best of all, and a task of
+   which only few workers have the label is still compared at every one.
 
    dispatcher.c calls this when a job arrives and when tasks are requeued or
    their earlier steps are done.
@@ -56,7 +56,7 @@
     if (compared >= BW_COMPARED_FULL_MAX && eligible > 0)
         return true;
     return compared >= BW_COMPARED_MAX && best->end_us != BW_NEVER_US &&
-           best->wait_us == 0;
+           best->wait_us == 0 && !best->is_far;
 }
 
 /* Returns the view with the least cost for the task, or NULL when the task can
--- a/packages/core/classadmission.c
+++ b/packages/core/classadmission.c
@@ -1,6 +1,9 @@
 /* classadmission.c -- room for urgent jobs under a lasting overload, see
    classadmission.h */
 
+#include <stdlib.h>
+#include <string.h>
+
 #include "classadmission.h"
 
 #define INTERVAL_US 100000
@@ -18,6 +21,60 @@
 /* After so many intervals without a call everything is as at the start. */
 #define INTERVALS_MAX 200
 
+/* --------------------------------------------------------------- table */
+
+BwClassAdmission *
+BwClassAdmission_Of(BwClassAdmission **table, const char *service)
+{
+    BwClassAdmission *admission;
+
+    HASH_FIND_STR(*table, service, admission);
+    if (admission != NULL)
+        return admission;
+    admission = calloc(1, sizeof(*admission));
+    if (admission == NULL)
+        return NULL;
+    strncpy(admission->service, service, sizeof(admission->service) - 1);
+    HASH_ADD_STR(*table, service, admission);
+    return admission;
+}
+
+void
+BwClassAdmission_Keep(BwClassAdmission **table, const BwRoutes *routes)
+{
+    BwClassAdmission *admission, *next;
+
+    for (const BwRoute *route = routes->table; route != NULL;
+         route = route->hh.next) {
+        HASH_FIND_STR(*table, route->service, admission);
+        if (admission != NULL)
+            admission->is_kept = true;
+    }
+    HASH_ITER(hh, *table, admission, next)
+    {
+        if (!admission->is_kept) {
+            HASH_DEL(*table, admission);
+            free(admission);
+            continue;
+        }
+        admission->is_kept = false;
+    }
+}
+
+void
+BwClassAdmission_Finish(BwClassAdmission **table)
+{
+    BwClassAdmission *admission, *next;
+
+    HASH_ITER(hh, *table, admission, next)
+    {
+        HASH_DEL(*table, admission);
+        free(admission);
+    }
+}
+
+/* ------------------------------------------------------------- classes */
+
 static uint32_t
 class_of(uint32_t priority)
 {
@@ -85,9 +142,12 @@
 BwClassAdmission_Record(BwClassAdmission *admission, uint64_t now_us,
                         uint32_t priority, bool is_bad)
 {
-    BwClassRecord *record = &admission->classes[class_of(priority)];
+    BwClassRecord *record;
 
+    if (admission == NULL)
+        return;
     update(admission, now_us);
+    record = &admission->classes[class_of(priority)];
     record->milli_jobs += 1000;
     record->milli_bad += is_bad ? 1000 : 0;
 }
@@ -96,6 +156,8 @@
 BwClassAdmission_WaitPermille(BwClassAdmission *admission, uint64_t now_us,
                               uint32_t priority)
 {
+    if (admission == NULL)
+        return WHOLE_PERMILLE;
     update(admission, now_us);
     return admission->classes[class_of(priority)].wait_permille;
 }
--- a/packages/core/classadmission.h
+++ b/packages/core/classadmission.h
@@ -14,9 +14,10 @@
    Afterwards the waits grow again in equal steps.  They keep a least share, so
    that no class starves, and a burst of a second changes them little.
 
-   Each dispatcher measures its own jobs; callers are spread over the
-   dispatchers, so all of them see the same overload.  The load pattern is
-   replayed by test_overload.c.
+   Each dispatcher measures its own jobs, of each service by itself, since
+   services have workers of their own; callers are spread over the dispatchers,
+   so all of them see the same overload.  The load pattern is replayed by
+   test_overload.c.
 
    dispatcher.c records how jobs end and asks for the share of each new one.
 */
@@ -24,8 +25,9 @@
 #ifndef BW_CLASSADMISSION_H
 #define BW_CLASSADMISSION_H
 
-#include <stdbool.h>
-#include <stdint.h>
+#include <uthash.h>
+
+#include "routes.h"
 
 /* Priorities from the last class on share that class. */
 #define BW_JOB_CLASSES 8
@@ -36,11 +38,27 @@
     uint32_t wait_permille;
 } BwClassRecord;
 
+/* The classes of one service. */
 typedef struct BwClassAdmission {
+    char service[BW_NAME_BYTES_MAX];
     BwClassRecord classes[BW_JOB_CLASSES];
     uint64_t updated_us; /* 0: never */
+    bool is_kept;        /* scratch of BwClassAdmission_Keep */
+    UT_hash_handle hh;
 } BwClassAdmission;
 
+/* Returns the classes of a service, added to the table if they are new; NULL
+   when memory is short.  The functions below accept NULL. */
+BwClassAdmission *
+BwClassAdmission_Of(BwClassAdmission **table, const char *service);
+
+/* Drops the classes of all services that no route names. */
+void
+BwClassAdmission_Keep(BwClassAdmission **table, const BwRoutes *routes);
+
+void
+BwClassAdmission_Finish(BwClassAdmission **table);
+
 /* Records that a job has ended.  Jobs that could not have been served well at
    any load are not to be recorded. */
 void
--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -112,8 +112,9 @@
         job->arrived_us + job->expected_us > job->due_us ||
         (end == BW_BOUND_REFUSED && job->late_us == 0))
         return;
-    BwClassAdmission_Record(&d->class_admission, now_us, job->priority,
-                            is_bad);
+    BwClassAdmission_Record(
+        BwClassAdmission_Of(&d->class_admissions, job->service), now_us,
+        job->priority, is_bad);
 }
 
 static void
@@ -151,7 +152,8 @@
     d->counters.failed += end == BW_BOUND_FAILED;
     d->counters.refused += end == BW_BOUND_REFUSED;
     d->counters.expired += end == BW_BOUND_EXPIRED;
-    if (end == BW_BOUND_REFUSED && job->wait_permille < 1000)
+    if (end == BW_BOUND_REFUSED && job->wait_permille < 1000 &&
+        job->late_us > 0)
         reason = "more urgent jobs are served badly, and no worker can end "
                  "it soon enough";
     record_class(d, now_us, job, end);
@@ -394,8 +396,9 @@
                                                BwJobObjective_DeclaredUs(job));
     job->due_us =
         now_us - waited_us + BwJobObjective_LatencyUs(job, job->expected_us);
-    job->wait_permille = BwClassAdmission_WaitPermille(&d->class_admission,
-                                                       now_us, job->priority);
+    job->wait_permille = BwClassAdmission_WaitPermille(
+        BwClassAdmission_Of(&d->class_admissions, job->service), now_us,
+        job->priority);
     job->ref = ++d->last_ref;
     return job;
 }
@@ -569,5 +572,6 @@
         free(view);
     }
     free(d->view_table);
+    BwClassAdmission_Finish(&d->class_admissions);
     BwRouteStats_Finish(&d->route_stats);
 }
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -230,8 +230,8 @@
     /* Hash of the connected views by connection. */
     BwSupervisorView *views_by_peer;
     BwRouteStats *route_stats;
-    BwClassAdmission class_admission;
-    BwRandom random; /* of the workers that are compared */
+    BwClassAdmission *class_admissions; /* hash by service */
+    BwRandom random;                    /* of the workers that are compared */
     BwTaskIndex place_tasks[BW_JOB_TASKS_MAX]; /* of the PLACE being sent */
     uint64_t last_ref;
     uint64_t last_link_generation;
--- a/packages/core/forecast.c
+++ b/packages/core/forecast.c
@@ -35,7 +35,7 @@
 BwForecast
 BwForecast_None(void)
 {
-    BwForecast none = {0, 0, BW_NEVER_US, BW_NEVER_US};
+    BwForecast none = {0, 0, BW_NEVER_US, BW_NEVER_US, true};
 
     return none;
 }
@@ -112,7 +112,8 @@
                                      : RELEASE_MIN_US);
     forecast.wait_us = forecast.report_us * expected->wait_permille / 1000;
     run_us = expected->run_us * view_pace(view) / BW_PACE_MEAN_PERMILLE;
-    if (!view_has_label(view, step->affinity))
+    forecast.is_far = !view_has_label(view, step->affinity);
+    if (forecast.is_far)
         run_us = run_us * AFFINITY_MISS_PERMILLE / 1000;
     used_milli = view->capacity.cpu_milli - left.cpu_milli;
     forecast.end_us = now_us + forecast.wait_us + run_us;
--- a/packages/core/forecast.h
+++ b/packages/core/forecast.h
@@ -30,6 +30,7 @@
     uint64_t wait_us;   /* the same times the ratio learnt for the route */
     uint64_t end_us;    /* BW_NEVER_US when the worker is not eligible */
     uint64_t cost_us;   /* wait, run time and a penalty for load */
+    bool is_far;        /* the worker lacks the step's affinity label */
 } BwForecast;
 
 /* Returns the expected run time of the step's tasks on a worker of mean
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -83,6 +83,7 @@
     Role *role = ctx;
 
     BwRouteStats_Keep(&role->dispatcher.route_stats, routes);
+    BwClassAdmission_Keep(&role->dispatcher.class_admissions, routes);
 }
 
 /* ------------------------------------------------------------ callers */
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -1507,7 +1507,9 @@
     f.route.stretch_permille = 1000;
     g_assert_cmpuint(submit_simple(&f, 1, 1000), !=, 0);
     for (uint32_t i = 0; i < 40; i++) {
-        BwClassAdmission_Record(&f.d.class_admission, f.now_us, 0, true);
+        BwClassAdmission_Record(
+            BwClassAdmission_Of(&f.d.class_admissions, "service"), f.now_us, 0,
+            true);
         f.now_us += 100000;
     }
     send_session(&f, 1, 1, 0);
@@ -1520,6 +1522,72 @@
     tear_down(&f);
 }
 
+/* The workers of one service are of no use to another one. */
+static void
+test_waits_yield_by_service(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    connect_worker(&f, 1, "a");
+    send_session(&f, 1, 0, 0);
+    f.route.priority = 2;
+    f.route.stretch_permille = 1000;
+    for (uint32_t i = 0; i < 40; i++) {
+        BwClassAdmission_Record(
+            BwClassAdmission_Of(&f.d.class_admissions, "other"), f.now_us, 0,
+            true);
+        f.now_us += 100000;
+    }
+    send_session(&f, 1, 0, 0);
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), !=, 0);
+    assert_waits(&f, 0);
+    tear_down(&f);
+}
+
+/* Classes of services that the configuration does not name any more go. */
+static void
+test_classes_gone(void)
+{
+    BwRouteRow row = {.name = span("r"),
+                      .host = span("h"),
+                      .prefix = span("/"),
+                      .service = span("kept")};
+    BwRouteRows rows = {.rows = &row, .row_count = 1};
+    BwClassAdmission *table = NULL;
+    BwRoutes routes;
+
+    g_assert_true(BwRoutes_Init(&routes, &rows));
+    BwClassAdmission_Of(&table, "kept");
+    BwClassAdmission_Of(&table, "gone");
+    BwClassAdmission_Keep(&table, &routes);
+    g_assert_cmpuint(HASH_COUNT(table), ==, 1);
+    g_assert_cmpstr(table->service, ==, "kept");
+    BwClassAdmission_Finish(&table);
+    g_assert_null(table);
+    g_assert_cmpuint(BwClassAdmission_WaitPermille(NULL, 1, 2), ==, 1000);
+    BwRoutes_Finish(&routes);
+}
+
+/* A worker near the data is found among many that are not. */
+static void
+test_near_worker(void)
+{
+    Fixture f;
+    BwBoundStep step = make_step(1, 1000);
+    uint64_t ref;
+
+    set_up(&f);
+    connect_many(&f, 200);
+    connect_labelled(&f, 201, "near", "near");
+    step.affinity = span("near");
+    for (uint32_t i = 0; i < 4; i++) {
+        ref = submit(&f, &step, 1);
+        g_assert_cmpuint(placed_at(&f, 201, ref), ==, 1);
+    }
+    tear_down(&f);
+}
+
 static void
 test_class_admission(void)
 {
@@ -1613,6 +1681,9 @@
     ADD(too_many_tasks);
     ADD(table_of_views);
     ADD(waits_yield);
+    ADD(waits_yield_by_service);
+    ADD(classes_gone);
+    ADD(near_worker);
     ADD(class_admission);
 #undef ADD
     return g_test_run();
