--- a/tests/test_lab.c
+++ b/tests/test_lab.c
@@ -30,7 +30,8 @@
     uint64_t peak_cpu;
     const char *connection_end; /* the connection started at 0 */
     uint64_t connection_end_us;
-    BwLabEnd end; /* of the job, which was sent at started_us */
+    BwLabEnd end;       /* of the job, which was sent at started_us */
+    uint32_t resend_ms; /* of the job's class */
     uint32_t crashes;
     uint64_t end_us;
 } RuleCase;
@@ -83,6 +84,11 @@
      .ended_us = 1700 * US_PER_MS},
     {"outlived_caller", 1, .end = BW_LAB_GAVE_UP, .end_us = 500 * US_PER_MS,
      .ended_us = 1900 * US_PER_MS},
+    {"ran_though_refused", 0, .end = BW_LAB_COMPLETED, .ended_us = 1},
+    {"ran_though_refused", 1, .end = BW_LAB_REFUSED, .ended_us = 1},
+    /* It may have run when it was sent first. */
+    {"ran_though_refused", 0, .end = BW_LAB_REFUSED, .resend_ms = 300,
+     .ended_us = 1},
 };
 
 static json_t *
@@ -123,7 +129,7 @@
 static void
 check_case(const RuleCase *c)
 {
-    BwLabClass job_class = {.name = "daily"};
+    BwLabClass job_class = {.name = "daily", .resend_ms = c->resend_ms};
     BwExperiment experiment = {.classes = &job_class, .class_count = 1};
     BwLabFault fault = {.action = (uint32_t)c->action};
     BwLabInjectedFault injected = {&fault, FAULT_US};
@@ -171,7 +177,7 @@
         g_assert_true(is_covered);
         rule_count += counter->is_rule;
     }
-    g_assert_cmpuint(rule_count, ==, 10);
+    g_assert_cmpuint(rule_count, ==, 11);
 }
 
 /* ----------------------------------------------------------- experiment */
