--- a/tests/load_plans.h
+++ b/tests/load_plans.h
@@ -10,7 +10,7 @@
 
 #include "bound_load.h"
 
-/* Seven tenths of the capacity, and for 4 s 1.3 to 2.3 times as much. */
+/* About 0.78 of the capacity, and for 4 s 1.3 to 1.5 times as much. */
 LoadPlan
 LoadPlan_Burst(uint32_t dispatchers, uint32_t workers);
 
