--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -19,6 +19,7 @@
 #include "httpserver.h"
 #include "jobjson.h"
 #include "log.h"
+#include "loopwatch.h"
 #include "peers.h"
 #include "settings.h"
 #include "tls.h"
@@ -50,6 +51,7 @@
     BwSettings settings;
     BwLogger logger;
     BwEventLoop event_loop; /* event loop of the main thread */
+    BwLoopWatch loop_watch;
     BwDirectory directory;
     BwPeers peers;
     BwHttpServer http;
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -141,6 +141,7 @@
     ADD("brasswing_ring_agents", "Agents of the ring", BW_GAUGE,
         daemon->ring.agent_count);
 #undef ADD
+    n = BwLoopWatch_Counters(&daemon->loop_watch, counters, n, COUNTERS_MAX);
     BwDaemon_ReplyCounters(exchange, counters, n);
 }
 
@@ -350,6 +351,8 @@
 {
     BwDaemon *daemon = ctx;
 
+    BwLoopWatch_Tick(&daemon->loop_watch, &daemon->logger, BwClock_Now(),
+                     BwClock_WallNow());
     tick_tls(daemon);
     daemon->ops->on_tick(daemon, BwClock_Now());
     BwConfigFetch_Tick(&daemon->config_fetch, daemon, BwClock_Now());
--- a/packages/daemon/node.c
+++ b/packages/daemon/node.c
@@ -61,6 +61,7 @@
     ADD("brasswing_resident_bytes", "Resident memory", BW_GAUGE,
         BwCounters_ResidentBytes());
 #undef ADD
+    n = BwLoopWatch_Counters(&node->loop_watch, counters, n, COUNTERS_MAX);
     BwDaemon_ReplyCounters(exchange, counters, n);
 }
 
@@ -203,6 +204,8 @@
     BwNode *node = &process->node;
     uint64_t now_us = BwClock_Now();
 
+    BwLoopWatch_Tick(&node->loop_watch, &node->logger, now_us,
+                     BwClock_WallNow());
     tick_settings(process, now_us);
     BwMesh_Tick(&node->mesh, now_us);
     node->ops->tick(node, now_us);
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -19,6 +19,7 @@
 #include "httpclient.h"
 #include "httpserver.h"
 #include "log.h"
+#include "loopwatch.h"
 #include "mesh.h"
 #include "settings.h"
 
@@ -49,6 +50,7 @@
     BwSettings settings;
     BwLogger logger;
     BwEventLoop event_loop;
+    BwLoopWatch loop_watch;
     const BwDriver *driver;
     const BwNodeOps *ops;
     BwMesh mesh;
--- a/packages/daemon/routeconfig.c
+++ b/packages/daemon/routeconfig.c
@@ -82,6 +82,11 @@
         driver->release(rows.memory);
         return;
     }
+    if (rows.revision < config->routes.revision)
+        BW_LOG(logger, BW_LOG_INFO, "config_older",
+               BW_LOG_NUMBER("revision", rows.revision),
+               BW_LOG_NUMBER("in_force", config->routes.revision),
+               BW_LOG_TEXT("from", from));
     copy = malloc(text.size_bytes + 1);
     if (rows.revision <= config->routes.revision || copy == NULL ||
         !BwRoutes_Init(&routes, &rows)) {
