Let the event loop tick on when the wall clock is set back

Cause: h2o takes the time of its timers from the wall clock. The tick of the event loop, in which reads of the store, timeouts and renewals start, was such a timer: once the clock was set back, or ahead and right again, no tick came until it had caught up, while messages were still handled. The dispatcher read the answer of its last poll and sent no further one.

The loop compares its tick with the monotonic clock, which is not set, and restarts the timer when it is late; its time then is that of the clock that was set.

--- a/packages/adapters/eventloop.c
+++ b/packages/adapters/eventloop.c
@@ -2,8 +2,12 @@
 
 #include <string.h>
 
+#include "clock.h"
 #include "eventloop.h"
 
+/* A tick that has not come by then is not merely late. */
+#define OVERDUE_US (2 * BW_EVENT_LOOP_TICK_MS * 1000)
+
 static void
 on_messages(h2o_multithread_receiver_t *receiver, h2o_linklist_t *messages)
 {
@@ -19,6 +23,14 @@
     }
 }
 
+static void
+start_timer(BwEventLoop *event_loop)
+{
+    event_loop->overdue_us = BwClock_Now() + OVERDUE_US;
+    h2o_timeout_link(event_loop->loop, &event_loop->tick,
+                     &event_loop->tick_entry);
+}
+
 static void
 on_tick(h2o_timeout_entry_t *entry)
 {
@@ -26,8 +38,17 @@
         H2O_STRUCT_FROM_MEMBER(BwEventLoop, tick_entry, entry);
 
     event_loop->events->on_tick(event_loop->ctx);
-    h2o_timeout_link(event_loop->loop, &event_loop->tick,
-                     &event_loop->tick_entry);
+    start_timer(event_loop);
+}
+
+/* Ticks if the timer is late, as after the wall clock was set back. */
+static void
+check_timer(BwEventLoop *event_loop)
+{
+    if (BwClock_Now() < event_loop->overdue_us)
+        return;
+    h2o_timeout_unlink(&event_loop->tick_entry);
+    on_tick(&event_loop->tick_entry);
 }
 
 void
@@ -44,15 +65,16 @@
     h2o_timeout_init(event_loop->loop, &event_loop->tick,
                      BW_EVENT_LOOP_TICK_MS);
     event_loop->tick_entry.cb = on_tick;
-    h2o_timeout_link(event_loop->loop, &event_loop->tick,
-                     &event_loop->tick_entry);
+    start_timer(event_loop);
 }
 
 void
 BwEventLoop_Run(BwEventLoop *event_loop)
 {
-    while (!atomic_load(&event_loop->is_stopping))
+    while (!atomic_load(&event_loop->is_stopping)) {
         h2o_evloop_run(event_loop->loop, BW_EVENT_LOOP_TICK_MS);
+        check_timer(event_loop);
+    }
 }
 
 static void *
--- a/packages/adapters/eventloop.h
+++ b/packages/adapters/eventloop.h
@@ -5,6 +5,11 @@
    threads share nothing and send each other messages instead, so callbacks
    need no locks.  The tick replaces a timer for each deadline, at the cost of
    a delay of up to BW_EVENT_LOOP_TICK_MS.
+
+   H2o's timers follow the wall clock: once it is set back, they wait until it
+   has caught up.  The loop therefore compares its tick with the monotonic
+   clock and restarts a timer that is late.  The timers inside h2o only close
+   idle connections; nothing else may depend on a timer of h2o alone.
 */
 
 #ifndef BW_EVENTLOOP_H
@@ -39,6 +44,7 @@
     h2o_multithread_receiver_t receiver;
     h2o_timeout_t tick;
     h2o_timeout_entry_t tick_entry;
+    uint64_t overdue_us; /* the tick should have come long before */
     const BwLoopEvents *events;
     void *ctx;
     pthread_t thread;
