Apply a change that an older text follows in the same answer

Where a dispatcher reads both in one answer, as after a silence of the store, it looked only at the last record, passed it over since it was older, and read on behind both: the change was never in force there unless another dispatcher announced it.

All records of an answer are now tried, newest first, until one is put into force; usually that is the first, so a burst of changes still costs one text. test_storereader /storereader/older-after-newer failed before (revision 2 in place of 3).

--- a/packages/daemon/storereader.c
+++ b/packages/daemon/storereader.c
@@ -96,18 +96,20 @@
     reader->is_up = true;
 }
 
+/* An append that was carried out late may have put an older text after the
+   newest one. */
 static void
 deliver_config(BwStoreReader *reader, const BwStorePage *page)
 {
     BwSpan key = reader->driver->config_key();
-    const BwStoreRecord *newest = NULL;
 
-    for (uint32_t i = 0; i < page->record_count; i++) {
-        if (BwSpan_Equal(page->records[i].key, key))
-            newest = &page->records[i];
+    for (uint32_t i = page->record_count; i > 0; i--) {
+        const BwStoreRecord *record = &page->records[i - 1];
+
+        if (BwSpan_Equal(record->key, key) && record->value.size_bytes > 0 &&
+            reader->events->on_config(reader->ctx, record->value))
+            return;
     }
-    if (newest != NULL && newest->value.size_bytes > 0)
-        reader->events->on_config(reader->ctx, newest->value);
 }
 
 static void
--- a/tests/test_storereader.c
+++ b/tests/test_storereader.c
@@ -1,9 +1,14 @@
-/* test_storereader.c -- a configuration that takes long to arrive
+/* test_storereader.c -- a configuration that takes long to arrive, or arrives
+   beside an older one
 
    Over a thin link the answer with a large configuration takes longer than a
    read of a silent store may.  Guards against giving it up while it arrives:
    the next read gets no further, and its bytes keep the link busy.
 
+   An append without an answer may be carried out late, after a newer one.
+   Guards against a change that is passed over since an older text follows it
+   in the same answer.
+
    The store of the driver has one record.  The reader is given simulated time;
    only messages are waited for.
 */
@@ -24,7 +29,9 @@
 typedef struct World {
     BwStoreReader reader;
     PartServer server;
+    uint32_t text_bytes;
     uint32_t configs; /* delivered by the reader */
+    char revision;    /* in force */
 } World;
 
 /* ------------------------------------------------------------- driver */
@@ -54,6 +61,33 @@
     return true;
 }
 
+static bool
+make_read(BwStoreTopic topic, uint64_t from, uint32_t wait_ms,
+          BwHttpRequest *call)
+{
+    (void)from;
+    (void)wait_ms;
+    return make_newest(topic, BwSpan_FromString(""), call);
+}
+
+/* One record for each byte of the body. */
+static bool
+read_page(uint64_t from, BwSpan body, BwStorePage *page)
+{
+    static BwStoreRecord records[PARTS];
+
+    memset(page, 0, sizeof(*page));
+    page->records = records;
+    for (uint32_t i = 0; i < body.size_bytes && i < PARTS; i++) {
+        BwStoreRecord *record = &records[page->record_count++];
+
+        record->key = BwSpan_FromString("config");
+        record->value = (BwSpan){body.base + i, 1};
+    }
+    page->end = from + page->record_count;
+    return true;
+}
+
 static BwSpan
 config_key(void)
 {
@@ -68,6 +102,8 @@
 
 static const BwDriver driver = {.make_newest = make_newest,
                                 .read_newest = read_newest,
+                                .make_read = make_read,
+                                .read_page = read_page,
                                 .config_key = config_key,
                                 .release = release};
 
@@ -83,13 +119,18 @@
 
 /* ------------------------------------------------------------- reader */
 
-static void
+/* The revision of a text is its first byte. */
+static bool
 on_config(void *ctx, BwSpan text)
 {
     World *world = ctx;
 
-    g_assert_cmpuint(text.size_bytes, ==, PARTS);
+    g_assert_cmpuint(text.size_bytes, ==, world->text_bytes);
     world->configs++;
+    if (text.base[0] <= world->revision)
+        return false;
+    world->revision = text.base[0];
+    return true;
 }
 
 static void
@@ -103,22 +144,38 @@
 static const BwStoreReaderEvents events = {on_config, on_dispatcher};
 
 static void
-test_answer_in_parts(void)
+init(World *world, uint32_t text_bytes)
 {
     static BwSettings settings;
     static BwLogger logger = {
         .fd = STDERR_FILENO, .level = BW_LOG_ERROR, .name = "d"};
-    World world = {0};
     h2o_loop_t *loop = h2o_evloop_create();
-    uint64_t now_us = BwClock_Now();
-    uint64_t step_us;
 
-    PartServer_Init(&world.server, loop);
+    memset(world, 0, sizeof(*world));
+    world->text_bytes = text_bytes;
+    PartServer_Init(&world->server, loop);
     strcpy(settings.log.host, "127.0.0.1");
-    settings.log.port = world.server.port;
+    settings.log.port = world->server.port;
     settings.limits.config_apply_ms = 2000;
-    g_assert_true(BwStoreReader_Init(&world.reader, loop, &settings, &logger,
-                                     &driver, &events, &world));
+    g_assert_true(BwStoreReader_Init(&world->reader, loop, &settings, &logger,
+                                     &driver, &events, world));
+}
+
+static void
+finish(World *world)
+{
+    BwStoreReader_Finish(&world->reader);
+    PartServer_Finish(&world->server);
+}
+
+static void
+test_answer_in_parts(void)
+{
+    World world;
+    uint64_t now_us = BwClock_Now();
+    uint64_t step_us;
+
+    init(&world, PARTS);
     BwStoreReader_Tick(&world.reader, now_us);
     PartServer_ReceiveRequest(&world.server);
     PartServer_Send(&world.server,
@@ -134,8 +191,49 @@
     }
     g_assert_cmpuint(world.configs, ==, 1);
     g_assert_true(world.reader.has_config);
-    BwStoreReader_Finish(&world.reader);
-    PartServer_Finish(&world.server);
+    finish(&world);
+}
+
+/* Reads a page of the records, one byte each, while revision 2 is in force. */
+static void
+read_records(World *world, const char *records)
+{
+    char head[64];
+
+    init(world, 1);
+    world->revision = '2';
+    world->reader.has_config = true;
+    world->reader.has_dispatchers = true;
+    world->reader.is_announced = true;
+    BwStoreReader_Tick(&world->reader, BwClock_Now());
+    PartServer_ReceiveRequest(&world->server);
+    g_snprintf(head, sizeof(head),
+               "HTTP/1.1 200 OK\r\ncontent-length: %zu\r\n\r\n",
+               strlen(records));
+    PartServer_Send(&world->server, head);
+    PartServer_Send(&world->server, records);
+}
+
+static void
+test_older_after_newer(void)
+{
+    World world;
+
+    read_records(&world, "321");
+    g_assert_cmpint(world.revision, ==, '3');
+    finish(&world);
+}
+
+/* A burst of changes is not read one by one. */
+static void
+test_newest_only(void)
+{
+    World world;
+
+    read_records(&world, "3456");
+    g_assert_cmpint(world.revision, ==, '6');
+    g_assert_cmpuint(world.configs, ==, 1);
+    finish(&world);
 }
 
 int
@@ -143,5 +241,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/storereader/answer-in-parts", test_answer_in_parts);
+    g_test_add_func("/storereader/older-after-newer", test_older_after_newer);
+    g_test_add_func("/storereader/newest-only", test_newest_only);
     return g_test_run();
 }
