--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -837,6 +837,54 @@
     tear_down(&f);
 }
 
+static bool has_memory = true;
+
+void *
+__real_malloc(size_t size);
+void *
+__real_calloc(size_t count, size_t size);
+void *
+__wrap_malloc(size_t size);
+void *
+__wrap_calloc(size_t count, size_t size);
+
+/* The linker replaces the calls of the dispatcher by these. */
+void *
+__wrap_malloc(size_t size)
+{
+    return has_memory ? __real_malloc(size) : NULL;
+}
+
+void *
+__wrap_calloc(size_t count, size_t size)
+{
+    return has_memory ? __real_calloc(count, size) : NULL;
+}
+
+/* Tasks that are handed back without memory are sent elsewhere: none counts as
+   placed that no supervisor was told of. */
+static void
+test_placed_without_memory(void)
+{
+    Fixture f;
+    uint64_t ref;
+
+    set_up(&f);
+    connect_worker(&f, 1, "s-1");
+    ref = submit_simple(&f, 3, 1000);
+    g_assert_cmpuint(placed_at(&f, 1, ref), ==, 3);
+    connect_worker(&f, 2, "s-2");
+    has_memory = false;
+    for (uint32_t i = 0; i < 3; i++)
+        send_outcome(&f, 1, ref, 0, i, BW_OUTCOME_NOT_RUN);
+    BwDispatcher_Tick(&f.d, f.now_us);
+    has_memory = true;
+    g_assert_cmpuint(f.d.counters.placed, ==, 6);
+    g_assert_cmpuint(count_sent(&f, BW_MSG_PLACE, 0, ref), ==, 6);
+    g_assert_cmpuint(placed_at(&f, 2, ref), ==, 3);
+    tear_down(&f);
+}
+
 /* A job whose task was only declined is refused, not failed. */
 static void
 test_declined(void)
@@ -1657,6 +1705,7 @@
     ADD(failed_stops_others);
     ADD(failed_alone);
     ADD(declined);
+    ADD(placed_without_memory);
     ADD(ejected);
     ADD(probed);
     ADD(one_worker_not_ejected);
