Look at all texts of an answer

After a silence of the store an answer may hold 4 and, written late, 3: with 2 in force, 3 was put into force and 4 was read past.

All texts of an answer are offered, the last one first. In the usual order it is the newest and the others change nothing but cost their parsing; one page is 1 MB at most. config_older is a debug line now, since each such text writes it. test_storereader has pages in five orders, and a burst whose middle revisions are never in force.

--- a/packages/daemon/routeconfig.c
+++ b/packages/daemon/routeconfig.c
@@ -64,8 +64,8 @@
 /* --------------------------------------------------------------- force */
 
 /* Puts a configuration into force if its revision is newer.  `from` names its
-   source for the log.  Returns whether it was put into force. */
-static bool
+   source for the log. */
+static void
 apply_text(BwRouteConfig *config, BwSpan text, const char *from)
 {
     const BwLogger *logger = &config->node->logger;
@@ -80,10 +80,10 @@
         BW_LOG(logger, BW_LOG_ERROR, "config_refused",
                BW_LOG_TEXT("fault", fault), BW_LOG_TEXT("from", from));
         driver->release(rows.memory);
-        return false;
+        return;
     }
     if (rows.revision < config->routes.revision)
-        BW_LOG(logger, BW_LOG_INFO, "config_older",
+        BW_LOG(logger, BW_LOG_DEBUG, "config_older",
                BW_LOG_NUMBER("revision", rows.revision),
                BW_LOG_NUMBER("in_force", config->routes.revision),
                BW_LOG_TEXT("from", from));
@@ -92,7 +92,7 @@
         !BwRoutes_Init(&routes, &rows)) {
         driver->release(rows.memory);
         free(copy);
-        return false;
+        return;
     }
     driver->release(rows.memory);
     memcpy(copy, text.base, text.size_bytes);
@@ -108,7 +108,6 @@
            BW_LOG_TEXT("from", from));
     message = make_announcement(config);
     BwMesh_BroadcastToDispatchers(&config->node->mesh, &message);
-    return true;
 }
 
 bool
@@ -133,10 +132,10 @@
 
 /* --------------------------------------------------------------- store */
 
-static bool
+static void
 on_store_config(void *ctx, BwSpan text)
 {
-    return apply_text(ctx, text, "store");
+    apply_text(ctx, text, "store");
 }
 
 static void
--- a/packages/daemon/storereader.c
+++ b/packages/daemon/storereader.c
@@ -96,8 +96,9 @@
     reader->is_up = true;
 }
 
-/* An append that was carried out late may have put an older text after the
-   newest one. */
+/* An append that was carried out late may have put an older text after a newer
+   one, so all of them count.  Usually the last one is the newest, and the
+   others change nothing. */
 static void
 deliver_config(BwStoreReader *reader, const BwStorePage *page)
 {
@@ -106,9 +107,8 @@
     for (uint32_t i = page->record_count; i > 0; i--) {
         const BwStoreRecord *record = &page->records[i - 1];
 
-        if (BwSpan_Equal(record->key, key) && record->value.size_bytes > 0 &&
-            reader->events->on_config(reader->ctx, record->value))
-            return;
+        if (BwSpan_Equal(record->key, key) && record->value.size_bytes > 0)
+            reader->events->on_config(reader->ctx, record->value);
     }
 }
 
--- a/packages/daemon/storereader.h
+++ b/packages/daemon/storereader.h
@@ -21,10 +21,10 @@
 #include "settings.h"
 
 typedef struct BwStoreReaderEvents {
-    /* A value of the operators' configuration, the newest first; the text is
-       valid during the call.  Returns whether it was put into force:
-       older ones are then not delivered. */
-    bool (*on_config)(void *ctx, BwSpan text);
+    /* A value of the operators' configuration; the text is valid during the
+       call.  Of several in one answer the one that was written last comes
+       first. */
+    void (*on_config)(void *ctx, BwSpan text);
     /* The record of a dispatcher.  `address` is HOST:PORT. */
     void (*on_dispatcher)(void *ctx, BwSpan name, BwSpan address);
 } BwStoreReaderEvents;
--- a/tests/test_storereader.c
+++ b/tests/test_storereader.c
@@ -32,6 +32,7 @@
     uint32_t text_bytes;
     uint32_t configs; /* delivered by the reader */
     char revision;    /* in force */
+    uint32_t changes; /* of it */
 } World;
 
 /* ------------------------------------------------------------- driver */
@@ -120,7 +121,7 @@
 /* ------------------------------------------------------------- reader */
 
 /* The revision of a text is its first byte. */
-static bool
+static void
 on_config(void *ctx, BwSpan text)
 {
     World *world = ctx;
@@ -128,9 +129,9 @@
     g_assert_cmpuint(text.size_bytes, ==, world->text_bytes);
     world->configs++;
     if (text.base[0] <= world->revision)
-        return false;
+        return;
     world->revision = text.base[0];
-    return true;
+    world->changes++;
 }
 
 static void
@@ -217,22 +218,27 @@
 static void
 test_older_after_newer(void)
 {
-    World world;
+    static const char *const pages[] = {"31", "321", "43", "3412", "3421"};
+    static const char newest[] = {'3', '3', '4', '4', '4'};
 
-    read_records(&world, "321");
-    g_assert_cmpint(world.revision, ==, '3');
-    finish(&world);
+    for (size_t i = 0; i < G_N_ELEMENTS(pages); i++) {
+        World world;
+
+        read_records(&world, pages[i]);
+        g_assert_cmpint(world.revision, ==, newest[i]);
+        finish(&world);
+    }
 }
 
-/* A burst of changes is not read one by one. */
+/* The usual order: the revisions in between are never in force. */
 static void
-test_newest_only(void)
+test_burst(void)
 {
     World world;
 
     read_records(&world, "3456");
     g_assert_cmpint(world.revision, ==, '6');
-    g_assert_cmpuint(world.configs, ==, 1);
+    g_assert_cmpuint(world.changes, ==, 1);
     finish(&world);
 }
 
@@ -242,6 +248,6 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/storereader/answer-in-parts", test_answer_in_parts);
     g_test_add_func("/storereader/older-after-newer", test_older_after_newer);
-    g_test_add_func("/storereader/newest-only", test_newest_only);
+    g_test_add_func("/storereader/burst", test_burst);
     return g_test_run();
 }
