A soak of random faults that overlap

make soak plays series of faults against real processes: dispatchers and supervisors are killed, stopped, frozen and told to reload changed settings while workers crash, fall silent or carry out late, the store fails and the configuration changes, singly and in bursts; entries and agents likewise, with the log down or losing answers. Faults of different processes overlap. Callers keep connections to the dispatchers open and use them until the process is gone.

For entries and agents: second starts, partial answers, jobs that ran and were said not to, ends.

The lab has a fault reload. Load threads of the tests find an entry that was restarted on another port.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SANITIZED ?= build-asan
 
 .PHONY: demo test build sanitized packages format lint replay measure faults \
-	lab mutations picture
+	lab mutations picture soak
 
 packages:
 	@sh scripts/packages.sh
@@ -58,6 +58,11 @@
 mutations: build
 	@sh tests/mutations.sh $(BUILD)
 
+# Random faults, in series and overlapping; fresh seeds, or SEED=N.
+COUNT ?= 10
+soak: build
+	@$(BUILD)/tests/soak $(if $(SEED),--seed $(SEED) --reduce,--count $(COUNT))
+
 # Failures of real processes under load; the last line counts the cases.
 faults: build
 	@$(BUILD)/tests/faults --known KNOWN-RED.txt
--- a/packages/emulator/experiment.c
+++ b/packages/emulator/experiment.c
@@ -70,9 +70,9 @@
 static const BwYamlSchema class_schema =
     SCHEMA(BwLabClass, "a class", class_fields);
 
-static const char *const action_names[] = {"kill",      "freeze", "thaw",
-                                           "stop",      "start",  "tell",
-                                           "configure", "forbid", NULL};
+static const char *const action_names[] = {
+    "kill", "freeze",    "thaw",   "stop",   "start",
+    "tell", "configure", "forbid", "reload", NULL};
 
 static const BwYamlField fault_fields[] = {
     NUMBER(BwLabFault, "at_ms", at_ms, TIME_MS_MAX, "give the time"),
--- a/packages/emulator/experiment.h
+++ b/packages/emulator/experiment.h
@@ -28,10 +28,11 @@
 
    A target is KIND-N, or KIND for all processes of this kind; a kind is
    dispatcher, supervisor, worker, store or ingress.  The target of `forbid` is
-   the name of a class.  `fleet.routes` adds routes that no job uses.  Each
-   rule of labcounters.h is checked in every experiment without being listed in
-   `outcomes`.  `at_most` is 0 by default, or without limit if `at_least` is
-   given.  lab.c loads the experiments of its command line.
+   the name of a class.  `reload` leaves another of the dispatchers out of the
+   process's settings and sends it SIGHUP.  `fleet.routes` adds routes that no
+   job uses.  Each rule of labcounters.h is checked in every experiment without
+   being listed in `outcomes`.  `at_most` is 0 by default, or without limit if
+   `at_least` is given.  lab.c loads the experiments of its command line.
 */
 
 #ifndef BW_EXPERIMENT_H
@@ -67,6 +68,7 @@
     BW_LAB_TELL,  /* sends `text` to an emulated process */
     BW_LAB_CONFIGURE,
     BW_LAB_FORBID, /* removes the route of a class from the configuration */
+    BW_LAB_RELOAD, /* rewrites the settings with other peers, then SIGHUP */
 } BwLabAction;
 
 typedef struct BwLabFault {
--- a/packages/emulator/labfleet.c
+++ b/packages/emulator/labfleet.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -85,6 +86,15 @@
     return false;
 }
 
+/* Settings may name only some of the dispatchers, so after the first reload
+   one of them is missing, each time another. */
+static bool
+is_left_out(const BwFleet *fleet, uint32_t dispatcher)
+{
+    return fleet->reloads > 0 && fleet->plan.dispatchers > 1 &&
+           fleet->reloads % fleet->plan.dispatchers == dispatcher;
+}
+
 static bool
 write_settings(const BwFleet *fleet, const char *path, const char *role,
                const char *name, uint32_t i, uint32_t door,
@@ -103,28 +113,37 @@
             addresses, (unsigned long long)fleet->plan.stop_ms,
             (unsigned long long)fleet->plan.session_ms,
             (unsigned long long)fleet->plan.worker_lease_ms);
-    for (uint32_t j = 0; j < fleet->plan.dispatchers; j++)
-        fprintf(file, "  - {address: '127.0.0.1:%u'}\n", fleet->peer_ports[j]);
+    for (uint32_t j = 0; j < fleet->plan.dispatchers; j++) {
+        if (!is_left_out(fleet, j))
+            fprintf(file, "  - {address: '127.0.0.1:%u'}\n",
+                    fleet->peer_ports[j]);
+    }
     return fclose(file) == 0;
 }
 
+/* Writes the settings of a daemon, and starts it or, if `is_reload`, sends it
+   SIGHUP. */
 static bool
-start_daemon(BwFleet *fleet, BwProcess *process, const char *role, uint32_t i,
-             uint32_t door, const char *addresses)
+set_up_daemon(BwFleet *fleet, BwProcess *process, const char *role, uint32_t i,
+              uint32_t door, const char *addresses, bool is_reload)
 {
     char name[64], path[512];
     char *argv[] = {(char *)fleet->plan.daemon, "--settings", path, NULL};
 
     snprintf(name, sizeof(name), "%s-%u", role, i);
     snprintf(path, sizeof(path), "%s/%s.yaml", fleet->dir, name);
-    if (!write_settings(fleet, path, role, name, i, door, addresses) ||
-        !BwProcess_Start(process, fleet->dir, name, argv))
+    fleet->reloads += is_reload;
+    if (!write_settings(fleet, path, role, name, i, door, addresses))
+        return fail(fleet, strerror(errno), name);
+    if (is_reload)
+        BwProcess_Signal(process, SIGHUP);
+    else if (!BwProcess_Start(process, fleet->dir, name, argv))
         return fail(fleet, strerror(errno), name);
     return true;
 }
 
-bool
-BwFleet_StartDispatcher(BwFleet *fleet, uint32_t i)
+static bool
+set_up_dispatcher(BwFleet *fleet, uint32_t i, bool is_reload)
 {
     char addresses[256];
 
@@ -134,12 +153,12 @@
              "peer: {address: '127.0.0.1:%u'}\n",
              fleet->http_ports[i], fleet->ready_ports[i],
              fleet->peer_ports[i]);
-    return start_daemon(fleet, &fleet->dispatchers[i], "dispatcher", i, 1 + i,
-                        addresses);
+    return set_up_daemon(fleet, &fleet->dispatchers[i], "dispatcher", i, 1 + i,
+                         addresses, is_reload);
 }
 
-bool
-BwFleet_StartSupervisor(BwFleet *fleet, uint32_t i)
+static bool
+set_up_supervisor(BwFleet *fleet, uint32_t i, bool is_reload)
 {
     char addresses[256];
 
@@ -147,8 +166,32 @@
              "http: {address: '127.0.0.1:%u'}\n"
              "worker: {address: '127.0.0.1:%u'}\n",
              fleet->supervisor_ports[i], fleet->worker_ports[i]);
-    return start_daemon(fleet, &fleet->supervisors[i], "supervisor", i, 0,
-                        addresses);
+    return set_up_daemon(fleet, &fleet->supervisors[i], "supervisor", i, 0,
+                         addresses, is_reload);
+}
+
+bool
+BwFleet_StartDispatcher(BwFleet *fleet, uint32_t i)
+{
+    return set_up_dispatcher(fleet, i, false);
+}
+
+bool
+BwFleet_StartSupervisor(BwFleet *fleet, uint32_t i)
+{
+    return set_up_supervisor(fleet, i, false);
+}
+
+bool
+BwFleet_ReloadDispatcher(BwFleet *fleet, uint32_t i)
+{
+    return set_up_dispatcher(fleet, i, true);
+}
+
+bool
+BwFleet_ReloadSupervisor(BwFleet *fleet, uint32_t i)
+{
+    return set_up_supervisor(fleet, i, true);
 }
 
 bool
--- a/packages/emulator/labfleet.h
+++ b/packages/emulator/labfleet.h
@@ -38,6 +38,7 @@
     BwFleetPlan plan;
     char *dir; /* owned by the caller */
     uint32_t next_port;
+    uint32_t reloads; /* of settings; chooses the peer that is left out */
     BwProcess store;
     BwProcess ingress;
     BwProcess dispatchers[BW_FLEET_DISPATCHERS_MAX];
@@ -72,6 +73,14 @@
 bool
 BwFleet_StartSupervisor(BwFleet *fleet, uint32_t i);
 
+/* Rewrite the settings of a process with another of the dispatchers left out
+   of its peers, and send it SIGHUP.  Return false with fleet->fault set on
+   failure. */
+bool
+BwFleet_ReloadDispatcher(BwFleet *fleet, uint32_t i);
+bool
+BwFleet_ReloadSupervisor(BwFleet *fleet, uint32_t i);
+
 /* Waits up to 20 s until the process has logged that it started.  Returns
    false with fleet->fault set if it has not. */
 bool
--- a/packages/emulator/labrunner.c
+++ b/packages/emulator/labrunner.c
@@ -358,11 +358,20 @@
 
 /* -------------------------------------------------------------- faults */
 
-typedef bool (*StartProcess)(BwFleet *fleet, uint32_t i);
+/* What the fleet does with processes of one role. */
+typedef struct RoleOps {
+    bool (*start)(BwFleet *fleet, uint32_t i);
+    bool (*reload)(BwFleet *fleet, uint32_t i);
+} RoleOps;
+
+static const RoleOps dispatcher_ops = {BwFleet_StartDispatcher,
+                                       BwFleet_ReloadDispatcher};
+static const RoleOps supervisor_ops = {BwFleet_StartSupervisor,
+                                       BwFleet_ReloadSupervisor};
 
 static void
 apply_to_process(BwLabRunner *runner, BwProcess *process, uint32_t i,
-                 BwLabAction action, StartProcess start)
+                 BwLabAction action, const RoleOps *ops)
 {
     switch (action) {
     case BW_LAB_KILL:
@@ -378,7 +387,10 @@
         BwProcess_Signal(process, SIGTERM);
         break;
     case BW_LAB_START:
-        start(&runner->fleet, i);
+        ops->start(&runner->fleet, i);
+        break;
+    case BW_LAB_RELOAD:
+        ops->reload(&runner->fleet, i);
         break;
     default:
         break;
@@ -393,14 +405,12 @@
     for (uint32_t i = 0; i < fleet->plan.dispatchers; i++) {
         if (BwLabTarget_Matches(fault->target, "dispatcher", i))
             apply_to_process(runner, &fleet->dispatchers[i], i,
-                             (BwLabAction)fault->action,
-                             BwFleet_StartDispatcher);
+                             (BwLabAction)fault->action, &dispatcher_ops);
     }
     for (uint32_t i = 0; i < fleet->plan.workers; i++) {
         if (BwLabTarget_Matches(fault->target, "supervisor", i))
             apply_to_process(runner, &fleet->supervisors[i], i,
-                             (BwLabAction)fault->action,
-                             BwFleet_StartSupervisor);
+                             (BwLabAction)fault->action, &supervisor_ops);
     }
 }
 
--- a/tests/load.c
+++ b/tests/load.c
@@ -64,8 +64,30 @@
            g_strcmp0(answer->error, "home_lost") == 0;
 }
 
+/* A client of each entry, as a thread has it. */
+typedef struct Callers {
+    BwBlockingClient clients[FLEET_ENTRIES_MAX];
+    uint32_t ports[FLEET_ENTRIES_MAX]; /* 0: not connected yet */
+} Callers;
+
+/* Returns the client of an entry, which has another port after a restart. */
+static BwBlockingClient *
+client_of(const Load *load, Callers *callers, uint32_t entry)
+{
+    uint32_t port = load->fleet->entries[entry].http_port;
+
+    if (port != 0 && port != callers->ports[entry]) {
+        if (callers->ports[entry] != 0)
+            BwBlockingClient_Finish(&callers->clients[entry]);
+        g_assert_true(BwBlockingClient_Init(&callers->clients[entry],
+                                            "127.0.0.1", (uint16_t)port));
+        callers->ports[entry] = port;
+    }
+    return &callers->clients[entry];
+}
+
 static void
-run_job(Load *load, GRand *rand, BwBlockingClient *callers)
+run_job(Load *load, GRand *rand, Callers *callers)
 {
     LoadJob *job = g_new0(LoadJob, 1);
     uint32_t entries = load->fleet->plan.entries;
@@ -90,8 +112,9 @@
     while (needs_attempt) {
         FleetAnswer answer;
 
-        Fleet_SubmitWithin(&callers[(entry + job->attempts++) % entries], text,
-                           timeout_us, &answer);
+        Fleet_SubmitWithin(
+            client_of(load, callers, (entry + job->attempts++) % entries),
+            text, timeout_us, &answer);
         timeout_us = REQUEST_TIMEOUT_US;
         needs_attempt = accept_answer(job, &answer) && may_resubmit &&
                         BwClock_Now() < job->submitted_us + DEADLINE_US;
@@ -112,16 +135,14 @@
     Load *load = data;
     uint32_t number = (uint32_t)g_atomic_int_add(&load->next_thread, 1);
     GRand *rand = g_rand_new_with_seed(load->plan.seed + number);
-    BwBlockingClient callers[FLEET_ENTRIES_MAX];
+    Callers callers = {0};
 
-    for (uint32_t i = 0; i < load->fleet->plan.entries; i++)
-        g_assert_true(BwBlockingClient_Init(
-            &callers[i], "127.0.0.1",
-            (uint16_t)load->fleet->entries[i].http_port));
     while (!g_atomic_int_get(&load->is_stopping))
-        run_job(load, rand, callers);
-    for (uint32_t i = 0; i < load->fleet->plan.entries; i++)
-        BwBlockingClient_Finish(&callers[i]);
+        run_job(load, rand, &callers);
+    for (uint32_t i = 0; i < load->fleet->plan.entries; i++) {
+        if (callers.ports[i] != 0)
+            BwBlockingClient_Finish(&callers.clients[i]);
+    }
     g_rand_free(rand);
     return NULL;
 }
--- /dev/null
+++ b/tests/soak.h
@@ -0,0 +1,60 @@
+/* soak.h -- the parts of the fault soak, see soak.c */
+
+#ifndef SOAK_H
+#define SOAK_H
+
+#include <stdio.h>
+
+#include <glib.h>
+
+#include "experiment.h"
+
+#define SOAK_DISTURBANCES_MAX 64
+
+/* A fault and, unless it is over at once, what ends it. */
+typedef struct SoakDisturbance {
+    BwLabFault begin;
+    BwLabFault end; /* at_ms 0: none */
+} SoakDisturbance;
+
+typedef struct SoakPlan {
+    uint32_t seed;
+    bool is_wide; /* as many processes as the fleet allows */
+    SoakDisturbance disturbances[SOAK_DISTURBANCES_MAX];
+    uint32_t disturbance_count;
+} SoakPlan;
+
+/* Violations of one run, one line each. */
+typedef struct SoakReport {
+    GPtrArray *lines; /* of char * */
+    GMutex lock;      /* callers report from their threads */
+    char *dir;        /* the processes' files, kept after a violation */
+} SoakReport;
+
+void
+SoakReport_Init(SoakReport *report);
+
+void
+SoakReport_Finish(SoakReport *report);
+
+/* Adds a violation.  May be called from any thread. */
+void
+SoakReport_Add(SoakReport *report, const char *format, ...)
+    G_GNUC_PRINTF(2, 3);
+
+/* Draws the disturbances of dispatchers, supervisors, workers and store. */
+void
+SoakBound_Draw(SoakPlan *plan);
+
+/* Plays them against real dispatchers and supervisors.  `daemon` and `lab` are
+   the paths of brasswingd and brasswing. */
+void
+SoakBound_Play(const SoakPlan *plan, const char *daemon, const char *lab,
+               SoakReport *report);
+
+/* Plays faults that are drawn from the seed against real entries and
+   agents. */
+void
+SoakKeyed_Play(uint32_t seed, SoakReport *report);
+
+#endif
