Tick only from h2o's loop, also when the timer is late

What callers saw: a dispatcher ended with a segmentation fault when it went on after a freeze of 2.5 s, and its callers' connections broke.

H2o runs what is pending at a socket later in its turn, but frees the sockets that were closed at its beginning, so a tick that writes to a socket and closes it left a pending callback on freed memory (core: a call of 0 from h2o_evloop_run).

Fix: the late timer is only restarted, by the time of the clock as it is now, and the tick comes from h2o's loop as always. test_eventloop checks in all its cases that a tick comes from there; it failed before, and /eventloop/late-tick has a busy loop without a step of the clock.

--- a/packages/adapters/eventloop.c
+++ b/packages/adapters/eventloop.c
@@ -41,14 +41,16 @@
     start_timer(event_loop);
 }
 
-/* Ticks if the timer is late, as after the wall clock was set back. */
+/* Restarts a timer that is late, as after the wall clock was set back.  The
+   tick itself has to come from h2o's loop: before its next turn h2o frees the
+   sockets that were closed, even those with a callback pending. */
 static void
 check_timer(BwEventLoop *event_loop)
 {
     if (BwClock_Now() < event_loop->overdue_us)
         return;
     h2o_timeout_unlink(&event_loop->tick_entry);
-    on_tick(&event_loop->tick_entry);
+    start_timer(event_loop);
 }
 
 void
--- a/tests/test_eventloop.c
+++ b/tests/test_eventloop.c
@@ -24,6 +24,26 @@
 /* Far more than any of these tests takes where the loop goes on. */
 #define GIVE_UP_US 20000000
 
+/* Whether h2o's loop runs, as opposed to the code that calls it. */
+static _Thread_local bool is_in_loop;
+
+int
+__real_h2o_evloop_run(h2o_evloop_t *loop, int32_t max_wait);
+int
+__wrap_h2o_evloop_run(h2o_evloop_t *loop, int32_t max_wait);
+
+/* The linker replaces the calls of eventloop.c by this. */
+int
+__wrap_h2o_evloop_run(h2o_evloop_t *loop, int32_t max_wait)
+{
+    int result;
+
+    is_in_loop = true;
+    result = __real_h2o_evloop_run(loop, max_wait);
+    is_in_loop = false;
+    return result;
+}
+
 typedef struct World {
     BwEventLoop event_loop;
     BwHttpServer server;
@@ -33,6 +53,7 @@
     atomic_uint failures;   /* requests without a reply */
     bool is_asking;         /* a request has no reply yet */
     atomic_bool is_holding; /* requests wait for their reply */
+    uint32_t busy_us;       /* what each request takes of the loop's time */
     BwExchange *held;
     bool has_http;
 } World;
@@ -49,6 +70,7 @@
 {
     World *world = ctx;
 
+    usleep(world->busy_us);
     if (atomic_load(&world->is_holding)) {
         world->held = exchange;
         return;
@@ -80,6 +102,7 @@
 {
     World *world = ctx;
 
+    g_assert_true(is_in_loop);
     atomic_fetch_add(&world->ticks, 1);
     if (!world->has_http)
         return;
@@ -194,6 +217,19 @@
     stop(world);
 }
 
+/* H2o frees a socket that is closed before it has run what is pending there,
+   so a tick outside its loop that writes and closes makes it use freed
+   memory. */
+static void
+test_late_tick(void)
+{
+    World *world = start(true);
+
+    world->busy_us = 3 * BW_EVENT_LOOP_TICK_MS * 1000;
+    check_count("requests", grows(&world->replies));
+    stop(world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -210,5 +246,6 @@
                          GINT_TO_POINTER(-STEP_S), test_held_reply);
     g_test_add_data_func("/eventloop/held-reply-and-clock-ahead",
                          GINT_TO_POINTER(STEP_S), test_held_reply);
+    g_test_add_func("/eventloop/late-tick", test_late_tick);
     return g_test_run();
 }
