Lab: count no job as refused whose connection had been cut before

The rule ran_though_refused counted jobs that the emulated ingress refused for want of a dispatcher after the first one had been killed with them: a trace of two dispatchers killed at once has 33 such runs, all answered no_dispatcher by the ingress. Jobs with a connection that ended without an answer have been sent twice, by the ingress in place of their caller, and are left out like those of callers that send again; a job that was answered at its only attempt counts as before.

--- a/packages/emulator/labcounters.c
+++ b/packages/emulator/labcounters.c
@@ -170,8 +170,28 @@
     return count;
 }
 
-/* A job that is sent again may have run at its first attempt, so only the
-   classes whose callers send once are counted. */
+/* Returns whether a connection of the job ended without an answer.  The
+   ingress has then sent it again, or refused it for want of a dispatcher. */
+static bool
+was_cut(const BwLabRunner *runner, const BwLabJob *job)
+{
+    size_t i;
+    json_t *row;
+
+    json_array_foreach(json_object_get(runner->ingress, "rows"), i, row)
+    {
+        const char *end_reason = get_text(row, "how");
+
+        if (find_job(runner, get_text(row, "job")) == job &&
+            (strcmp(end_reason, "broken") == 0 ||
+             strcmp(end_reason, "given_up") == 0))
+            return true;
+    }
+    return false;
+}
+
+/* A job that is sent again may have run at its first attempt, so those are
+   counted whose callers and ingress have sent them once. */
 static uint32_t
 count_ran_though_refused(const BwLabResults *results,
                          const BwLabOutcome *filter)
@@ -184,7 +204,8 @@
         const BwLabJob *job = results->runs[i].job;
 
         count += job != NULL && job->end == BW_LAB_REFUSED &&
-                 experiment->classes[job->job_class].resend_ms == 0;
+                 experiment->classes[job->job_class].resend_ms == 0 &&
+                 !was_cut(results->runner, job);
     }
     return count;
 }
--- a/packages/emulator/labfleet.c
+++ b/packages/emulator/labfleet.c
@@ -100,8 +100,12 @@
                const char *name, uint32_t i, uint32_t door,
                const char *addresses)
 {
-    FILE *file = fopen(path, "w");
+    char fresh[520];
+    FILE *file;
 
+    /* A process may read the file at any time. */
+    snprintf(fresh, sizeof(fresh), "%s.new", path);
+    file = fopen(fresh, "w");
     if (file == NULL)
         return false;
     fprintf(file,
@@ -118,7 +122,7 @@
             fprintf(file, "  - {address: '127.0.0.1:%u'}\n",
                     fleet->peer_ports[j]);
     }
-    return fclose(file) == 0;
+    return fclose(file) == 0 && rename(fresh, path) == 0;
 }
 
 /* Writes the settings of a daemon, and starts it or, if `is_reload`, sends it
--- a/tests/test_lab.c
+++ b/tests/test_lab.c
@@ -86,6 +86,10 @@
      .ended_us = 1900 * US_PER_MS},
     {"ran_though_refused", 0, .end = BW_LAB_COMPLETED, .ended_us = 1},
     {"ran_though_refused", 1, .end = BW_LAB_REFUSED, .ended_us = 1},
+    {"ran_though_refused", 1, .end = BW_LAB_REFUSED, .ended_us = 1,
+     .connection_end = "answered", .connection_end_us = FAULT_US + 5},
+    {"ran_though_refused", 0, .end = BW_LAB_REFUSED, .ended_us = 1,
+     .connection_end = "broken", .connection_end_us = FAULT_US + 5},
     /* It may have run when it was sent first. */
     {"ran_though_refused", 0, .end = BW_LAB_REFUSED, .resend_ms = 300,
      .ended_us = 1},
