--- a/packages/adapters/eventloop.c
+++ b/packages/adapters/eventloop.c
@@ -5,7 +5,7 @@
 #include "clock.h"
 #include "eventloop.h"
 
-/* A tick that has not come by then is not merely late. */
+/* A tick that has not come by then waits for a clock that was set back. */
 #define OVERDUE_US (2 * BW_EVENT_LOOP_TICK_MS * 1000)
 
 static void
--- a/packages/emulator/labcounters.c
+++ b/packages/emulator/labcounters.c
@@ -210,6 +210,25 @@
     return count;
 }
 
+/* Returns whether the dispatcher was killed or started again after fault
+   `stop` and before `until_us`. */
+static bool
+is_stop_over(const BwLabRunner *runner, uint32_t stop, uint32_t dispatcher,
+             uint64_t until_us)
+{
+    for (uint32_t i = stop + 1; i < runner->injected_count; i++) {
+        const BwLabInjectedFault *injected = &runner->injected[i];
+
+        if ((injected->fault->action == BW_LAB_START ||
+             injected->fault->action == BW_LAB_KILL) &&
+            injected->at_us < until_us &&
+            BwLabTarget_Matches(injected->fault->target, "dispatcher",
+                                dispatcher))
+            return true;
+    }
+    return false;
+}
+
 static uint32_t
 count_lost_at_stop(const BwLabResults *results, const BwLabOutcome *filter)
 {
@@ -230,12 +249,16 @@
         for (uint32_t j = 0; j < runner->injected_count; j++) {
             const BwLabInjectedFault *injected = &runner->injected[j];
 
-            count += injected->fault->action == BW_LAB_STOP &&
-                     BwLabTarget_Matches(
-                         injected->fault->target, "dispatcher",
-                         (uint32_t)BwRecord_Number(row, "dispatcher")) &&
-                     ended_us > injected->at_us &&
-                     ended_us < injected->at_us + STOP_LIMIT_US;
+            count +=
+                injected->fault->action == BW_LAB_STOP &&
+                BwLabTarget_Matches(
+                    injected->fault->target, "dispatcher",
+                    (uint32_t)BwRecord_Number(row, "dispatcher")) &&
+                ended_us > injected->at_us &&
+                ended_us < injected->at_us + STOP_LIMIT_US &&
+                !is_stop_over(runner, j,
+                              (uint32_t)BwRecord_Number(row, "dispatcher"),
+                              ended_us);
         }
     }
     return count;
--- a/tests/test_lab.c
+++ b/tests/test_lab.c
@@ -34,6 +34,8 @@
     uint32_t resend_ms; /* of the job's class */
     uint32_t crashes;
     uint64_t end_us;
+    BwLabAction next_action; /* on the same target at next_us */
+    uint64_t next_us; /* 0: there is none */
 } RuleCase;
 
 static const RuleCase cases[] = {
@@ -64,6 +66,13 @@
     {"lost_at_planned_stop", 1, BW_LAB_STOP, "dispatcher-0",
      .connection_end = "broken", .connection_end_us = FAULT_US + 5,
      .ended_us = 1},
+    {"lost_at_planned_stop", 1, BW_LAB_STOP, "dispatcher-0",
+     .connection_end = "broken", .connection_end_us = FAULT_US + 5,
+     .ended_us = 1, .next_action = BW_LAB_START, .next_us = FAULT_US + 6},
+    /* The connection was one of the next process. */
+    {"lost_at_planned_stop", 0, BW_LAB_STOP, "dispatcher-0",
+     .connection_end = "broken", .connection_end_us = FAULT_US + 7,
+     .ended_us = 1, .next_action = BW_LAB_START, .next_us = FAULT_US + 6},
     {"outlived_dispatcher", 0, BW_LAB_KILL, "dispatcher-0",
      .connection_end = "broken", .connection_end_us = FAULT_US + 5,
      .ended_us = FAULT_US + 1200 * US_PER_MS},
@@ -136,21 +145,24 @@
     BwLabClass job_class = {.name = "daily", .resend_ms = c->resend_ms};
     BwExperiment experiment = {.classes = &job_class, .class_count = 1};
     BwLabFault fault = {.action = (uint32_t)c->action};
-    BwLabInjectedFault injected = {&fault, FAULT_US};
+    BwLabFault next = {.action = (uint32_t)c->next_action};
+    BwLabInjectedFault injected[] = {{&fault, FAULT_US}, {&next, c->next_us}};
     BwLabJob job = {
         .end = c->end, .sent_us = c->started_us, .ended_us = c->end_us};
     BwLabJob *jobs[] = {&job};
     BwLabRunner runner = {.experiment = &experiment,
                           .jobs = jobs,
                           .job_count = 1,
-                          .injected = &injected,
-                          .injected_count = c->target != NULL,
+                          .injected = injected,
+                          .injected_count =
+                              (c->target != NULL) + (c->next_us != 0),
                           .crashes = c->crashes};
     static const BwLabOutcome none;
     BwLabResults results;
 
     if (c->target != NULL)
         g_strlcpy(fault.target, c->target, sizeof(fault.target));
+    memcpy(next.target, fault.target, sizeof(next.target));
     set_ledgers(&runner, c);
     g_assert_true(BwLabResults_Init(&results, &runner));
     g_assert_true(BwLabCounter_Find(c->rule)->is_rule);
