--- a/tests/test_lab.c
+++ b/tests/test_lab.c
@@ -33,9 +33,9 @@
     BwLabEnd end;       /* of the job, which was sent at started_us */
     uint32_t resend_ms; /* of the job's class */
     uint32_t crashes;
+    BwLabAction next_action; /* of a next fault of the same target */
     uint64_t end_us;
-    BwLabAction next_action; /* on the same target at next_us */
-    uint64_t next_us; /* 0: there is none */
+    uint64_t next_us; /* when it is; 0: there is none */
 } RuleCase;
 
 static const RuleCase cases[] = {
