Log when a worker refuses connections; emulate tasks that crash workers

A crash of a worker was known only as a lapsed lease, 0.6 s later, the same as a cut. The HTTP client now tells a refused connection from other calls that were not sent, the supervisor logs worker_down and worker_up with a counter, and lost tasks say that the worker was down. No decision changes.

The emulated worker can be crashed by a task, refuses connections until it starts again, and can change its capacity. What it reports of its use is by how much a start exceeded the capacity at that time, since the capacity can change; the rule over_capacity is as strict as before.

--- a/packages/adapters/httpclient.c
+++ b/packages/adapters/httpclient.c
@@ -23,6 +23,7 @@
     uint32_t status;
     bool is_sent; /* passed to h2o on an open connection */
     bool is_head; /* the method is HEAD: the reply has no body */
+    bool is_refused;
     h2o_iovec_t request;
     h2o_buffer_t *reply_body;
 } BwHttpCall;
@@ -33,6 +34,7 @@
     BwHttpReply reply = {0};
 
     reply.outcome = outcome;
+    reply.is_refused = call->is_refused;
     reply.status = call->status;
     reply.body.base = call->reply_body->bytes;
     reply.body.size_bytes = (uint32_t)call->reply_body->size;
@@ -123,6 +125,7 @@
 
     if (err != NULL) {
         call->connection = NULL;
+        call->is_refused = true;
         end_call(call, BW_HTTP_NOT_SENT);
         return NULL;
     }
--- a/packages/adapters/httpclient.h
+++ b/packages/adapters/httpclient.h
@@ -25,6 +25,9 @@
 
 typedef struct BwHttpReply {
     BwHttpOutcome outcome;
+    /* With BW_HTTP_NOT_SENT: the connection failed before the deadline.
+       Nobody listens at the address, or it cannot be reached. */
+    bool is_refused;
     uint32_t status;
     BwSpan body; /* valid until the callback returns */
 } BwHttpReply;
--- a/packages/adapters/httpserver.c
+++ b/packages/adapters/httpserver.c
@@ -247,16 +247,42 @@
         h2o_socket_read_start(server->listener, on_accept);
 }
 
+void
+BwHttpServer_Close(BwHttpServer *server)
+{
+    if (server->listener != NULL)
+        h2o_socket_close(server->listener);
+    server->listener = NULL;
+}
+
+bool
+BwHttpServer_Reopen(BwHttpServer *server, const char *host)
+{
+    if (server->listener == NULL)
+        server->listener = BwNet_Listen(server->context.loop, host,
+                                        &server->port, on_accept, server);
+    return server->listener != NULL;
+}
+
 void
 BwHttpServer_Shutdown(BwHttpServer *server)
 {
     if (server->listener == NULL)
         return;
-    h2o_socket_close(server->listener);
-    server->listener = NULL;
+    BwHttpServer_Close(server);
     h2o_context_request_shutdown(&server->context);
 }
 
+void
+BwExchange_Break(BwExchange *exchange)
+{
+    h2o_conn_t *conn = exchange->req->conn;
+    h2o_socket_t *sock = conn->callbacks->get_socket(conn);
+
+    if (sock != NULL)
+        shutdown(h2o_socket_get_fd(sock), SHUT_RDWR);
+}
+
 BwSpan
 BwExchange_Header(const BwExchange *exchange, const char *name)
 {
--- a/packages/adapters/httpserver.h
+++ b/packages/adapters/httpserver.h
@@ -79,6 +79,21 @@
 void
 BwHttpServer_Shutdown(BwHttpServer *server);
 
+/* Stops listening, so that connections are refused; open ones stay.  The
+   emulated processes end so, as far as their peers can see. */
+void
+BwHttpServer_Close(BwHttpServer *server);
+
+/* Listens again on the port that BwHttpServer_Close left.  Returns false, with
+   errno set, when that is in use. */
+bool
+BwHttpServer_Reopen(BwHttpServer *server, const char *host);
+
+/* Breaks the connection of the exchange without a reply.  The exchange ends
+   with on_abort, later. */
+void
+BwExchange_Break(BwExchange *exchange);
+
 /* Finds a header by its lower-case name.  Returns an empty span if it is
    absent.  The value is valid as long as the exchange. */
 BwSpan
--- a/packages/adapters/logclient.c
+++ b/packages/adapters/logclient.c
@@ -144,7 +144,7 @@
     char *text = json_dumps(record, JSON_COMPACT);
     BwSpan path = {client->path, (uint32_t)strlen(client->path)};
     BwSpan body = {text, text != NULL ? (uint32_t)strlen(text) : 0};
-    BwHttpReply failed = {BW_HTTP_NOT_SENT, 0, {"", 0}};
+    BwHttpReply failed = {BW_HTTP_NOT_SENT, false, 0, {"", 0}};
 
     if (text == NULL) {
         callback(data, &failed);
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -395,7 +395,10 @@
 {
     if (now_us >= s->lease_end_us && s->lease_end_us != 0) {
         s->lease_end_us = 0;
-        BwWorkerTasks_LoseAll(s, now_us, "the lease of the worker ran out");
+        BwWorkerTasks_LoseAll(s, now_us,
+                              s->down_since_us != 0
+                                  ? "the worker is down, and its lease ran out"
+                                  : "the lease of the worker ran out");
         if (!BwWorkerTasks_IsResponsive(s, now_us))
             BwWorkerTasks_DeclineQueue(s, now_us, BW_DECLINE_LEAVING);
     }
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -122,6 +122,9 @@
        first. */
     void (*log)(void *ctx, const char *event, const BwWorkerTask *task,
                 uint32_t count, const char *reason);
+    /* Logs an event of the worker's process, on which `count` tasks are. */
+    void (*log_worker)(void *ctx, const char *event, uint32_t count,
+                       const char *reason);
 } BwSupervisorPort;
 
 typedef struct BwSupervisorLimits {
@@ -145,6 +148,7 @@
     uint64_t unanswered;
     uint64_t stalled;
     uint64_t polls;
+    uint64_t downs; /* how often its address began to refuse connections */
 } BwSupervisorCounters;
 
 typedef enum BwWorkerPhase {
@@ -188,6 +192,7 @@
     uint32_t polls_in_flight;
     uint64_t first_poll; /* number of the first poll of this instance */
     uint64_t first_order_number; /* number of its first start or stop */
+    uint64_t down_since_us;      /* its address refuses connections; 0: no */
     uint64_t answer_due_us; /* an answer is overdue from then on; 0: none is */
     uint64_t last_answer_due_us; /* of the polls in flight, the one due last */
     /* Polls overlap until then, since an answer was lost. */
--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -151,11 +151,39 @@
 
 /* ------------------------------------------------------------ answers */
 
+static bool
+is_answered(const BwWorkerAnswer *answer)
+{
+    return answer->verdict != BW_WORKER_NO_ANSWER &&
+           answer->verdict != BW_WORKER_UNREACHABLE;
+}
+
+/* Records whether the worker's process can be reached.  A refused connection
+   on the worker's own host means that the process has ended. */
+static void
+record_reach(BwSupervisor *s, uint64_t now_us, const BwWorkerAnswer *answer)
+{
+    if (answer->verdict == BW_WORKER_UNREACHABLE && s->down_since_us == 0) {
+        s->down_since_us = now_us;
+        s->counters.downs++;
+        s->port->log_worker(s->ctx, "worker_down",
+                            HASH_COUNT(s->tasks_by_key) - s->queued_count,
+                            "its address refuses connections");
+    }
+    else if (is_answered(answer) && s->down_since_us != 0) {
+        s->down_since_us = 0;
+        s->port->log_worker(s->ctx, "worker_up",
+                            HASH_COUNT(s->tasks_by_key) - s->queued_count,
+                            answer->verdict == BW_WORKER_WRONG_INSTANCE
+                                ? "another instance answers"
+                                : "the same instance answers");
+    }
+}
+
 static void
 record_clock(BwSupervisor *s, uint64_t now_us, const BwWorkerAnswer *answer)
 {
-    if (answer->verdict == BW_WORKER_NO_ANSWER ||
-        answer->verdict == BW_WORKER_WRONG_INSTANCE)
+    if (!is_answered(answer) || answer->verdict == BW_WORKER_WRONG_INSTANCE)
         return;
     if (answer->clock_ms == 0)
         return;
@@ -275,6 +303,7 @@
 {
     if (number < s->first_order_number)
         return NULL;
+    record_reach(s, now_us, answer);
     record_clock(s, now_us, answer);
     if (answer->verdict == BW_WORKER_WRONG_INSTANCE) {
         on_other_instance(s, now_us);
@@ -300,6 +329,7 @@
             task->last_progress_us = now_us;
         break;
     case BW_WORKER_NO_ANSWER:
+    case BW_WORKER_UNREACHABLE:
         record_lost_answer(s, now_us);
         if (task->state == BW_WORKER_TASK_STARTING)
             on_unanswered_start(s, now_us, task);
@@ -547,15 +577,15 @@
         return;
     if (s->polls_in_flight > 0)
         s->polls_in_flight--;
+    record_reach(s, now_us, answer);
     record_clock(s, now_us, answer);
-    if (answer->verdict != BW_WORKER_NO_ANSWER &&
-        answer->verdict != BW_WORKER_UNHEALTHY)
+    if (is_answered(answer) && answer->verdict != BW_WORKER_UNHEALTHY)
         s->answer_due_us = next_answer_due_us(s, now_us);
     if (answer->verdict == BW_WORKER_WRONG_INSTANCE) {
         on_other_instance(s, now_us);
         return;
     }
-    if (answer->verdict == BW_WORKER_NO_ANSWER) {
+    if (!is_answered(answer)) {
         s->lossy_until_us = now_us + LOSSY_US;
         BwWorkerLink_Tick(s, now_us);
     }
--- a/packages/daemon/backend.c
+++ b/packages/daemon/backend.c
@@ -173,7 +173,7 @@
 static void
 end_failed_calls(BwBackend *backend)
 {
-    BwHttpReply reply = {BW_HTTP_NOT_SENT, 0, {"", 0}};
+    BwHttpReply reply = {BW_HTTP_NOT_SENT, false, 0, {"", 0}};
 
     while (backend->failed_calls != NULL) {
         BwBackendCall *call = backend->failed_calls;
--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -95,6 +95,8 @@
         record_answer_time(role, now_us - call->sent_us);
     driver->read_answer(reply->outcome == BW_HTTP_ANSWERED ? reply->status : 0,
                         reply->body, &answer);
+    if (reply->outcome == BW_HTTP_NOT_SENT && reply->is_refused)
+        answer.verdict = BW_WORKER_UNREACHABLE;
     if (call->on_answer != NULL)
         call->on_answer(&role->supervisor, now_us, call->number, &answer);
     else
@@ -182,8 +184,18 @@
            BW_LOG_TEXT("reason", reason));
 }
 
+static void
+log_worker(void *ctx, const char *event, uint32_t count, const char *reason)
+{
+    Role *role = ctx;
+
+    BW_LOG(&role->node->logger, BW_LOG_INFO, event,
+           BW_LOG_TEXT("instance", role->supervisor.instance),
+           BW_LOG_NUMBER("count", count), BW_LOG_TEXT("reason", reason));
+}
+
 static const BwSupervisorPort supervisor_port = {
-    send_message, start_task, stop_task, poll_worker, log_decision,
+    send_message, start_task, stop_task, poll_worker, log_decision, log_worker,
 };
 
 /* --------------------------------------------------------- heartbeats */
@@ -384,6 +396,9 @@
         c->unanswered);
     ADD("brasswing_stalled_total", "Tasks stopped for want of progress",
         c->stalled);
+    ADD("brasswing_worker_down_total",
+        "Times that the worker's address began to refuse connections",
+        c->downs);
     ADD("brasswing_holds_total", "Looks at the worker", c->polls);
 #undef ADD
     return n;
--- a/packages/emulator/experiment.c
+++ b/packages/emulator/experiment.c
@@ -64,6 +64,8 @@
            "give when jobs start to arrive"),
     NUMBER(BwLabClass, "until_ms", until_ms, TIME_MS_MAX,
            "give when jobs stop arriving"),
+    NUMBER(BwLabClass, "crash_permille", crash_permille, 1000,
+           "give how many of 1000 jobs crash their worker"),
     NUMBER(BwLabClass, "resend_ms", resend_ms, TIME_MS_MAX,
            "give when callers without an answer send again"),
 };
--- a/packages/emulator/experiment.h
+++ b/packages/emulator/experiment.h
@@ -19,7 +19,7 @@
           burst_jobs: 0, burst_every_ms: 0, tasks: 4, run_ms: 50, cpu: 1000,
           mem: 500, spread: 0, clients: 8, deadline_ms: 10000,
           give_up_permille: 0, give_up_ms: 100, from_ms: 0, until_ms: 0,
-          resend_ms: 0}
+          resend_ms: 0, crash_permille: 0}
      faults:
        - {at_ms: 1000, target: dispatcher-0, do: kill}
        - {at_ms: 1000, target: worker-1, do: tell, text: '{"fail": true}'}
@@ -52,6 +52,7 @@
     uint32_t clients;
     uint32_t deadline_ms;
     uint32_t give_up_permille, give_up_ms;
+    uint32_t crash_permille;    /* share of jobs whose first task crashes */
     uint32_t from_ms, until_ms; /* when jobs arrive; until_ms 0: duration_ms */
     /* A caller that finds no dispatcher, or whose connection breaks, sends its
        job again after this time, with what is left of its deadline; 0: it
--- a/packages/emulator/labcounters.c
+++ b/packages/emulator/labcounters.c
@@ -106,10 +106,8 @@
     (void)filter;
     json_array_foreach(results->runner->workers, i, worker_record)
     {
-        count += BwRecord_Number(worker_record, "peak_cpu") >
-                     BwRecord_Number(worker_record, "cpu") ||
-                 BwRecord_Number(worker_record, "peak_mem") >
-                     BwRecord_Number(worker_record, "mem");
+        count += BwRecord_Number(worker_record, "excess_cpu") > 0 ||
+                 BwRecord_Number(worker_record, "excess_mem") > 0;
     }
     return count;
 }
@@ -527,6 +525,41 @@
 COUNT_END_REASON(count_run_stopped, "stopped")
 COUNT_END_REASON(count_run_lapsed, "lapsed")
 COUNT_END_REASON(count_run_crashed, "crashed")
+COUNT_END_REASON(count_worker_crashes, "crashed_worker")
+
+/* Returns how many workers the task that crashed most of them has crashed. */
+static uint32_t
+count_crashes_by_task(const BwLabResults *results, const BwLabOutcome *filter)
+{
+    uint32_t most = 0, count = 0;
+
+    (void)filter;
+    for (uint32_t i = 0; i < results->run_count; i++) {
+        const BwLabRun *run = &results->runs[i];
+
+        if (i == 0 || strcmp(run->task, results->runs[i - 1].task) != 0)
+            count = 0;
+        count += strcmp(run->end_reason, "crashed_worker") == 0;
+        most = count > most ? count : most;
+    }
+    return most;
+}
+
+/* Counts jobs that were answered as failed though none of their tasks crashes
+   its worker. */
+static uint32_t
+count_failed_innocents(const BwLabResults *results, const BwLabOutcome *filter)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < results->runner->job_count; i++) {
+        const BwLabJob *job = results->runner->jobs[i];
+
+        count += job->end == BW_LAB_FAILED && !job->crashes &&
+                 matches_class(results, job, filter);
+    }
+    return count;
+}
 
 /* Counts connections to a dispatcher that closed without an answer. */
 static uint32_t
@@ -625,6 +658,13 @@
     {"runs_lapsed", false, "runs ended by the worker's lease",
      count_run_lapsed},
     {"runs_crashed", false, "runs ended by a crash", count_run_crashed},
+    {"worker_crashes", false, "crashes of workers by a task",
+     count_worker_crashes},
+    {"crashes_by_task", false, "most workers that one task has crashed",
+     count_crashes_by_task},
+    {"failed_innocents", false,
+     "jobs answered as failed without a task that crashes its worker",
+     count_failed_innocents},
     {"broken", false, "connections to a dispatcher closed without an answer",
      count_broken},
     {"late_orders", false, "orders that workers delayed", count_late_orders},
--- a/packages/emulator/labrunner.c
+++ b/packages/emulator/labrunner.c
@@ -179,7 +179,7 @@
     char path[128], headers[64];
     char *body = BwWording_JobText(class_spec->tasks, class_spec->run_ms,
                                    class_spec->cpu, class_spec->mem,
-                                   class_spec->spread);
+                                   class_spec->spread, job->crashes);
 
     if (job->will_give_up)
         give_up_us = now_us + (uint64_t)class_spec->give_up_ms * 1000;
@@ -208,13 +208,16 @@
 static void
 send_job(BwLabRunner *runner, uint32_t job_class, uint64_t now_us)
 {
+    const BwLabClass *class_spec = &runner->experiment->classes[job_class];
     BwLabJob *job = add_job(runner, job_class);
 
     if (job == NULL)
         return;
     job->will_give_up =
-        BwEmulator_Random(&runner->seed, 1000) <
-        runner->experiment->classes[job_class].give_up_permille;
+        BwEmulator_Random(&runner->seed, 1000) < class_spec->give_up_permille;
+    job->crashes =
+        class_spec->crash_permille > 0 &&
+        BwEmulator_Random(&runner->seed, 1000) < class_spec->crash_permille;
     job->sent_us = now_us;
     send_request(runner, job, now_us, job_deadline_us(runner, job));
 }
--- a/packages/emulator/labrunner.h
+++ b/packages/emulator/labrunner.h
@@ -33,6 +33,7 @@
     char name[20];
     uint32_t job_class;
     bool will_give_up;
+    bool crashes;       /* its first task crashes the worker */
     uint64_t sent_us;   /* first */
     uint64_t resend_us; /* when it is sent again; 0: it is not */
     uint64_t ended_us;
--- a/packages/emulator/wording.c
+++ b/packages/emulator/wording.c
@@ -42,13 +42,14 @@
 
 char *
 BwWording_JobText(uint32_t tasks, uint32_t run_ms, uint32_t cpu, uint32_t mem,
-                  uint32_t spread)
+                  uint32_t spread, bool crashes)
 {
     return format_text(
-        "{\"spec\":\"run_ms=%u cpu=%u mem=%u\",\"bestEffort\":true,"
+        "{\"spec\":\"run_ms=%u cpu=%u mem=%u%s\",\"bestEffort\":true,"
         "\"steps\":[{\"count\":%u,\"cpu\":%u,\"memMb\":%u,"
         "\"estimateMs\":%u,\"antiAffinity\":%u}]}",
-        run_ms, cpu, mem, tasks, cpu, mem, run_ms, spread);
+        run_ms, cpu, mem, crashes ? " crash=1" : "", tasks, cpu, mem, run_ms,
+        spread);
 }
 
 char *
--- a/packages/emulator/wording.h
+++ b/packages/emulator/wording.h
@@ -9,6 +9,7 @@
 #ifndef BW_WORDING_H
 #define BW_WORDING_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #define BW_WORDING_READY_PATH "/api/readiness"
@@ -29,10 +30,11 @@
 
 /* Returns a job of one step with `tasks` tasks, which ends with its
    connection.  At most `spread` of its tasks may run on one worker; 0 sets no
-   limit.  `cpu` is in thousandths of a core, `mem` in MB. */
+   limit.  `cpu` is in thousandths of a core, `mem` in MB.  With `crashes` its
+   first task crashes the worker. */
 char *
 BwWording_JobText(uint32_t tasks, uint32_t run_ms, uint32_t cpu, uint32_t mem,
-                  uint32_t spread);
+                  uint32_t spread, bool crashes);
 
 /* Returns a job of two steps of one task each, the second after the first. */
 char *
--- a/packages/emulator/worker.c
+++ b/packages/emulator/worker.c
@@ -8,8 +8,9 @@
    CLOCK_PERMILLE of the real speed.  A task uses no CPU: it only ends when its
    run time is over.  The worker starts every task that it is ordered to start,
    also beyond CPU and MEM, so that an experiment detects orders that exceed
-   the worker's capacity.  A task's spec may hold run_ms=N, cpu=N, mem=N and
-   fail=1.  Run by lab.c.
+   the worker's capacity.  A task's spec may hold run_ms=N, cpu=N, mem=N,
+   fail=1 and crash=1: the first task of each step then crashes the worker when
+   half of its run time is over.  Run by lab.c.
 
      POST /control {"still": BOOL}       pauses all tasks: none ends, though
                                          their progress grows for ten seconds
@@ -27,13 +28,18 @@
                                          answered; heartbeats are still sent
                    {"draining": BOOL}    heartbeats say that it is draining
                    {"heartbeat_ms": N}   interval of the heartbeats (200)
+                   {"cpu": N, "mem": N}  changes the capacity; heartbeats say
+   so
+                   {"down_ms": N}        how long the worker is away after a
+                                         task has crashed it (1000): its
+   address refuses connections, then it starts again as a new instance
                    {"crash": true}       ends all tasks; no answers and no
                                          heartbeats until it is revived
                    {"revive": true}      starts again as a new instance
      GET /ledger   every run of every instance in the order of the starts, and
-                   the most CPU and memory that were ever in use at once; of a
-                   run that started while the worker was draining, also for how
-                   long it had been draining
+                   by how much CPU and memory in use after a start exceeded the
+                   capacity at most; of a run that started while the worker was
+                   draining, also for how long it had been draining
 
    Times in the ledger are of the host's monotonic clock, so that those of
    several workers can be compared.
@@ -57,6 +63,9 @@
 #define HEARTBEAT_TIMEOUT_US 1000000
 #define STOP_DELAY_US 30000
 #define LEASE_MS_MAX 1000
+#define DOWN_US 1000000
+/* A start counts against the larger capacity for this time after a change. */
+#define CAPACITY_GRACE_US 600000
 #define CLOCK_START_MS 100000
 /* The progress that a paused task reports: it grows fast at first and then
    slowly, so that the task does not count as stuck for ten seconds. */
@@ -73,6 +82,7 @@
     uint32_t instance_number;
     uint64_t cpu, mem; /* thousandths of a core, MB */
     bool fails;
+    bool crashes;            /* the worker, at its end */
     uint64_t run_time_us;    /* run time at this worker's speed */
     uint64_t remaining_us;   /* remaining run time, while paused */
     uint64_t drained_for_us; /* time from the worker's drain to the start */
@@ -138,7 +148,12 @@
     uint64_t reply_delay_us;
     uint64_t draining_since_us; /* 0: it isn't draining */
     uint64_t seed;
-    uint64_t peak_cpu, peak_mem;
+    uint64_t excess_cpu, excess_mem; /* most in use above the capacity */
+    uint64_t former_cpu, former_mem; /* capacity until changed_us */
+    uint64_t changed_us;
+    uint64_t down_us;
+    uint64_t up_at_us; /* when it listens again; 0: it does */
+    uint64_t task_crashes;
     uint64_t delayed_count;
     bool is_paused, is_failing, is_silent, is_draining, is_crashed;
     bool delays_starts, delays_stops;
@@ -244,8 +259,18 @@
     log_run("ended", run, end_reason);
 }
 
+static uint64_t
+excess(uint64_t used, uint64_t capacity, uint64_t former, uint64_t last)
+{
+    if (BwClock_Now() - worker.changed_us < CAPACITY_GRACE_US &&
+        former > capacity)
+        capacity = former;
+    return used > capacity && used - capacity > last ? used - capacity : last;
+}
+
+/* Records by how much the tasks that run after a start exceed the capacity. */
 static void
-update_peak(void)
+record_excess(void)
 {
     uint64_t cpu = 0, mem = 0;
     const Run *run;
@@ -255,8 +280,10 @@
         cpu += is_running(run) ? run->cpu : 0;
         mem += is_running(run) ? run->mem : 0;
     }
-    worker.peak_cpu = cpu > worker.peak_cpu ? cpu : worker.peak_cpu;
-    worker.peak_mem = mem > worker.peak_mem ? mem : worker.peak_mem;
+    worker.excess_cpu =
+        excess(cpu, worker.cpu, worker.former_cpu, worker.excess_cpu);
+    worker.excess_mem =
+        excess(mem, worker.mem, worker.former_mem, worker.excess_mem);
 }
 
 /* Returns true with a probability of `permille` thousandths. */
@@ -281,6 +308,10 @@
     run->run_time_us = read_option(spec, "run_ms=", 20) * worker.slow_permille;
     if (is_random_hit(worker.stuck_permille))
         run->run_time_us = STUCK_RUN_US;
+    run->crashes = read_option(spec, "crash=", 0) != 0 &&
+                   strcmp(strrchr(task, '.'), ".0") == 0;
+    if (run->crashes)
+        run->run_time_us /= 2;
     run->remaining_us = run->run_time_us;
     run->started_us = BwClock_Now();
     if (worker.draining_since_us != 0)
@@ -289,7 +320,7 @@
         worker.is_paused ? NEVER : run->started_us + run->remaining_us;
     run->stop_at_us = NEVER;
     DL_APPEND(worker.runs, run);
-    update_peak();
+    record_excess();
     log_run("running", run, "told to start");
 }
 
@@ -326,6 +357,23 @@
                                        1000 * 1000 / worker.clock_permille;
 }
 
+static void
+crash(void);
+
+/* The process ends, as far as its peers can see, for worker.down_us. */
+static void
+crash_by_task(uint64_t now_us)
+{
+    PendingReply *pending;
+
+    crash();
+    worker.task_crashes++;
+    worker.up_at_us = now_us + worker.down_us;
+    BwHttpServer_Close(&worker.http);
+    DL_FOREACH(worker.pending_replies, pending)
+    BwExchange_Break(pending->exchange);
+}
+
 /* A run's end has the time at which it was due, even if this process gets to
    it later: a shortage of CPU on the host of an emulated worker must not
    appear as a fault of the dispatcher or the supervisor. */
@@ -344,6 +392,12 @@
             continue;
         if (lease_end_us <= now_us && lease_end_us < end_us)
             end_run(run, lease_end_us, "lapsed");
+        else if (end_us <= now_us && end_us == run->due_end_us &&
+                 run->crashes) {
+            end_run(run, end_us, "crashed_worker");
+            crash_by_task(now_us);
+            return;
+        }
         else if (end_us <= now_us && end_us == run->due_end_us)
             end_run(run, end_us,
                     run->fails || worker.is_failing ? "failed" : "done");
@@ -643,6 +697,8 @@
     BwSpan_ToString(exchange->path, path, sizeof(path));
     BwSpan_ToString(BwExchange_Header(exchange, "x-expect-instance"), expected,
                     sizeof(expected));
+    if (worker.up_at_us != 0)
+        BwExchange_Break(exchange);
     if (worker.is_silent || worker.is_crashed)
         return;
     if ((worker.delays_starts && strcmp(path, "/api/run-start") == 0) ||
@@ -749,6 +805,15 @@
     else if (worker.draining_since_us == 0)
         worker.draining_since_us = BwClock_Now();
     worker.next_heartbeat_us = 0;
+    if (json_object_get(root, "cpu") != NULL ||
+        json_object_get(root, "mem") != NULL) {
+        worker.former_cpu = worker.cpu;
+        worker.former_mem = worker.mem;
+        worker.changed_us = BwClock_Now();
+    }
+    read_number(root, "cpu", &worker.cpu, 1);
+    read_number(root, "mem", &worker.mem, 1);
+    read_number(root, "down_ms", &worker.down_us, 1000);
     read_number(root, "slow_permille", &worker.slow_permille, 1);
     read_number(root, "fail_permille", &worker.fail_permille, 1);
     read_number(root, "stuck_permille", &worker.stuck_permille, 1);
@@ -785,11 +850,11 @@
     }
     BwEmulator_ReplyJson(
         exchange, 200,
-        json_pack("{s:i, s:I, s:I, s:I, s:I, s:I, s:o}", "running", running,
-                  "cpu", (json_int_t)worker.cpu, "mem", (json_int_t)worker.mem,
-                  "peak_cpu", (json_int_t)worker.peak_cpu, "peak_mem",
-                  (json_int_t)worker.peak_mem, "late",
-                  (json_int_t)worker.delayed_count, "rows", rows));
+        json_pack("{s:i, s:I, s:I, s:I, s:I, s:o}", "running", running,
+                  "excess_cpu", (json_int_t)worker.excess_cpu, "excess_mem",
+                  (json_int_t)worker.excess_mem, "late",
+                  (json_int_t)worker.delayed_count, "crashes_by_task",
+                  (json_int_t)worker.task_crashes, "rows", rows));
 }
 
 static void
@@ -863,6 +928,11 @@
     BwHttpClient_Tick(&worker.supervisor, now_us);
     tick_runs(now_us);
     tick_pending_replies(now_us);
+    if (worker.up_at_us != 0 && now_us >= worker.up_at_us &&
+        BwHttpServer_Reopen(&worker.http, "127.0.0.1")) {
+        worker.up_at_us = 0;
+        revive();
+    }
     if (!worker.is_crashed && now_us >= worker.next_heartbeat_us)
         send_heartbeat(now_us);
     if (BwEmulator_IsStopping())
@@ -891,6 +961,7 @@
     worker.seed = argc > 8 ? strtoull(argv[8], NULL, 10) : 1;
     worker.slow_permille = 1000;
     worker.heartbeat_interval_us = HEARTBEAT_INTERVAL_US;
+    worker.down_us = DOWN_US;
     worker.clock_start_us = BwClock_Now();
     worker.instance_number = 1;
     BwEventLoop_Init(&worker.event_loop, &loop_events, NULL);
--- a/packages/ports/driver.h
+++ b/packages/ports/driver.h
@@ -138,9 +138,11 @@
 typedef enum BwWorkerVerdict {
     BW_WORKER_OK,
     BW_WORKER_NO_ANSWER, /* the order may have been carried out */
-    BW_WORKER_FENCED,    /* another supervisor has a higher fence */
-    BW_WORKER_OLD_RUN,   /* the task had a run with this or a higher number */
-    BW_WORKER_LATE,      /* the lease had ended when the order arrived */
+    /* Its address refuses connections; the order was not carried out. */
+    BW_WORKER_UNREACHABLE,
+    BW_WORKER_FENCED,  /* another supervisor has a higher fence */
+    BW_WORKER_OLD_RUN, /* the task had a run with this or a higher number */
+    BW_WORKER_LATE,    /* the lease had ended when the order arrived */
     BW_WORKER_NO_ROOM,
     BW_WORKER_BAD_ORDER,      /* refused for good: not to be repeated */
     BW_WORKER_UNHEALTHY,      /* the order was not carried out */
--- a/tests/portstubs.c
+++ b/tests/portstubs.c
@@ -60,3 +60,13 @@
     (void)count;
     (void)reason;
 }
+
+void
+PortStub_DropWorkerEvent(void *ctx, const char *event, uint32_t count,
+                         const char *reason)
+{
+    (void)ctx;
+    (void)event;
+    (void)count;
+    (void)reason;
+}
--- a/tests/portstubs.h
+++ b/tests/portstubs.h
@@ -32,4 +32,8 @@
 PortStub_DropTaskEvent(void *ctx, const char *event, const BwWorkerTask *task,
                        uint32_t count, const char *reason);
 
+void
+PortStub_DropWorkerEvent(void *ctx, const char *event, uint32_t count,
+                         const char *reason);
+
 #endif
