Report what ran on a worker when it crashed

Callers saw a task that crashed its worker started again beside others as if nothing had been learnt: 33 crashes among 11 workers in ten seconds. A crash was an outcome like any other loss, 0.6 s late, and was known to the one dispatcher that had placed the task.

A supervisor whose worker refuses connections, or is replaced without having announced it, now tells every dispatcher at once which tasks ran there, of which routes, and how many tasks of each route the worker usually has. It repeats the last reports to a dispatcher that connects within 30 s, and withdraws one when the same instance answers after all. Tasks lost so have an outcome of their own. While the worker is down nothing is sent there, a start that found no connection is handed back at once, and the worker's lease is no longer extended by polls that did not reach it. A PLACE can ask that its tasks run beside no other job.

Dispatchers ignore the reports so far. The wire version is 3. Tests of a supervisor, 200 random schedules with crashes among them, pass; a worker that was replaced now reports its tasks as crashed instead of lost (new_instance, late_answer). The emulated worker no longer answers orders that arrive while a task crashes it: that listed the task as ended.

--- a/packages/adapters/wire.c
+++ b/packages/adapters/wire.c
@@ -329,6 +329,7 @@
     SPAN(BwPlace, job),
     SPAN(BwPlace, spec),
     SPAN(BwPlace, service),
+    SPAN(BwPlace, route),
     SPAN(BwPlace, requirement),
     U64(BwPlace, resources.cpu_milli),
     U64(BwPlace, resources.mem_mb),
@@ -336,6 +337,7 @@
     U32(BwPlace, step),
     U32(BwPlace, priority),
     U32(BwPlace, spread_max),
+    U32(BwPlace, is_exclusive),
     U64(BwPlace, requested_us),
     U64(BwPlace, wait_us),
     U64(BwPlace, expected_us),
@@ -363,6 +365,30 @@
     U64(BwSession, next_us),
     LIST(BwSession, load, load_count, worker_load_layout),
 };
+static const Field crashed_task_fields[] = {
+    SPAN(BwCrashedTask, job),
+    SPAN(BwCrashedTask, route),
+    U32(BwCrashedTask, step),
+    U32(BwCrashedTask, index),
+};
+static const Layout crashed_task_layout =
+    LAYOUT(BwCrashedTask, crashed_task_fields);
+static const Field usual_route_fields[] = {
+    SPAN(BwUsualRoute, route),
+    U64(BwUsualRoute, tasks_milli),
+};
+static const Layout usual_route_layout =
+    LAYOUT(BwUsualRoute, usual_route_fields);
+static const Field crash_fields[] = {
+    SPAN(BwCrash, instance),
+    SPAN(BwCrash, service),
+    U64(BwCrash, age_us),
+    U32(BwCrash, is_withdrawn),
+    U32(BwCrash, is_exclusive),
+    U32(BwCrash, unlisted),
+    LIST(BwCrash, tasks, task_count, crashed_task_layout),
+    LIST(BwCrash, usual, usual_count, usual_route_layout),
+};
 static const Field dispatcher_address_fields[] = {
     SPAN(BwDispatcherAddress, name),
     SPAN(BwDispatcherAddress, host),
@@ -406,6 +432,7 @@
     [BW_MSG_STOP] = LAYOUT(BwStop, stop_fields),
     [BW_MSG_OUTCOME] = LAYOUT(BwOutcome, outcome_fields),
     [BW_MSG_SESSION] = LAYOUT(BwSession, session_fields),
+    [BW_MSG_CRASH] = LAYOUT(BwCrash, crash_fields),
     [BW_MSG_DISPATCHER_LIST] =
         LAYOUT(BwDispatcherList, dispatcher_list_fields),
 };
--- a/packages/core/boundplace.c
+++ b/packages/core/boundplace.c
@@ -158,6 +158,7 @@
     place->spec.base = job->spec;
     place->spec.size_bytes = job->spec_bytes;
     place->service = BwSpan_FromString(job->service);
+    place->route = BwSpan_FromString(job->route);
     place->requirement = step->requirement;
     place->resources = step->resources;
     place->step = step_index;
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -151,6 +151,7 @@
     peer->peer = peer_id;
     HASH_ADD(hh, s->peers, peer, sizeof(peer->peer), peer);
     send_state(s, peer, now_us);
+    BwCrashReports_Repeat(s, now_us, peer_id);
 }
 
 void
@@ -230,6 +231,7 @@
         goto cleanup;
     text->references = 1;
     text->spec_bytes = place->spec.size_bytes;
+    BwSpan_ToString(place->route, text->route, sizeof(text->route));
     memcpy(text->spec, place->spec.base, place->spec.size_bytes);
     if (place->spread_max > 0)
         spread = count_step_tasks(s, place->job, place->step);
@@ -366,7 +368,8 @@
     HASH_ITER(hh, s->tasks_by_key, task, next)
     {
         if (task->state == BW_WORKER_TASK_STOPPING) {
-            if (!task->is_stop_in_flight && task->stopped_us == 0)
+            if (!task->is_stop_in_flight && task->stopped_us == 0 &&
+                s->down_since_us == 0)
                 BwWorkerTasks_SendStop(s, task);
         }
         else if (task->state == BW_WORKER_TASK_STARTING &&
@@ -395,13 +398,16 @@
 {
     if (now_us >= s->lease_end_us && s->lease_end_us != 0) {
         s->lease_end_us = 0;
-        BwWorkerTasks_LoseAll(s, now_us,
-                              s->down_since_us != 0
-                                  ? "the worker is down, and its lease ran out"
-                                  : "the lease of the worker ran out");
+        if (s->down_since_us != 0 && !s->is_worker_leaving)
+            BwWorkerTasks_LoseAll(s, now_us, BW_OUTCOME_CRASHED,
+                                  "the worker crashed, and its lease ran out");
+        else
+            BwWorkerTasks_LoseAll(s, now_us, BW_OUTCOME_LOST,
+                                  "the lease of the worker ran out");
         if (!BwWorkerTasks_IsResponsive(s, now_us))
             BwWorkerTasks_DeclineQueue(s, now_us, BW_DECLINE_LEAVING);
     }
+    BwCrashReports_Tick(s, now_us);
     BwWorkerTasks_StartQueued(s, now_us);
     tick_tasks(s, now_us);
     tick_sessions(s, now_us);
@@ -452,4 +458,5 @@
         HASH_DELETE(hh, s->peers, peer);
         free(peer);
     }
+    BwCrashReports_Finish(&s->crash_reports);
 }
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -30,6 +30,7 @@
 #include <uthash.h>
 
 #include "control.h"
+#include "crashreports.h"
 #include "driver.h"
 
 #define BW_SUPERVISOR_TASKS_MAX 4096
@@ -47,6 +48,7 @@
 typedef struct BwSpecText {
     uint32_t references;
     uint32_t spec_bytes;
+    char route[BW_NAME_BYTES_MAX]; /* that their job came by */
     char spec[];
 } BwSpecText;
 
@@ -91,6 +93,7 @@
     uint32_t reason;
     bool is_confirmed; /* the worker has listed it or accepted its start */
     bool is_stop_in_flight;
+    bool is_exclusive; /* runs only while no other job is on the worker */
     struct BwWorkerTask *prev, *next; /* in the queue */
     UT_hash_handle hh;                /* by key */
     UT_hash_handle by_number;
@@ -148,6 +151,7 @@
     uint64_t unanswered;
     uint64_t stalled;
     uint64_t polls;
+    uint64_t crashes;
     uint64_t downs; /* how often its address began to refuse connections */
 } BwSupervisorCounters;
 
@@ -204,7 +208,9 @@
     BwWorkerTask *queue;           /* list in order of priority and due time */
     BwSupervisorPeer *peers;
     uint32_t queued_count;
-    uint32_t queued_urgent;    /* of priority 0 */
+    uint32_t queued_urgent;   /* of priority 0 */
+    uint32_t exclusive_count; /* exclusive tasks, queued or on it */
+    BwCrashReports crash_reports;
     BwOutcomes outcomes;       /* of this instance */
     uint64_t last_progress_us; /* a poll last showed progress or a task done */
     /* Length of the last quarantine; 0 after a probation that ended well. */
--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -24,6 +24,9 @@
 /* Longest wait of a poll while the worker has no task that could end. */
 #define IDLE_POLL_WAIT_US 1000000
 #define POLL_INTERVAL_US 20000 /* interval of polls that don't wait */
+/* The same while the worker refuses connections.  Its next instance makes
+   itself known by a heartbeat. */
+#define DOWN_POLL_INTERVAL_US 100000
 /* Most polls that are in flight at once. */
 #define POLLS_MAX 3
 /* The same, including polls that an unanswered start or a stop causes. */
@@ -50,10 +53,10 @@
 {
     BwPollOrder order = {0};
     uint64_t due_us = now_us + wait_us + s->limits.answer_us;
-    bool renews = s->phase == BW_WORKER_READY &&
-                  HASH_COUNT(s->tasks_by_key) > 0 &&
-                  BwWorkerTasks_IsResponsive(s, now_us) &&
-                  now_us - s->clock_read_us <= BW_CLOCK_STALE_US;
+    bool renews =
+        s->phase == BW_WORKER_READY && HASH_COUNT(s->tasks_by_key) > 0 &&
+        BwWorkerTasks_IsResponsive(s, now_us) && s->down_since_us == 0 &&
+        now_us - s->clock_read_us <= BW_CLOCK_STALE_US;
 
     order.instance = BwSpan_FromString(s->instance);
     order.fence = s->fence;
@@ -76,6 +79,14 @@
 
 /* --------------------------------------------------------- heartbeats */
 
+static void
+record_up(BwSupervisor *s, const char *reason)
+{
+    s->down_since_us = 0;
+    s->port->log_worker(s->ctx, "worker_up",
+                        HASH_COUNT(s->tasks_by_key) - s->queued_count, reason);
+}
+
 /* Resets the state for an instance: whatever runs there is stopped first, and
    answers to calls made before are ignored. */
 static void
@@ -132,6 +143,8 @@
                             BW_NAME_BYTES_MAX);
         if (!is_same || s->phase == BW_WORKER_NONE) {
             if (!is_same) {
+                if (s->down_since_us != 0)
+                    record_up(s, "another instance has registered");
                 strcpy(s->previous_instance, s->instance);
                 memset(&s->outcomes, 0, sizeof(s->outcomes));
             }
@@ -169,14 +182,18 @@
         s->port->log_worker(s->ctx, "worker_down",
                             HASH_COUNT(s->tasks_by_key) - s->queued_count,
                             "its address refuses connections");
+        if (!s->is_worker_leaving)
+            BwCrashReports_Report(s, now_us);
+        BwWorkerTasks_DeclineQueue(s, now_us, BW_DECLINE_LEAVING);
+        BwSupervisor_BroadcastState(s, now_us);
     }
     else if (is_answered(answer) && s->down_since_us != 0) {
-        s->down_since_us = 0;
-        s->port->log_worker(s->ctx, "worker_up",
-                            HASH_COUNT(s->tasks_by_key) - s->queued_count,
-                            answer->verdict == BW_WORKER_WRONG_INSTANCE
-                                ? "another instance answers"
-                                : "the same instance answers");
+        bool is_same = answer->verdict != BW_WORKER_WRONG_INSTANCE;
+
+        record_up(s, is_same ? "the same instance answers"
+                             : "another instance answers");
+        if (is_same)
+            BwCrashReports_Withdraw(s, now_us);
     }
 }
 
@@ -206,7 +223,11 @@
     s->previous_instance[0] = '\0';
     if (!was_ready)
         return;
-    BwWorkerTasks_LoseAll(s, now_us, "the worker was replaced");
+    if (!s->is_worker_leaving)
+        BwCrashReports_Report(s, now_us);
+    BwWorkerTasks_LoseAll(
+        s, now_us, s->is_worker_leaving ? BW_OUTCOME_LOST : BW_OUTCOME_CRASHED,
+        "the worker was replaced");
     BwWorkerTasks_DeclineQueue(s, now_us, BW_DECLINE_LEAVING);
     BwSupervisor_BroadcastState(s, now_us);
 }
@@ -312,12 +333,34 @@
     return find_by_number(s, number);
 }
 
+/* A task whose start found no connection never reached the worker, so it must
+   not count among those that ran there. */
+static void
+remove_unsent(BwSupervisor *s, uint64_t now_us, uint64_t number)
+{
+    BwWorkerTask *task =
+        number >= s->first_order_number ? find_by_number(s, number) : NULL;
+
+    if (task == NULL || !BwWorkerTasks_IsOnWorker(task))
+        return;
+    s->port->log(s->ctx, "refused", task, 1,
+                 "the worker's address refuses connections");
+    if (task->state == BW_WORKER_TASK_STOPPING)
+        BwWorkerTasks_Remove(s, now_us, task, task->outcome, task->reason);
+    else
+        BwWorkerTasks_Remove(s, now_us, task, BW_OUTCOME_NOT_RUN,
+                             BW_DECLINE_LEAVING);
+}
+
 void
 BwSupervisor_OnStarted(BwSupervisor *s, uint64_t now_us, uint64_t number,
                        const BwWorkerAnswer *answer)
 {
-    BwWorkerTask *task = find_answered_task(s, now_us, number, answer);
+    BwWorkerTask *task;
 
+    if (answer->verdict == BW_WORKER_UNREACHABLE)
+        remove_unsent(s, now_us, number);
+    task = find_answered_task(s, now_us, number, answer);
     if (task == NULL || !BwWorkerTasks_IsOnWorker(task))
         return;
     switch (answer->verdict) {
@@ -329,7 +372,6 @@
             task->last_progress_us = now_us;
         break;
     case BW_WORKER_NO_ANSWER:
-    case BW_WORKER_UNREACHABLE:
         record_lost_answer(s, now_us);
         if (task->state == BW_WORKER_TASK_STARTING)
             on_unanswered_start(s, now_us, task);
@@ -614,15 +656,18 @@
     if (s->phase == BW_WORKER_NONE)
         return;
     if (s->phase == BW_WORKER_CLEARING) {
-        if (age_us >= POLL_INTERVAL_US &&
+        if (age_us >= (s->down_since_us != 0 ? DOWN_POLL_INTERVAL_US
+                                             : POLL_INTERVAL_US) &&
             (s->polls_in_flight == 0 || age_us > s->limits.answer_us))
             send_poll(s, now_us, 0);
         return;
     }
-    if (!BwWorkerTasks_IsResponsive(s, now_us))
+    if (!BwWorkerTasks_IsResponsive(s, now_us) || s->down_since_us != 0)
         wait_us = 0;
     if (s->polls_in_flight == 0) {
-        if (s->answer_due_us == 0 || age_us >= POLL_INTERVAL_US)
+        if (age_us >= (s->down_since_us != 0 ? DOWN_POLL_INTERVAL_US
+                                             : POLL_INTERVAL_US) ||
+            (s->answer_due_us == 0 && s->down_since_us == 0))
             send_poll(s, now_us, wait_us);
     }
     else if (!is_idle && s->polls_in_flight < POLLS_MAX && age_us > next_us)
--- a/packages/core/workertasks.c
+++ b/packages/core/workertasks.c
@@ -65,7 +65,8 @@
 BwWorkerTasks_IsUsable(const BwSupervisor *s, uint64_t now_us)
 {
     return s->phase == BW_WORKER_READY && !s->is_worker_leaving &&
-           !s->is_leaving && BwWorkerTasks_IsResponsive(s, now_us);
+           !s->is_leaving && s->down_since_us == 0 &&
+           BwWorkerTasks_IsResponsive(s, now_us);
 }
 
 /* Whether the next task may start.  A worker on which no task made progress is
@@ -142,7 +143,7 @@
     BwWorkerLoad load = {0};
 
     load.place_seen = peer->place_seen;
-    if (may_start(s, now_us)) {
+    if (may_start(s, now_us) && s->exclusive_count == 0) {
         load.free = s->capacity;
         BwResources_Subtract(&load.free, &s->used);
     }
@@ -198,6 +199,7 @@
     else {
         BwResources_Subtract(&s->used, &task->resources);
     }
+    s->exclusive_count -= task->is_exclusive;
     HASH_DELETE(hh, s->tasks_by_key, task);
     HASH_DELETE(by_number, s->tasks_by_number, task);
     if (task->peer == 0 && s->tasks_without_peer > 0)
@@ -229,7 +231,7 @@
         s->quarantine_us = 0;
     s->counters.done += kind == BW_OUTCOME_DONE;
     s->counters.failed += kind == BW_OUTCOME_FAILED;
-    s->counters.lost += kind == BW_OUTCOME_LOST;
+    s->counters.lost += kind == BW_OUTCOME_LOST || kind == BW_OUTCOME_CRASHED;
     s->counters.declined += kind == BW_OUTCOME_NOT_RUN;
 }
 
@@ -376,6 +378,7 @@
     task->ref = place->ref;
     task->resources = place->resources;
     task->priority = place->priority;
+    task->is_exclusive = place->is_exclusive != 0;
     task->run = 1;
     task->expected_us = place->expected_us;
     task->due_us = now_us + place->due_in_us;
@@ -408,6 +411,7 @@
     DL_INSERT_INORDER(s->queue, task, compare_tasks);
     s->queued_count++;
     s->queued_urgent += task->priority == 0;
+    s->exclusive_count += task->is_exclusive;
     peer->live_task_count++;
     return 0;
 }
@@ -443,6 +447,22 @@
            now_us < task->deadline_us;
 }
 
+/* Whether the task may run beside all that is on the worker. */
+static bool
+may_share(const BwSupervisor *s, const BwWorkerTask *task)
+{
+    if (s->exclusive_count == 0)
+        return true;
+    for (const BwWorkerTask *other = s->tasks_by_key; other != NULL;
+         other = other->hh.next) {
+        if (BwWorkerTasks_IsOnWorker(other) &&
+            (task->is_exclusive || other->is_exclusive) &&
+            strcmp(task->key.job, other->key.job) != 0)
+            return false;
+    }
+    return true;
+}
+
 void
 BwWorkerTasks_StartQueued(BwSupervisor *s, uint64_t now_us)
 {
@@ -467,6 +487,13 @@
         BwResources_Subtract(&left, &set_aside);
         if (!may_start(s, now_us) || !BwWorkerTasks_IsInTime(s, now_us, task))
             continue;
+        /* An exclusive task waits until the others have ended, and what is
+           behind it waits for it. */
+        if (!may_share(s, task)) {
+            if (task->is_exclusive)
+                return;
+            continue;
+        }
         if (!BwResources_Fits(&task->resources, &left)) {
             BwResources_Add(&waiting, &task->resources);
             continue;
@@ -475,13 +502,15 @@
         count_unqueued(s, task);
         BwResources_Add(&s->used, &task->resources);
         task->state = BW_WORKER_TASK_STARTING;
-        s->port->log(s->ctx, "start", task, 1, "room");
+        s->port->log(s->ctx, "start", task, 1,
+                     task->is_exclusive ? "exclusive" : "room");
         BwWorkerTasks_SendStart(s, now_us, task);
     }
 }
 
 void
-BwWorkerTasks_LoseAll(BwSupervisor *s, uint64_t now_us, const char *reason)
+BwWorkerTasks_LoseAll(BwSupervisor *s, uint64_t now_us, uint32_t kind,
+                      const char *reason)
 {
     BwWorkerTask *task, *next;
 
@@ -490,7 +519,7 @@
         if (!BwWorkerTasks_IsOnWorker(task))
             continue;
         s->port->log(s->ctx, "lost", task, 1, reason);
-        BwWorkerTasks_Remove(s, now_us, task, BW_OUTCOME_LOST, 0);
+        BwWorkerTasks_Remove(s, now_us, task, kind, 0);
     }
 }
 
--- a/packages/core/workertasks.h
+++ b/packages/core/workertasks.h
@@ -108,9 +108,9 @@
 BwWorkerTasks_StartQueued(BwSupervisor *supervisor, uint64_t now_us);
 
 /* Reports every task that may be on the worker as lost: all of them have
-   ended. */
+   ended.  `kind` is BW_OUTCOME_LOST or BW_OUTCOME_CRASHED. */
 void
-BwWorkerTasks_LoseAll(BwSupervisor *supervisor, uint64_t now_us,
+BwWorkerTasks_LoseAll(BwSupervisor *supervisor, uint64_t now_us, uint32_t kind,
                       const char *reason);
 
 /* Declines all queued tasks. */
--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -396,6 +396,8 @@
         c->unanswered);
     ADD("brasswing_stalled_total", "Tasks stopped for want of progress",
         c->stalled);
+    ADD("brasswing_worker_crashes_total", "Crashes while tasks ran",
+        c->crashes);
     ADD("brasswing_worker_down_total",
         "Times that the worker's address began to refuse connections",
         c->downs);
--- a/packages/emulator/worker.c
+++ b/packages/emulator/worker.c
@@ -707,6 +707,10 @@
         return;
     }
     tick_runs(BwClock_Now());
+    if (worker.is_crashed) {
+        BwExchange_Break(exchange);
+        return;
+    }
     order =
         json_loadb(exchange->body.base, exchange->body.size_bytes, 0, NULL);
     if (strcmp(path, "/api/hold") == 0 && is_for_this_instance(expected)) {
--- a/packages/ports/messages.h
+++ b/packages/ports/messages.h
@@ -16,7 +16,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define BW_WIRE_VERSION 2
+#define BW_WIRE_VERSION 3
 #define BW_NAME_BYTES_MAX 64
 #define BW_JOB_TASKS_MAX 1700
 #define BW_FRAME_BYTES_MAX (32u * 1024 * 1024)
@@ -63,6 +63,7 @@
     BW_MSG_STOP,
     BW_MSG_OUTCOME,
     BW_MSG_SESSION,
+    BW_MSG_CRASH,
     BW_MSG_DISPATCHER_LIST,
     BW_MSG_COUNT
 } BwMessageKind;
@@ -523,12 +524,15 @@
     BwSpan job;
     BwSpan spec;
     BwSpan service;
+    BwSpan route;          /* that the job came by */
     BwSpan requirement;    /* label that the worker must have, or empty */
     BwResources resources; /* that each task needs */
     uint32_t step;
     uint32_t priority;
     /* Most tasks of the step that may be on the worker; 0: no limit. */
     uint32_t spread_max;
+    /* They run only while no task of another job is on the worker. */
+    uint32_t is_exclusive;
     /* The supervisor's clock when the PLACE was sent, or an earlier time: the
        session is renewed from this time on; 0: it is not renewed. */
     uint64_t requested_us;
@@ -551,6 +555,7 @@
     BW_OUTCOME_FAILED,
     BW_OUTCOME_LOST,    /* it may have run, and no longer does */
     BW_OUTCOME_NOT_RUN, /* see `reason` */
+    BW_OUTCOME_CRASHED, /* lost, since the worker crashed */
 } BwOutcomeKind;
 
 typedef struct BwTaskOutcome {
@@ -582,6 +587,39 @@
     uint32_t load_count;
 } BwSession;
 
+/* A task that ran on a worker when it crashed. */
+typedef struct BwCrashedTask {
+    BwSpan job;
+    BwSpan route;
+    uint32_t step;
+    uint32_t index;
+} BwCrashedTask;
+
+/* How many tasks of a route the worker usually has. */
+typedef struct BwUsualRoute {
+    BwSpan route;
+    uint64_t tasks_milli; /* mean over the last seconds, in thousandths */
+} BwUsualRoute;
+
+#define BW_CRASHED_TASKS_MAX 64
+#define BW_USUAL_ROUTES_MAX 16
+
+/* Supervisor to every dispatcher: its worker crashed age_us ago, with these
+   tasks and `unlisted` further ones.  A crash is reported once as soon as it
+   shows, and again to a dispatcher that connects within the next seconds. */
+typedef struct BwCrash {
+    BwSpan instance;
+    BwSpan service;
+    uint64_t age_us;
+    uint32_t is_withdrawn; /* it was reported before, and was none */
+    uint32_t is_exclusive; /* it ran one job, which was placed exclusively */
+    uint32_t unlisted;
+    BwCrashedTask *tasks;
+    uint32_t task_count;
+    BwUsualRoute *usual;
+    uint32_t usual_count;
+} BwCrash;
+
 /* Address of a dispatcher that the sender is connected to. */
 typedef struct BwDispatcherAddress {
     BwSpan name;
@@ -625,6 +663,7 @@
         BwStop stop;
         BwOutcome outcome;
         BwSession session;
+        BwCrash crash;
         BwDispatcherList dispatcher_list;
     } u;
 } BwMessage;
--- a/tests/supervisor_world.h
+++ b/tests/supervisor_world.h
@@ -86,6 +86,7 @@
     bool is_stuck; /* tasks started now make no progress and never end */
     bool is_unhealthy;
     bool is_leaving;
+    bool is_down; /* its process has ended: it refuses connections */
 } Worker;
 
 typedef enum CallState {
@@ -185,6 +186,10 @@
     uint64_t next_heartbeat_us;
     uint64_t next_ref;
     bool sends_heartbeats;
+    GArray *crashed;        /* placements that ran when the worker crashed */
+    uint32_t crash_reports; /* that were sent, to all dispatchers together */
+    uint32_t crash_withdrawals;
+    uint32_t reported_tasks; /* in the last report */
 } World;
 
 /* The tasks of one step from index `first` on.  A field that is 0 means
@@ -205,6 +210,7 @@
     uint64_t due_us;
     uint64_t wait_us;   /* limit of the wait for resources */
     bool must_not_wait; /* that limit is 0 */
+    bool is_exclusive;
 } PlaceRequest;
 
 uint64_t
@@ -214,6 +220,11 @@
 void
 World_RestartWorker(World *w);
 
+/* Ends all that runs on the worker, which refuses connections until it is
+   restarted. */
+void
+World_CrashWorker(World *w);
+
 Peer *
 World_FindPeer(World *w, uint32_t id);
 
