--- a/packages/core/boundplace.c
+++ b/packages/core/boundplace.c
@@ -19,6 +19,7 @@
 #include <string.h>
 
 #include "boundadmission.h"
+#include "boundcrash.h"
 #include "boundjob.h"
 #include "brasswing.h"
 #include "forecast.h"
@@ -164,6 +165,7 @@
     place->step = step_index;
     place->priority = job->priority;
     place->spread_max = step->spread_max;
+    place->is_exclusive = job->is_exclusive;
     place->requested_us = supervisor_clock(view, now_us);
     view->session_renewed_us = now_us;
     place->expected_us = run_us;
@@ -221,6 +223,8 @@
         if (task->view == NULL)
             return false;
         BwViews_AddInFlight(task->view, need);
+        if (job->is_exclusive)
+            task->view->exclusive_ref = job->ref;
         task->view->step_task_count++;
         ++*count;
     }
--- a/packages/core/dispatcher.c
+++ b/packages/core/dispatcher.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "boundadmission.h"
+#include "boundcrash.h"
 #include "boundjob.h"
 #include "brasswing.h"
 #include "jobobjective.h"
@@ -79,11 +80,13 @@
 }
 
 /* The job would end late by late_us.  Once the workers have done that much of
-   what is queued before it, it would end in time. */
+   what is queued before it, it would end in time.  One that no worker can run
+   may come again when a worker for it is back. */
 static uint32_t
 retry_after_ms(const BwBoundJob *job)
 {
-    uint64_t after_ms = (job->late_us + 999) / 1000;
+    uint64_t after_us = job->return_us > 0 ? job->return_us : job->late_us;
+    uint64_t after_ms = (after_us + 999) / 1000;
 
     if (after_ms == 0)
         return RETRY_AFTER_MS;
@@ -99,7 +102,7 @@
 
 /* Records whether the job was served badly, unless no dispatcher could have
    served it in time: it came when its objective was nearly over, no worker can
-   run it, or its tasks failed. */
+   run it, its tasks failed, or its route or tasks crash workers. */
 static void
 record_class(BwDispatcher *d, uint64_t now_us, const BwBoundJob *job,
              BwBoundEnd end)
@@ -108,7 +111,7 @@
                   now_us - job->arrived_us + job->waited_us >
                       BwJobObjective_ActualUs(job);
 
-    if (end == BW_BOUND_FAILED ||
+    if (end == BW_BOUND_FAILED || job->is_confined || job->has_crashed ||
         job->arrived_us + job->expected_us > job->due_us ||
         (end == BW_BOUND_REFUSED && job->late_us == 0))
         return;
@@ -144,10 +147,15 @@
                     BwBoundEnd end, const char *reason)
 {
     void *data = job->data;
-    uint32_t after_ms = retry_after_ms(job);
+    uint32_t after_ms;
 
     if (end == BW_BOUND_EXPIRED && !has_started(job))
         end = BW_BOUND_REFUSED;
+    if (end == BW_BOUND_REFUSED && job->is_confined && job->late_us == 0) {
+        job->return_us = BwBoundCrash_ReturnUs(d, now_us, job);
+        reason = "its route is confined, and no worker of the pool is up";
+    }
+    after_ms = retry_after_ms(job);
     d->counters.completed += end == BW_BOUND_COMPLETED;
     d->counters.failed += end == BW_BOUND_FAILED;
     d->counters.refused += end == BW_BOUND_REFUSED;
@@ -170,6 +178,7 @@
 {
     uint64_t limit_us = job->deadline_us;
 
+    BwBoundCrash_Prepare(d, now_us, job);
     /* All its tasks were declined, so the job is as if it were new and has to
        meet the limit for new jobs again. */
     if (!has_started(job)) {
@@ -222,6 +231,8 @@
         uint64_t ran_us)
 {
     task->state = BW_BOUND_TASK_DONE;
+    if (task->crashes > 0)
+        BwSuspects_Clear(&d->suspects, job->name, task->step, task->index);
     task->ran_us = ran_us;
     learn_wait(d, now_us, job, task);
     learn_run(d, job, task);
@@ -263,7 +274,8 @@
     task->avoided = reason == BW_DECLINE_BUSY ? NULL : task->view;
     task->view = NULL;
     d->counters.bounced += kind == BW_OUTCOME_NOT_RUN;
-    d->counters.lost += kind == BW_OUTCOME_LOST;
+    d->counters.lost += kind == BW_OUTCOME_LOST || kind == BW_OUTCOME_CRASHED;
+    d->counters.crashed += kind == BW_OUTCOME_CRASHED;
     return ++task->reassignments < REASSIGNMENTS_MAX ? BW_BOUND_COMPLETED
                                                      : BW_BOUND_EXPIRED;
 }
@@ -422,6 +434,7 @@
 {
     uint64_t limit_us = BwBoundAdmission_LimitUs(job);
 
+    BwBoundCrash_Prepare(d, now_us, job);
     if (BwBoundPlace_IsRunnable(d, job, now_us) &&
         BwBoundPlace_PlaceReady(d, now_us, job, limit_us))
         return true;
@@ -443,6 +456,7 @@
                        : 0;
     BwBoundJob *job = NULL;
     BwBoundJob *duplicate = BwDispatcher_FindName(d, name);
+    BwBoundEnd end;
     uint64_t ref;
 
     d->counters.submitted++;
@@ -460,6 +474,12 @@
     HASH_ADD(hh, d->jobs, ref, sizeof(job->ref), job);
     HASH_ADD_KEYPTR(by_name, d->jobs_by_name, job->name, strlen(job->name),
                     job);
+    end = BwBoundCrash_Admit(d, now_us, job);
+    if (end != BW_BOUND_COMPLETED) {
+        BwDispatcher_EndJob(d, now_us, job, end,
+                            "two workers crashed under a task before");
+        return 0;
+    }
     return place_new(d, now_us, job) ? ref : 0;
 }
 
@@ -520,6 +540,7 @@
         BwViews_EvaluateHealth(d, now_us, view);
     }
     BwViews_EvictStale(d, now_us);
+    BwBoundCrash_Tick(d, now_us);
     HASH_ITER(hh, d->jobs, job, next)
     {
         if (now_us >= job->deadline_us)
@@ -573,5 +594,7 @@
     }
     free(d->view_table);
     BwClassAdmission_Finish(&d->class_admissions);
+    BwSuspects_Finish(&d->suspects);
+    BwConfinement_Finish(&d->confinements);
     BwRouteStats_Finish(&d->route_stats);
 }
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -30,9 +30,11 @@
 #include <uthash.h>
 
 #include "classadmission.h"
+#include "confinement.h"
 #include "control.h"
 #include "driver.h"
 #include "routestats.h"
+#include "suspects.h"
 
 #define BW_IN_FLIGHT_MAX 64
 /* Workers that are compared for a task when one of them has free resources,
@@ -54,6 +56,7 @@
     uint32_t index;         /* within the step */
     uint32_t failures;      /* failed runs that count as an attempt */
     uint32_t reassignments; /* how often it was requeued otherwise */
+    uint32_t crashes;       /* of workers on which it ran */
     uint64_t wait_us;       /* how long it may wait in the worker's queue */
     uint64_t forecast_us;   /* its wait by the load report; 0: none */
     uint64_t placed_us;
@@ -95,6 +98,12 @@
     /* How far past the limit the task that found no worker would end at the
        best one; 0: not known. */
     uint64_t late_us;
+    /* When a worker for it is expected to be back; 0: not known. */
+    uint64_t return_us;
+    bool is_confined;  /* its route is, see confinement.h */
+    bool is_exclusive; /* no other job may run beside it on a worker */
+    uint32_t owner;    /* of the workers that it may use; 0: of all */
+    bool has_crashed;  /* a worker has crashed under a task of it */
     bool was_placed;   /* a task is at a supervisor, or may have run */
     bool may_have_run; /* a task may have started that is not done */
     UT_hash_handle hh;
@@ -114,6 +123,10 @@
 typedef struct BwSupervisorView {
     uint32_t peer; /* number of the connection; 0: none */
     bool is_usable;
+    bool is_in_pool;        /* for confined routes and suspects */
+    bool is_reserved;       /* for these only */
+    uint64_t exclusive_ref; /* the last exclusive job assigned to it */
+    uint32_t owner; /* number of the route that it is kept for, from 1 */
     uint32_t in_flight_count;
     uint32_t label_count;
     BwResources capacity;
@@ -146,6 +159,11 @@
     BwBoundTask *last_assigned;
     uint64_t place_number; /* of the last PLACE on this connection */
     BwInFlight in_flight[BW_IN_FLIGHT_MAX];
+    uint64_t crashed_us;  /* when its worker last crashed; 0: never */
+    uint64_t series_us;   /* first crash of the present series; 0: none */
+    uint64_t unusable_us; /* since when it is not usable; 0: it is */
+    uint64_t pool_order;  /* a hash of the name */
+    char crashed_instance[BW_NAME_BYTES_MAX]; /* of the last report */
     uint64_t stopped_ref; /* job that a STOP was last sent for */
     uint32_t table_index; /* in BwDispatcher.view_table */
     UT_hash_handle hh;    /* by name */
@@ -191,6 +209,9 @@
     /* Logs how a job ended, just before it is answered and freed. */
     void (*log_end)(void *ctx, const BwBoundJob *job,
                     const BwJobEndReport *report);
+    /* Logs a decision on a route of a service. */
+    void (*log_route)(void *ctx, const char *event, const char *service,
+                      const char *route, const char *reason);
 } BwDispatcherPort;
 
 typedef struct BwDispatcherLimits {
@@ -213,8 +234,12 @@
     uint64_t expired;
     uint64_t withdrawn;
     uint64_t placed;
-    uint64_t bounced; /* tasks that were placed and not run */
-    uint64_t lost;    /* tasks that may have run and whose end is unknown */
+    uint64_t bounced;  /* tasks that were placed and not run */
+    uint64_t lost;     /* tasks that may have run and whose end is unknown */
+    uint64_t crashed;  /* tasks lost because their worker crashed */
+    uint64_t crashes;  /* of workers, as reported by supervisors */
+    uint64_t confined; /* how often a route was confined */
+    uint64_t given_up; /* jobs under a task of which two workers crashed */
 } BwDispatcherCounters;
 
 typedef struct BwDispatcher {
@@ -231,7 +256,10 @@
     BwSupervisorView *views_by_peer;
     BwRouteStats *route_stats;
     BwClassAdmission *class_admissions; /* hash by service */
-    BwRandom random;                    /* of the workers that are compared */
+    BwSuspectJob *suspects;             /* hash by job */
+    BwConfinement *confinements;        /* hash by service */
+    uint64_t pools_updated_us;
+    BwRandom random; /* of the workers that are compared */
     BwTaskIndex place_tasks[BW_JOB_TASKS_MAX]; /* of the PLACE being sent */
     uint64_t last_ref;
     uint64_t last_link_generation;
--- a/packages/core/forecast.c
+++ b/packages/core/forecast.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "boundcrash.h"
 #include "boundjob.h"
 #include "forecast.h"
 #include "pace.h"
@@ -47,6 +48,14 @@
            BwResources_Fits(&view->capacity, &view->free);
 }
 
+/* Whether no other job is at the worker of an exclusive one. */
+static bool
+is_free_for(const BwBoundJob *job, const BwSupervisorView *view)
+{
+    return is_idle(view) ||
+           (view->in_flight_count > 0 && view->exclusive_ref == job->ref);
+}
+
 /* A worker that is being probed gets a task only when it has none. */
 static bool
 accepts_tasks(const BwSupervisorView *view)
@@ -84,7 +93,10 @@
 {
     const BwBoundStep *step = &job->steps[task->step];
 
-    return accepts_tasks(view) && strcmp(view->service, job->service) == 0 &&
+    return accepts_tasks(view) && BwBoundCrash_Allows(job, view) &&
+           strcmp(view->service, job->service) == 0 &&
+           (!job->is_confined || !job->is_exclusive ||
+            is_free_for(job, view)) &&
            BwResources_Fits(&step->resources, &view->capacity) &&
            view_has_label(view, step->requirement) &&
            (step->spread_max == 0 || view->step_task_count < step->spread_max);
@@ -105,7 +117,9 @@
     if (!is_eligible(job, task, view))
         return forecast;
     left = BwViews_FreeResources(view, job->priority, &tasks_ahead);
-    if (!has_free_resources(view, &step->resources, &left, job->priority))
+    if (job->is_exclusive && !is_free_for(job, view))
+        forecast.report_us = expected->run_us * (tasks_ahead > 0 ? 2 : 1);
+    else if (!has_free_resources(view, &step->resources, &left, job->priority))
         forecast.report_us =
             (tasks_ahead + 1) * (view->release_in_us > RELEASE_MIN_US
                                      ? view->release_in_us
--- a/packages/core/views.c
+++ b/packages/core/views.c
@@ -19,6 +19,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define XXH_STATIC_LINKING_ONLY
+#include <xxhash.h>
+
+#include "boundcrash.h"
 #include "boundjob.h"
 #include "brasswing.h"
 #include "pace.h"
@@ -331,6 +335,7 @@
         if (view == NULL)
             return;
         strcpy(view->name, text);
+        view->pool_order = XXH3_64bits(text, strlen(text));
         view->pace_permille = BW_PACE_MEAN_PERMILLE;
         if (!append_view(d, view)) {
             free(view);
@@ -412,10 +417,15 @@
     if (strcmp(instance, view->instance) != 0)
         memset(&view->health, 0, sizeof(view->health));
     strcpy(view->instance, instance);
+    if (!BwSpan_Equal(state->service, BwSpan_FromString(view->service))) {
+        view->is_in_pool = false;
+        view->is_reserved = false;
+    }
     BwSpan_ToString(state->service, view->service, sizeof(view->service));
     BwSpan_ToString(state->domain, view->domain, sizeof(view->domain));
     view->capacity = state->capacity;
     view->is_usable = state->is_leaving == 0;
+    BwBoundCrash_OnUsable(d, now_us, view);
     view->label_count = state->label_count < BW_LABELS_MAX ? state->label_count
                                                            : BW_LABELS_MAX;
     for (uint32_t i = 0; i < view->label_count; i++)
@@ -445,6 +455,9 @@
             apply_load(d, now_us, view, message->u.outcome.load);
         BwDispatcher_OnOutcome(d, now_us, view, &message->u.outcome);
         break;
+    case BW_MSG_CRASH:
+        BwBoundCrash_OnReport(d, now_us, view, &message->u.crash);
+        break;
     case BW_MSG_SESSION:
         if (message->u.session.load_count > 0)
             apply_load(d, now_us, view, message->u.session.load);
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -449,8 +449,19 @@
            BW_LOG_TEXT("reason", report->reason));
 }
 
-static const BwDispatcherPort dispatcher_port = {send_message, on_answer,
-                                                 log_decision, log_job_end};
+static void
+log_route(void *ctx, const char *event, const char *service, const char *route,
+          const char *reason)
+{
+    Role *role = ctx;
+
+    BW_LOG(&role->node->logger, BW_LOG_INFO, event,
+           BW_LOG_TEXT("service", service), BW_LOG_TEXT("route", route),
+           BW_LOG_TEXT("reason", reason));
+}
+
+static const BwDispatcherPort dispatcher_port = {
+    send_message, on_answer, log_decision, log_job_end, log_route};
 
 /* --------------------------------------------------------------- role */
 
@@ -593,6 +604,13 @@
     ADD("brasswing_placed_total", "Tasks sent to supervisors", c->placed);
     ADD("brasswing_bounced_total", "Tasks declined there", c->bounced);
     ADD("brasswing_lost_total", "Tasks lost with their worker", c->lost);
+    ADD("brasswing_crashed_total", "Tasks lost as their worker crashed",
+        c->crashed);
+    ADD("brasswing_worker_crashes_total", "Crashes of workers reported",
+        c->crashes);
+    ADD("brasswing_confined_total", "Routes confined", c->confined);
+    ADD("brasswing_given_up_total",
+        "Bound jobs given up after two crashes under a task", c->given_up);
 #undef ADD
     n = BwCounters_Add(list, n, capacity, "brasswing_workers_usable",
                        "Workers that take tasks now", BW_GAUGE,
--- a/packages/daemon/nodestatus.c
+++ b/packages/daemon/nodestatus.c
@@ -31,13 +31,14 @@
 {
     bool is_ejected = view->health.is_ejected;
     json_t *object = json_pack(
-        "{s:s, s:s, s:s, s:s, s:b, s:b, s:b, s:o, s:o}", "supervisor",
+        "{s:s, s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:o, s:o}", "supervisor",
         view->name, "instance", view->instance, "service", view->service,
         "domain", view->domain, "connected", (int)(view->peer != 0), "usable",
         (int)(view->peer != 0 && view->is_usable &&
               view->session_renewed_us != 0 && !is_ejected),
-        "ejected", (int)is_ejected, "capacity",
-        make_resources(&view->capacity), "free", make_resources(&view->free));
+        "ejected", (int)is_ejected, "in_pool", (int)view->is_in_pool,
+        "capacity", make_resources(&view->capacity), "free",
+        make_resources(&view->free));
     json_t *rest = json_pack(
         "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "queued",
         (json_int_t)view->queued, "release_ms",
@@ -56,6 +57,22 @@
     return object;
 }
 
+static json_t *
+list_confined(const BwDispatcher *dispatcher)
+{
+    json_t *routes = json_array();
+
+    for (const BwConfinement *confinement = dispatcher->confinements;
+         confinement != NULL; confinement = confinement->hh.next) {
+        for (const BwRouteSuspicion *route = confinement->routes;
+             route != NULL; route = route->hh.next) {
+            if (route->is_confined)
+                json_array_append_new(routes, json_string(route->route));
+        }
+    }
+    return routes;
+}
+
 json_t *
 BwNodeStatus_Dispatcher(const BwDispatcher *dispatcher, uint64_t now_us)
 {
@@ -70,8 +87,9 @@
     for (const BwSupervisorView *view = dispatcher->views; view != NULL;
          view = view->hh.next)
         json_array_append_new(views, make_view(view, now_us));
-    return json_pack("{s:I, s:I, s:o}", "jobs_waiting", waiting,
-                     "jobs_running", running, "workers", views);
+    return json_pack("{s:I, s:I, s:o, s:o}", "jobs_waiting", waiting,
+                     "jobs_running", running, "confined",
+                     list_confined(dispatcher), "workers", views);
 }
 
 /* --------------------------------------------------------- supervisor */
--- a/tests/bound_load.c
+++ b/tests/bound_load.c
@@ -45,6 +45,10 @@
     EVENT_SUBMIT, /* of a job that was cut off, again */
     EVENT_KILL,
     EVENT_RESTART,
+    EVENT_WORKER_UP,
+    EVENT_CRASH,      /* of a worker, for another cause than a task */
+    EVENT_RACK_CRASH, /* of several at once */
+    EVENT_KILL_ONE,   /* dispatcher */
 } EventKind;
 
 typedef struct Event {
@@ -59,6 +63,8 @@
     msgpack_sbuffer *frame;
     BwWorkerVerdict verdict;
     uint64_t last_end;
+    uint32_t generation; /* of the dispatcher */
+    uint32_t instance;   /* of the worker that is called */
     void *data;
 } Event;
 
@@ -76,6 +82,9 @@
     uint64_t ref;
     double worth;
     bool is_open;
+    bool is_deadly; /* its first task is */
+    uint32_t crashes;
+    bool is_running[TASKS_MAX];
 } Job;
 
 typedef struct WorkerTask {
@@ -114,11 +123,15 @@
     uint64_t cpu_milli;
     uint64_t used_milli;
     uint64_t pace_permille;
+    uint32_t instance;
+    bool is_down;
+    bool was_crashed_by_task;
 } Worker;
 
 typedef struct Dispatcher {
     Fleet *fleet;
     uint32_t index;
+    uint32_t generation;
     BwDispatcher core;
 } Dispatcher;
 
@@ -136,6 +149,8 @@
     BwRoute routes[LOAD_CLASSES_MAX];
     GHashTable *jobs; /* open jobs, by name */
     uint64_t job_count;
+    uint64_t first_crash_us;
+    uint32_t down_by_task;
     double owed[WINDOWS_MAX];
     double earned[WINDOWS_MAX];
 };
@@ -212,6 +227,20 @@
     return longest_us;
 }
 
+static uint64_t
+allowed_us(const Job *job)
+{
+    return job->fleet->plan->deadline_us + 3 * longest_run_us(job);
+}
+
+/* Whether the caller has time left when it would send the job again. */
+static bool
+can_resend(const Job *job)
+{
+    return job->fleet->plan->resends &&
+           job->fleet->now_us + RESEND_US < job->sent_us + allowed_us(job);
+}
+
 static void
 on_answer(void *ctx, void *data, BwBoundEnd end, uint32_t retry_after_ms)
 {
@@ -240,6 +269,13 @@
     else if (end == BW_BOUND_REFUSED) {
         counts->refused++;
     }
+    else if (end == BW_BOUND_FAILED) {
+        counts->failed++;
+        fleet->result->failed_innocents += !job->is_deadly;
+    }
+    else if (can_resend(job)) {
+        schedule(fleet, RESEND_US, EVENT_SUBMIT)->data = job;
+    }
     else {
         counts->expired++;
     }
@@ -249,15 +285,13 @@
 submit(Fleet *fleet, Job *job)
 {
     Dispatcher *dispatcher = &fleet->dispatchers[job->dispatcher];
-    const LoadPlan *plan = fleet->plan;
     BwBoundRequest request = {.ends_with_connection = true, .step_count = 1};
-    uint64_t allowed_us = plan->deadline_us + 3 * longest_run_us(job);
+    uint64_t left_us = job->sent_us + allowed_us(job) - fleet->now_us;
 
     if (fleet->is_down) {
         schedule(fleet, RESEND_US, EVENT_SUBMIT)->data = job;
         return;
     }
-    allowed_us = job->sent_us + allowed_us - fleet->now_us;
     request.spec = BwSpan_FromString("spec");
     request.steps[0].task_count = job->tasks;
     request.steps[0].resources = (BwResources){job->cpu_milli, 64, 0};
@@ -265,10 +299,10 @@
     request.steps[0].requirement = BwSpan_FromString("");
     request.steps[0].affinity = BwSpan_FromString("");
     job->is_open = true;
-    job->ref = BwDispatcher_Submit(
-        &dispatcher->core, fleet->now_us, BwSpan_FromString(job->name),
-        &request, &fleet->routes[job->class_index], fleet->now_us + allowed_us,
-        allowed_us, job);
+    job->ref = BwDispatcher_Submit(&dispatcher->core, fleet->now_us,
+                                   BwSpan_FromString(job->name), &request,
+                                   &fleet->routes[job->class_index],
+                                   fleet->now_us + left_us, left_us, job);
 }
 
 static double
@@ -323,6 +357,15 @@
         class->worth * (0.3 + 0.7 * work_us * (double)job->cpu_milli /
                                   ((double)class->run_us * class->tasks *
                                    (double)class->cpu_milli));
+    job->is_deadly = class->deadly_permille > 0 &&
+                     fleet->now_us - START_US >= fleet->plan->deadly_from_us &&
+                     fleet->now_us - START_US < fleet->plan->deadly_until_us &&
+                     g_rand_int_range(fleet->random, 0, 1000) <
+                         (gint32) class->deadly_permille;
+    if (job->is_deadly) {
+        counts_of(job)->deadly++;
+        job->worth = 0;
+    }
     counts_of(job)->jobs++;
     counts_of(job)->owed += job->worth;
     fleet->owed[window_of(job)] += job->worth;
@@ -331,16 +374,35 @@
 
 /* ------------------------------------------------------------ workers */
 
+static Event *
+schedule_call(Worker *worker, uint64_t in_us, EventKind kind, uint64_t number)
+{
+    Event *event = schedule(worker->fleet, in_us, kind);
+
+    event->worker = worker->index;
+    event->instance = worker->instance;
+    event->number = number;
+    return event;
+}
+
 static void
 answer_poll(Worker *worker, const Poll *poll)
 {
-    Event *event = schedule(worker->fleet, CALL_US, EVENT_POLL_ANSWERED);
+    Event *event =
+        schedule_call(worker, CALL_US, EVENT_POLL_ANSWERED, poll->number);
 
-    event->worker = worker->index;
-    event->number = poll->number;
     event->last_end = poll->last_end;
 }
 
+static void
+set_running(Fleet *fleet, const WorkerTask *task, bool is_running)
+{
+    Job *job = g_hash_table_lookup(fleet->jobs, task->job);
+
+    g_assert_true(job->is_running[task->index] != is_running);
+    job->is_running[task->index] = is_running;
+}
+
 static void
 end_task(Worker *worker, WorkerTask *task, BwEndKind kind)
 {
@@ -351,6 +413,7 @@
 
     strcpy(end.job, task->job);
     g_array_append_val(worker->ends, end);
+    set_running(worker->fleet, task, false);
     worker->used_milli -= task->cpu_milli;
     g_ptr_array_remove(worker->running, task);
     for (uint32_t i = 0; i < worker->polls->len; i++)
@@ -358,18 +421,86 @@
     g_array_set_size(worker->polls, 0);
 }
 
+static void
+write_instance(const Worker *worker, char *out, size_t size)
+{
+    g_snprintf(out, size, "worker%u-%u", worker->index, worker->instance);
+}
+
+/* Returns BW_WORKER_OK when an order for that instance can be carried out. */
+static BwWorkerVerdict
+verdict_for(const Worker *worker, BwSpan expected)
+{
+    char instance[32];
+
+    write_instance(worker, instance, sizeof(instance));
+    if (worker->is_down)
+        return BW_WORKER_UNREACHABLE;
+    return BwSpan_Equal(expected, BwSpan_FromString(instance))
+               ? BW_WORKER_OK
+               : BW_WORKER_WRONG_INSTANCE;
+}
+
+/* Ends all that runs on the worker.  It is back after the outage as a new
+   instance. */
+static void
+crash_worker(Worker *worker, bool is_by_task)
+{
+    Fleet *fleet = worker->fleet;
+
+    if (worker->is_down)
+        return;
+    for (uint32_t i = 0; i < worker->running->len; i++)
+        set_running(fleet, g_ptr_array_index(worker->running, i), false);
+    g_ptr_array_set_size(worker->running, 0);
+    g_array_set_size(worker->ends, 0);
+    worker->used_milli = 0;
+    worker->end_count = 0;
+    worker->is_down = true;
+    for (uint32_t i = 0; i < worker->polls->len; i++)
+        answer_poll(worker, &g_array_index(worker->polls, Poll, i));
+    g_array_set_size(worker->polls, 0);
+    worker->instance++;
+    worker->was_crashed_by_task = is_by_task;
+    fleet->down_by_task += is_by_task;
+    schedule_call(worker, fleet->plan->outage_us, EVENT_WORKER_UP, 0)->life =
+        0;
+}
+
+static void
+on_task_end(Worker *worker, WorkerTask *task)
+{
+    Fleet *fleet = worker->fleet;
+    LoadResult *result = fleet->result;
+    Job *job = g_hash_table_lookup(fleet->jobs, task->job);
+
+    if (!job->is_deadly || task->index != 0) {
+        end_task(worker, task, BW_END_DONE);
+        return;
+    }
+    result->crashes++;
+    job->crashes++;
+    result->crashes_by_task = MAX(result->crashes_by_task, job->crashes);
+    if (fleet->first_crash_us == 0)
+        fleet->first_crash_us = fleet->now_us;
+    crash_worker(worker, true);
+    if (fleet->now_us > fleet->first_crash_us + 2 * SECOND_US)
+        result->down_most = MAX(result->down_most, fleet->down_by_task);
+}
+
 static bool
 start_task(void *ctx, uint64_t number, const BwTaskOrder *order)
 {
     Worker *worker = ctx;
     Fleet *fleet = worker->fleet;
-    WorkerTask *task = g_new0(WorkerTask, 1);
-    Event *event = schedule(fleet, 2 * CALL_US, EVENT_STARTED);
+    WorkerTask *task;
+    Event *event = schedule_call(worker, 2 * CALL_US, EVENT_STARTED, number);
     const Job *job;
 
-    event->worker = worker->index;
-    event->number = number;
-    event->verdict = BW_WORKER_OK;
+    event->verdict = verdict_for(worker, order->instance);
+    if (event->verdict != BW_WORKER_OK)
+        return true;
+    task = g_new0(WorkerTask, 1);
     BwSpan_ToString(order->job, task->job, sizeof(task->job));
     job = g_hash_table_lookup(fleet->jobs, task->job);
     g_assert_nonnull(job);
@@ -379,6 +510,9 @@
     task->started_us = fleet->now_us + CALL_US;
     task->ends_us = task->started_us +
                     job->run_us[order->index] * worker->pace_permille / 1000;
+    if (job->is_deadly && task->index == 0)
+        task->ends_us -= (task->ends_us - task->started_us) / 2;
+    set_running(fleet, task, true);
     worker->used_milli += task->cpu_milli;
     g_assert_cmpuint(worker->used_milli, <=, worker->cpu_milli);
     g_ptr_array_add(worker->running, task);
@@ -394,12 +528,12 @@
 stop_task(void *ctx, uint64_t number, const BwTaskOrder *order)
 {
     Worker *worker = ctx;
-    Event *event = schedule(worker->fleet, 2 * CALL_US, EVENT_STOPPED);
+    Event *event = schedule_call(worker, 2 * CALL_US, EVENT_STOPPED, number);
     char job[BW_NAME_BYTES_MAX];
 
-    event->worker = worker->index;
-    event->number = number;
-    event->verdict = BW_WORKER_OK;
+    event->verdict = verdict_for(worker, order->instance);
+    if (event->verdict != BW_WORKER_OK)
+        return true;
     BwSpan_ToString(order->job, job, sizeof(job));
     for (uint32_t i = 0; i < worker->running->len; i++) {
         WorkerTask *task = g_ptr_array_index(worker->running, i);
@@ -417,12 +551,10 @@
 poll_worker(void *ctx, uint64_t number, const BwPollOrder *order)
 {
     Worker *worker = ctx;
-    Event *event = schedule(worker->fleet, CALL_US, EVENT_POLL_ARRIVED);
+    Event *event = schedule_call(worker, CALL_US, EVENT_POLL_ARRIVED, number);
 
-    event->worker = worker->index;
-    event->number = number;
     event->last_end = order->last_end;
-    event->at_us = worker->fleet->now_us + CALL_US;
+    event->verdict = verdict_for(worker, order->instance);
     event->data = GUINT_TO_POINTER(order->wait_ms);
     return true;
 }
@@ -435,6 +567,16 @@
     Poll poll = {event->number, event->last_end, 0, fleet->life};
     Event *due;
 
+    if (event->verdict != BW_WORKER_OK ||
+        event->instance != worker->instance) {
+        Event *answer =
+            schedule_call(worker, CALL_US, EVENT_POLL_ANSWERED, event->number);
+
+        answer->verdict = event->verdict != BW_WORKER_OK
+                              ? event->verdict
+                              : BW_WORKER_UNREACHABLE;
+        return;
+    }
     if (worker->end_count > event->last_end || wait_us == 0) {
         answer_poll(worker, &poll);
         return;
@@ -473,7 +615,14 @@
                              .running = running,
                              .ended = ended};
 
-    for (uint32_t i = 0; i < worker->running->len; i++) {
+    if (event->verdict != BW_WORKER_OK ||
+        event->instance != worker->instance) {
+        answer.verdict = event->verdict != BW_WORKER_OK ? event->verdict
+                                                        : BW_WORKER_NO_ANSWER;
+        answer.clock_ms = 0;
+    }
+    for (uint32_t i = 0;
+         answer.verdict == BW_WORKER_OK && i < worker->running->len; i++) {
         const WorkerTask *task = g_ptr_array_index(worker->running, i);
         BwListedTask *listed = &running[answer.running_count++];
         uint64_t whole_us = task->ends_us - task->started_us + 1;
@@ -485,7 +634,8 @@
             listed->percent = (uint32_t)((fleet->now_us - task->started_us) *
                                          100 / whole_us);
     }
-    for (uint32_t i = 0; i < worker->ends->len; i++) {
+    for (uint32_t i = 0;
+         answer.verdict == BW_WORKER_OK && i < worker->ends->len; i++) {
         const End *end = &g_array_index(worker->ends, End, i);
         BwListedTask *listed;
 
@@ -500,7 +650,7 @@
     }
     BwSupervisor_OnPolled(&worker->supervisor, fleet->now_us, event->number,
                           fleet->now_us - 2 * CALL_US, &answer);
-    while (worker->ends->len > 0 &&
+    while (answer.verdict == BW_WORKER_OK && worker->ends->len > 0 &&
            g_array_index(worker->ends, End, 0).number <= event->last_end)
         g_array_remove_index(worker->ends, 0);
     g_free(running);
@@ -512,9 +662,9 @@
 {
     Fleet *fleet = worker->fleet;
     BwWorkerHeartbeat heartbeat = {0};
-    char name[24];
+    char name[32];
 
-    g_snprintf(name, sizeof(name), "worker%u", worker->index);
+    write_instance(worker, name, sizeof(name));
     heartbeat.instance = BwSpan_FromString(name);
     heartbeat.service = BwSpan_FromString("service");
     heartbeat.domain = BwSpan_FromString("domain");
@@ -545,6 +695,7 @@
 
     event->worker = worker->index;
     event->dispatcher = peer - 1;
+    event->generation = worker->fleet->dispatchers[peer - 1].generation;
     event->frame = encode(message);
 }
 
@@ -557,6 +708,7 @@
                  EVENT_TO_SUPERVISOR);
 
     event->dispatcher = dispatcher->index;
+    event->generation = dispatcher->generation;
     event->worker = peer - 1;
     event->frame = encode(message);
 }
@@ -568,6 +720,8 @@
     msgpack_zone zone;
     size_t used;
 
+    if (event->generation != fleet->dispatchers[event->dispatcher].generation)
+        return;
     g_assert_true(msgpack_zone_init(&zone, 2048));
     g_assert_cmpint(BwWire_Decode(event->frame->data, event->frame->size,
                                   &used, &zone, &message),
@@ -584,7 +738,8 @@
 /* -------------------------------------------------------------- fleet */
 
 static const BwDispatcherPort dispatcher_port = {
-    send_to_supervisor, on_answer, PortStub_DropDecision, PortStub_DropJobEnd};
+    send_to_supervisor, on_answer, PortStub_DropDecision, PortStub_DropJobEnd,
+    PortStub_DropRouteEvent};
 
 static const BwSupervisorPort supervisor_port = {send_to_dispatcher,
                                                  start_task,
@@ -593,6 +748,61 @@
                                                  PortStub_DropTaskEvent,
                                                  PortStub_DropWorkerEvent};
 
+static void
+open_dispatcher(Fleet *fleet, uint32_t i)
+{
+    Dispatcher *dispatcher = &fleet->dispatchers[i];
+    BwDispatcherLimits limits = {SESSION_US,
+                                 LEASE_US,
+                                 STOP_US,
+                                 100000,
+                                 fleet->now_us + 250 * MS,
+                                 fleet->plan->seed * 1000 + i};
+
+    BwDispatcher_Init(&dispatcher->core, &limits, &dispatcher_port,
+                      dispatcher);
+    for (uint32_t j = 0; j < fleet->plan->workers; j++) {
+        char name[24];
+
+        g_snprintf(name, sizeof(name), "supervisor%u", j);
+        BwDispatcher_PeerUp(&dispatcher->core, fleet->now_us, j + 1,
+                            BwSpan_FromString(name));
+        BwSupervisor_PeerUp(&fleet->workers[j].supervisor, fleet->now_us,
+                            i + 1);
+    }
+}
+
+/* Replaces a dispatcher by a new process.  The callers of its jobs send them
+   again to another one. */
+static void
+kill_dispatcher(Fleet *fleet, uint32_t i)
+{
+    Dispatcher *dispatcher = &fleet->dispatchers[i];
+    GHashTableIter iter;
+    void *value;
+
+    fleet->result->placed += dispatcher->core.counters.placed;
+    fleet->result->bounced += dispatcher->core.counters.bounced;
+    BwDispatcher_Finish(&dispatcher->core);
+    dispatcher->generation++;
+    for (uint32_t j = 0; j < fleet->plan->workers; j++)
+        BwSupervisor_PeerDown(&fleet->workers[j].supervisor, fleet->now_us,
+                              i + 1);
+    g_hash_table_iter_init(&iter, fleet->jobs);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        Job *job = value;
+
+        if (!job->is_open || job->dispatcher != i)
+            continue;
+        job->is_open = false;
+        if (can_resend(job))
+            schedule(fleet, RESEND_US, EVENT_SUBMIT)->data = job;
+        else
+            counts_of(job)->expired++;
+    }
+    open_dispatcher(fleet, i);
+}
+
 static void
 open_fleet(Fleet *fleet)
 {
@@ -608,27 +818,8 @@
                           worker);
         send_heartbeat(worker);
     }
-    for (uint32_t i = 0; i < plan->dispatchers; i++) {
-        Dispatcher *dispatcher = &fleet->dispatchers[i];
-        BwDispatcherLimits dispatcher_limits = {SESSION_US,
-                                                LEASE_US,
-                                                STOP_US,
-                                                100000,
-                                                fleet->now_us + 250 * MS,
-                                                fleet->plan->seed * 1000 + i};
-
-        BwDispatcher_Init(&dispatcher->core, &dispatcher_limits,
-                          &dispatcher_port, dispatcher);
-        for (uint32_t j = 0; j < plan->workers; j++) {
-            char name[24];
-
-            g_snprintf(name, sizeof(name), "supervisor%u", j);
-            BwDispatcher_PeerUp(&dispatcher->core, fleet->now_us, j + 1,
-                                BwSpan_FromString(name));
-            BwSupervisor_PeerUp(&fleet->workers[j].supervisor, fleet->now_us,
-                                i + 1);
-        }
-    }
+    for (uint32_t i = 0; i < plan->dispatchers; i++)
+        open_dispatcher(fleet, i);
 }
 
 static void
@@ -676,6 +867,15 @@
 static void
 tick(Fleet *fleet)
 {
+    for (uint32_t i = 0; !fleet->is_down && i < fleet->plan->workers; i++) {
+        Worker *worker = &fleet->workers[i];
+        char instance[32];
+
+        write_instance(worker, instance, sizeof(instance));
+        if (!worker->is_down &&
+            strcmp(instance, worker->supervisor.instance) != 0)
+            send_heartbeat(worker);
+    }
     if (!fleet->is_down) {
         for (uint32_t i = 0; i < fleet->plan->dispatchers; i++)
             BwDispatcher_Tick(&fleet->dispatchers[i].core, fleet->now_us);
@@ -698,6 +898,16 @@
     return false;
 }
 
+/* The answer of a worker that has crashed meanwhile does not arrive. */
+static void
+lose_answer(const Worker *worker, const Event *event, BwWorkerAnswer *answer)
+{
+    if (answer->verdict == BW_WORKER_OK && event->instance != worker->instance)
+        answer->verdict = BW_WORKER_NO_ANSWER;
+    if (answer->verdict != BW_WORKER_OK)
+        answer->clock_ms = 0;
+}
+
 static void
 on_event(Fleet *fleet, Event *event)
 {
@@ -713,11 +923,35 @@
         on_arrival(fleet, (uint32_t)event->number);
         break;
     case EVENT_SUBMIT:
+        if (fleet->plan->resends)
+            ((Job *)event->data)->dispatcher = (uint32_t)g_rand_int_range(
+                fleet->random, 0, (int)fleet->plan->dispatchers);
         submit(fleet, event->data);
         break;
     case EVENT_TASK_END:
         if (is_running(worker, event->data, event->order))
-            end_task(worker, event->data, BW_END_DONE);
+            on_task_end(worker, event->data);
+        break;
+    case EVENT_WORKER_UP:
+        worker->is_down = false;
+        fleet->down_by_task -= worker->was_crashed_by_task;
+        break;
+    case EVENT_CRASH:
+        fleet->result->other_crashes++;
+        crash_worker(&fleet->workers[g_rand_int_range(
+                         fleet->random, 0, (gint32)fleet->plan->workers)],
+                     false);
+        schedule(fleet, fleet->plan->crash_every_us, EVENT_CRASH);
+        break;
+    case EVENT_RACK_CRASH:
+        for (uint32_t i = 0; i < fleet->plan->rack_workers; i++)
+            crash_worker(&fleet->workers[i], false);
+        break;
+    case EVENT_KILL_ONE:
+        kill_dispatcher(
+            fleet, (uint32_t)g_rand_int_range(
+                       fleet->random, 0, (gint32)fleet->plan->dispatchers));
+        schedule(fleet, fleet->plan->kill_every_us, EVENT_KILL_ONE);
         break;
     case EVENT_KILL:
         kill_fleet(fleet);
@@ -731,10 +965,12 @@
         deliver(fleet, event);
         break;
     case EVENT_STARTED:
+        lose_answer(worker, event, &answer);
         BwSupervisor_OnStarted(&worker->supervisor, fleet->now_us,
                                event->number, &answer);
         break;
     case EVENT_STOPPED:
+        lose_answer(worker, event, &answer);
         BwSupervisor_OnStopped(&worker->supervisor, fleet->now_us,
                                event->number, &answer);
         break;
@@ -756,7 +992,8 @@
 {
     return event->kind == EVENT_TICK || event->kind == EVENT_ARRIVAL ||
            event->kind == EVENT_SUBMIT || event->kind == EVENT_TASK_END ||
-           event->kind == EVENT_RESTART;
+           event->kind == EVENT_RESTART || event->kind == EVENT_WORKER_UP ||
+           event->kind == EVENT_CRASH || event->kind == EVENT_RACK_CRASH;
 }
 
 static void
@@ -804,6 +1041,8 @@
         result->all.late += counts->late;
         result->all.refused += counts->refused;
         result->all.expired += counts->expired;
+        result->all.failed += counts->failed;
+        result->all.deadly += counts->deadly;
         result->all.owed += counts->owed;
         result->all.earned += counts->earned;
     }
@@ -853,6 +1092,12 @@
     schedule(&fleet, TICK_US, EVENT_TICK);
     for (uint32_t i = 0; i < plan->class_count; i++)
         schedule(&fleet, START_US / 2, EVENT_ARRIVAL)->number = i;
+    if (plan->crash_every_us > 0)
+        schedule(&fleet, START_US / 2 + plan->crash_every_us, EVENT_CRASH);
+    if (plan->kill_every_us > 0)
+        schedule(&fleet, START_US / 2 + plan->kill_every_us, EVENT_KILL_ONE);
+    if (plan->rack_crash_us > 0)
+        schedule(&fleet, START_US / 2 + plan->rack_crash_us, EVENT_RACK_CRASH);
     if (plan->restart_us > 0)
         schedule(&fleet, START_US / 2 + plan->restart_us, EVENT_KILL);
     run(&fleet);
--- a/tests/load_plans.c
+++ b/tests/load_plans.c
@@ -87,3 +87,19 @@
     plan.down_us = 1100 * MS;
     return plan;
 }
+
+LoadPlan
+LoadPlan_CrashingTasks(uint32_t dispatchers, uint32_t workers,
+                       uint32_t class_index)
+{
+    static const double weights[] = {0.24, 0.055, 0.70};
+    LoadPlan plan = make_plan(dispatchers, workers, weights, 0.5);
+
+    plan.length_us = 16 * SECOND_US;
+    plan.deadly_from_us = 2 * SECOND_US;
+    plan.deadly_until_us = 12 * SECOND_US;
+    plan.outage_us = 3300 * MS;
+    plan.resends = true;
+    plan.classes[class_index].deadly_permille = 100;
+    return plan;
+}
--- a/tests/load_plans.h
+++ b/tests/load_plans.h
@@ -23,6 +23,12 @@
 LoadPlan
 LoadPlan_OverloadEnds(uint32_t dispatchers, uint32_t workers);
 
+/* Half of the capacity; for 10 s a tenth of the jobs of one class have a task
+   that crashes its worker, which is away for 3.3 s. */
+LoadPlan
+LoadPlan_CrashingTasks(uint32_t dispatchers, uint32_t workers,
+                       uint32_t class_index);
+
 /* Every process is lost and replaced under seven tenths of the capacity. */
 LoadPlan
 LoadPlan_Return(uint32_t dispatchers, uint32_t workers);
--- a/tests/measure_bound.c
+++ b/tests/measure_bound.c
@@ -99,7 +99,8 @@
 }
 
 static const BwDispatcherPort dispatcher_port = {
-    record_place, record_end, PortStub_DropDecision, PortStub_DropJobEnd};
+    record_place, record_end, PortStub_DropDecision, PortStub_DropJobEnd,
+    PortStub_DropRouteEvent};
 
 static void
 send_session(Bench *bench, uint32_t peer)
--- a/tests/portstubs.c
+++ b/tests/portstubs.c
@@ -70,3 +70,14 @@
     (void)count;
     (void)reason;
 }
+
+void
+PortStub_DropRouteEvent(void *ctx, const char *event, const char *service,
+                        const char *route, const char *reason)
+{
+    (void)ctx;
+    (void)event;
+    (void)service;
+    (void)route;
+    (void)reason;
+}
--- a/tests/portstubs.h
+++ b/tests/portstubs.h
@@ -32,6 +32,10 @@
 PortStub_DropTaskEvent(void *ctx, const char *event, const BwWorkerTask *task,
                        uint32_t count, const char *reason);
 
+void
+PortStub_DropRouteEvent(void *ctx, const char *event, const char *service,
+                        const char *route, const char *reason);
+
 void
 PortStub_DropWorkerEvent(void *ctx, const char *event, uint32_t count,
                          const char *reason);
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -101,7 +101,8 @@
 }
 
 static const BwDispatcherPort port = {record_send, record_answer,
-                                      PortStub_DropDecision, record_job_end};
+                                      PortStub_DropDecision, record_job_end,
+                                      PortStub_DropRouteEvent};
 
 static void
 set_up(Fixture *f)
@@ -1678,6 +1679,245 @@
                      1000);
 }
 
+/* ------------------------------------------------------------- crashes */
+
+/* Reports that the worker crashed with task `index` of the job, and with
+   `others` tasks of another job of the same route. */
+static void
+send_crash(Fixture *f, uint32_t peer, const char *instance, const char *job,
+           uint32_t index, uint32_t others)
+{
+    BwMessage message = {.kind = BW_MSG_CRASH};
+    BwCrash *crash = &message.u.crash;
+    BwCrashedTask tasks[8] = {{span(job), span(f->route.name), 0, index}};
+    BwUsualRoute usual[] = {{span("route"), 2000}, {span("other"), 2000}};
+
+    for (uint32_t i = 1; i <= others; i++)
+        tasks[i] = (BwCrashedTask){span("beside"), span("other"), 0, i};
+    crash->instance = span(instance);
+    crash->service = span("service");
+    crash->is_exclusive = others == 0;
+    crash->tasks = tasks;
+    crash->task_count = others + 1;
+    crash->usual = usual;
+    crash->usual_count = 2;
+    BwDispatcher_OnMessage(&f->d, f->now_us, peer, &message);
+}
+
+/* A task that crashed its worker was started on one worker after another until
+   its deadline. */
+static void
+test_no_third_start(void)
+{
+    Fixture f;
+    uint64_t ref;
+
+    set_up(&f);
+    connect_worker(&f, 1, "s1");
+    ref = submit_simple(&f, 1, 1000);
+    connect_worker(&f, 2, "s2");
+    connect_worker(&f, 3, "s3");
+    send_crash(&f, 1, "i1", "job0", 0, 3);
+    send_outcome(&f, 1, ref, 0, 0, BW_OUTCOME_CRASHED);
+    g_assert_cmpuint(f.d.counters.crashed, ==, 1);
+    g_assert_cmpuint(last_peer(&f), !=, 1);
+    g_assert_cmpuint(f.answers[0].count, ==, 0);
+    f.now_us += SECOND_US;
+    send_crash(&f, last_peer(&f), "i2", "job0", 0, 3);
+    assert_answer(&f, 0, BW_BOUND_EXPIRED);
+    g_assert_cmpuint(f.d.counters.given_up, ==, 1);
+    tear_down(&f);
+}
+
+/* The second crash under a job that was placed exclusively proves it. */
+static void
+test_failed_by_crash(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    connect_worker(&f, 1, "s1");
+    connect_worker(&f, 2, "s2");
+    submit_simple(&f, 1, 1000);
+    send_crash(&f, 1, "i1", "job0", 0, 3);
+    f.now_us += SECOND_US;
+    send_crash(&f, 2, "i2", "job0", 0, 0);
+    assert_answer(&f, 0, BW_BOUND_FAILED);
+    /* Handed in again, also after the record of this dispatcher is all that
+       is left of it. */
+    f.job_count = 0;
+    f.answers[0].count = 0;
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), ==, 0);
+    assert_answer(&f, 0, BW_BOUND_FAILED);
+    tear_down(&f);
+}
+
+/* A job whose tasks crashed workers at another dispatcher is handed in here.
+ */
+static void
+test_crash_elsewhere(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    connect_worker(&f, 1, "s1");
+    connect_worker(&f, 2, "s2");
+    send_crash(&f, 1, "i1", "job0", 0, 3);
+    send_crash(&f, 1, "i1", "job0", 0, 3); /* a repeated report */
+    f.now_us += SECOND_US;
+    submit_simple(&f, 1, 1000);
+    g_assert_cmpuint(f.answers[0].count, ==, 0);
+    send_crash(&f, 2, "i2", "job1", 0, 3);
+    f.now_us += SECOND_US;
+    send_crash(&f, 1, "i3", "job1", 0, 3);
+    submit_simple(&f, 1, 1000);
+    assert_answer(&f, 1, BW_BOUND_REFUSED);
+    g_assert_cmpuint(f.answers[1].retry_after_ms, >, 1000);
+    f.now_us += BW_SUSPECT_US + SECOND_US;
+    BwDispatcher_Tick(&f.d, f.now_us);
+    f.job_count = 1;
+    f.answers[1].count = 0;
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), !=, 0);
+    tear_down(&f);
+}
+
+/* A task that has run to its end is no suspect any more. */
+static void
+test_cleared_by_end(void)
+{
+    Fixture f;
+    uint64_t ref;
+
+    set_up(&f);
+    connect_worker(&f, 1, "s1");
+    ref = submit_simple(&f, 1, 1000);
+    connect_worker(&f, 2, "s2");
+    send_crash(&f, 1, "i1", "job0", 0, 3);
+    g_assert_nonnull(BwSuspects_Find(f.d.suspects, "job0"));
+    send_outcome(&f, 1, ref, 0, 0, BW_OUTCOME_CRASHED);
+    send_outcome(&f, 2, ref, 0, 0, BW_OUTCOME_DONE);
+    assert_answer(&f, 0, BW_BOUND_COMPLETED);
+    g_assert_null(BwSuspects_Find(f.d.suspects, "job0"));
+    tear_down(&f);
+}
+
+/* Workers of a fleet with two routes crash under tasks of one of them. */
+static void
+crash_series(Fixture *f)
+{
+    char name[BW_NAME_BYTES_MAX];
+
+    for (uint32_t peer = 1; peer <= 8; peer++) {
+        g_snprintf(name, sizeof(name), "s%u", peer);
+        connect_worker(f, peer, name);
+    }
+    send_crash(f, 1, "i1", "x1", 0, 3); /* makes the other route known */
+    for (uint32_t i = 0; i < 3; i++) {
+        f->now_us += SECOND_US / 10;
+        g_snprintf(name, sizeof(name), "x%u", i + 2);
+        send_crash(f, i + 2, name, name, 0, 0);
+        send_crash(f, i + 2, name, name, 0, 0);
+    }
+    BwDispatcher_Tick(&f->d, f->now_us);
+}
+
+static bool
+is_in_pool(const Fixture *f, uint32_t peer)
+{
+    for (const BwSupervisorView *view = f->d.views; view != NULL;
+         view = view->hh.next) {
+        if (view->peer == peer)
+            return view->is_in_pool;
+    }
+    return false;
+}
+
+/* Its further tasks go to a quarter of the workers, and those of the other
+   route to the others.  Callers are told when a worker is back. */
+static void
+test_confined(void)
+{
+    Fixture f;
+    uint32_t pool_count = 0;
+
+    set_up(&f);
+    crash_series(&f);
+    g_assert_cmpuint(f.d.counters.confined, ==, 1);
+    for (uint32_t peer = 1; peer <= 8; peer++)
+        pool_count += is_in_pool(&f, peer);
+    g_assert_cmpuint(pool_count, ==, 2);
+    g_assert_true(is_in_pool(&f, 1));
+    g_assert_true(is_in_pool(&f, 2));
+    for (uint32_t i = 0; i < 6; i++) {
+        strcpy(f.route.name, i % 2 == 0 ? "route" : "other");
+        submit_simple(&f, 1, 1000);
+        g_assert_true(is_in_pool(&f, last_peer(&f)) == (i % 2 == 0));
+    }
+    for (uint32_t peer = 1; peer <= 2; peer++) {
+        BwMessage message = {.kind = BW_MSG_WORKER};
+
+        message.u.worker.instance = span("instance");
+        message.u.worker.service = span("service");
+        message.u.worker.is_leaving = 1;
+        BwDispatcher_OnMessage(&f.d, f.now_us, peer, &message);
+    }
+    strcpy(f.route.name, "route");
+    submit_simple(&f, 1, 1000);
+    assert_answer(&f, 6, BW_BOUND_REFUSED);
+    g_assert_cmpuint(f.answers[6].retry_after_ms, >, 1000);
+    g_assert_cmpuint(f.answers[6].retry_after_ms, <=, 3000);
+    tear_down(&f);
+}
+
+/* The route is free again some seconds after the last crash. */
+static void
+test_released(void)
+{
+    Fixture f;
+    uint64_t began_us;
+
+    set_up(&f);
+    crash_series(&f);
+    began_us = f.now_us;
+    while (f.d.confinements->confined_count > 0) {
+        f.now_us += SECOND_US / 20;
+        BwDispatcher_Tick(&f.d, f.now_us);
+        g_assert_cmpuint(f.now_us, <, began_us + 4 * SECOND_US);
+    }
+    g_assert_cmpuint(f.now_us, >, began_us + 2 * SECOND_US);
+    BwDispatcher_Tick(&f.d, f.now_us + SECOND_US);
+    for (uint32_t peer = 1; peer <= 8; peer++)
+        g_assert_false(is_in_pool(&f, peer));
+    tear_down(&f);
+}
+
+/* The report was wrong: the job may run as any other. */
+static void
+test_crash_withdrawn(void)
+{
+    BwMessage message = {.kind = BW_MSG_CRASH};
+    BwCrashedTask task = {span("job0"), span("route"), 0, 0};
+    Fixture f;
+
+    set_up(&f);
+    connect_worker(&f, 1, "s1");
+    connect_worker(&f, 2, "s2");
+    submit_simple(&f, 1, 1000);
+    send_crash(&f, 1, "i1", "job0", 0, 0);
+    message.u.crash.instance = span("i1");
+    message.u.crash.service = span("service");
+    message.u.crash.is_withdrawn = 1;
+    message.u.crash.tasks = &task;
+    message.u.crash.task_count = 1;
+    BwDispatcher_OnMessage(&f.d, f.now_us, 1, &message);
+    BwDispatcher_OnMessage(&f.d, f.now_us, 1, &message);
+    g_assert_null(BwSuspects_Find(f.d.suspects, "job0"));
+    f.now_us += SECOND_US;
+    send_crash(&f, 2, "i2", "job0", 0, 3);
+    g_assert_cmpuint(f.answers[0].count, ==, 0);
+    tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1735,5 +1975,12 @@
     ADD(near_worker);
     ADD(class_admission);
 #undef ADD
+    g_test_add_func("/dispatcher/no_third_start", test_no_third_start);
+    g_test_add_func("/dispatcher/failed_by_crash", test_failed_by_crash);
+    g_test_add_func("/dispatcher/crash_elsewhere", test_crash_elsewhere);
+    g_test_add_func("/dispatcher/cleared_by_end", test_cleared_by_end);
+    g_test_add_func("/dispatcher/confined", test_confined);
+    g_test_add_func("/dispatcher/released", test_released);
+    g_test_add_func("/dispatcher/crash_withdrawn", test_crash_withdrawn);
     return g_test_run();
 }
--- a/tests/test_schedules.c
+++ b/tests/test_schedules.c
@@ -299,7 +299,8 @@
 }
 
 static const BwDispatcherPort port = {
-    on_send, on_answer, PortStub_DropDecision, PortStub_DropJobEnd};
+    on_send, on_answer, PortStub_DropDecision, PortStub_DropJobEnd,
+    PortStub_DropRouteEvent};
 
 /* When a job has ended, each supervisor that still has tasks of it must have
    been sent a stop. */
--- a/tests/test_status.c
+++ b/tests/test_status.c
@@ -35,7 +35,7 @@
 
 static const BwDispatcherPort dispatcher_port = {
     PortStub_DropMessage, drop_answer, PortStub_DropDecision,
-    PortStub_DropJobEnd};
+    PortStub_DropJobEnd, PortStub_DropRouteEvent};
 static const BwSupervisorPort supervisor_port = {
     PortStub_DropMessage, PortStub_DropOrder,     PortStub_DropOrder,
     PortStub_DropPoll,    PortStub_DropTaskEvent, PortStub_DropWorkerEvent};
