Tell dispatchers when a worker's capacity changes

Callers of jobs that no longer fitted anywhere waited instead of being refused: a supervisor went by the capacity of the newest heartbeat, but dispatchers kept the one that was known when the instance registered. They placed tasks that were declined as unsuited, over and over, and tasks in the queue that could never run waited for their whole time.

A heartbeat that describes the instance in use differently (capacity, service, labels) is now passed on as the worker's state, and queued tasks that need more than the whole capacity are declined at once. What runs is left to run.

The simulated worker checks each start against the capacity of its time, and random schedules change it.

--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -87,6 +87,49 @@
                         HASH_COUNT(s->tasks_by_key) - s->queued_count, reason);
 }
 
+/* Returns whether the heartbeat describes the worker as it is known. */
+static bool
+is_as_known(const BwSupervisor *s, const BwWorkerHeartbeat *heartbeat)
+{
+    if ((heartbeat->has_capacity && memcmp(&s->capacity, &heartbeat->capacity,
+                                           sizeof(s->capacity)) != 0) ||
+        !BwSpan_Equal(heartbeat->service, BwSpan_FromString(s->service)) ||
+        !BwSpan_Equal(heartbeat->domain, BwSpan_FromString(s->domain)) ||
+        heartbeat->label_count != s->label_count)
+        return false;
+    for (uint32_t i = 0; i < s->label_count; i++) {
+        if (!BwSpan_Equal(heartbeat->labels[i],
+                          BwSpan_FromString(s->labels[i])))
+            return false;
+    }
+    return true;
+}
+
+static void
+adopt_description(BwSupervisor *s, const BwWorkerHeartbeat *heartbeat)
+{
+    BwSpan_ToString(heartbeat->service, s->service, sizeof(s->service));
+    BwSpan_ToString(heartbeat->domain, s->domain, sizeof(s->domain));
+    if (heartbeat->has_capacity)
+        s->capacity = heartbeat->capacity;
+    s->label_count = heartbeat->label_count;
+    for (uint32_t i = 0; i < heartbeat->label_count; i++)
+        BwSpan_ToString(heartbeat->labels[i], s->labels[i], BW_NAME_BYTES_MAX);
+}
+
+/* The worker that is in use describes itself differently.  Tasks that run go
+   on; queued ones that can never fit are declined. */
+static void
+on_description_changed(BwSupervisor *s, uint64_t now_us)
+{
+    s->port->log_worker(s->ctx, "worker_changed",
+                        HASH_COUNT(s->tasks_by_key) - s->queued_count,
+                        "it announced another capacity, service or labels");
+    BwWorkerTasks_DeclineUnsuited(s, now_us);
+    BwWorkerTasks_StartQueued(s, now_us);
+    BwSupervisor_BroadcastState(s, now_us);
+}
+
 /* Resets the state for an instance: whatever runs there is stopped first, and
    answers to calls made before are ignored. */
 static void
@@ -132,15 +175,12 @@
         s->heartbeat_sequence = UINT64_MAX;
     }
     else {
+        bool is_changed = !is_as_known(s, heartbeat);
+
         s->is_worker_leaving = heartbeat->is_leaving;
-        BwSpan_ToString(heartbeat->service, s->service, sizeof(s->service));
-        BwSpan_ToString(heartbeat->domain, s->domain, sizeof(s->domain));
-        if (heartbeat->has_capacity)
-            s->capacity = heartbeat->capacity;
-        s->label_count = heartbeat->label_count;
-        for (uint32_t i = 0; i < heartbeat->label_count; i++)
-            BwSpan_ToString(heartbeat->labels[i], s->labels[i],
-                            BW_NAME_BYTES_MAX);
+        adopt_description(s, heartbeat);
+        if (is_same && is_changed && s->phase == BW_WORKER_READY)
+            on_description_changed(s, now_us);
         if (!is_same || s->phase == BW_WORKER_NONE) {
             if (!is_same) {
                 if (s->down_since_us != 0)
--- a/packages/core/workertasks.c
+++ b/packages/core/workertasks.c
@@ -533,3 +533,16 @@
         BwWorkerTasks_Remove(s, now_us, task, BW_OUTCOME_NOT_RUN, reason);
     }
 }
+
+void
+BwWorkerTasks_DeclineUnsuited(BwSupervisor *s, uint64_t now_us)
+{
+    BwWorkerTask *task, *next;
+
+    DL_FOREACH_SAFE(s->queue, task, next)
+    {
+        if (!BwResources_Fits(&task->resources, &s->capacity))
+            BwWorkerTasks_Remove(s, now_us, task, BW_OUTCOME_NOT_RUN,
+                                 BW_DECLINE_UNSUITED);
+    }
+}
--- a/packages/core/workertasks.h
+++ b/packages/core/workertasks.h
@@ -113,6 +113,10 @@
 BwWorkerTasks_LoseAll(BwSupervisor *supervisor, uint64_t now_us, uint32_t kind,
                       const char *reason);
 
+/* Declines the queued tasks that need more than the worker's capacity. */
+void
+BwWorkerTasks_DeclineUnsuited(BwSupervisor *supervisor, uint64_t now_us);
+
 /* Declines all queued tasks. */
 void
 BwWorkerTasks_DeclineQueue(BwSupervisor *supervisor, uint64_t now_us,
--- a/tests/supervisor_world.h
+++ b/tests/supervisor_world.h
@@ -29,6 +29,10 @@
 #define ENDS_MAX 500 /* that one poll lists */
 #define START_US 1000000
 #define CAPACITY_CPU 4000
+#define HEARTBEAT_US 200000
+/* The supervisor knows of less capacity by then: single heartbeats are late.
+ */
+#define SHRINK_KNOWN_US (3 * HEARTBEAT_US)
 #define FOREVER_US 3600000000
 
 typedef enum CallKind {
@@ -75,6 +79,10 @@
     uint64_t clock_base_ms;
     uint64_t clock_slow_permille;
     uint64_t capacity_cpu;
+    /* Before it shrank at shrunk_us: what runs then may run on, and until the
+       supervisor can know of it starts may go by it. */
+    uint64_t former_cpu;
+    uint64_t shrunk_us;
     uint64_t fence;
     uint64_t lease_end_ms;
     uint64_t end_count;
@@ -146,6 +154,7 @@
     bool ignores_renewals; /* does not answer session renewals */
     bool is_clear;
     bool is_leaving;
+    uint64_t capacity_cpu; /* of the worker, as last told */
     uint64_t place_number;
     uint64_t clock_us; /* last known reading of the supervisor's clock */
     uint64_t read_us;  /* when that was known */
@@ -220,6 +229,10 @@
 void
 World_RestartWorker(World *w);
 
+/* Changes the worker's capacity while it runs. */
+void
+World_SetCapacity(World *w, uint64_t cpu);
+
 /* Ends all that runs on the worker, which refuses connections until it is
    restarted. */
 void
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -614,6 +614,57 @@
     World_Finish(&w);
 }
 
+/* Dispatchers went on placing by the former capacity, and a task that no
+   longer fitted waited for its whole time. */
+static void
+test_capacity_shrinks(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), first, large, small;
+
+    first = World_Place(
+        &w, peer, &(PlaceRequest){.job = "a", .count = 4, .run_us = 500000});
+    large = World_Place(&w, peer, &(PlaceRequest){.job = "b", .cpu = 3000});
+    small = World_Place(
+        &w, peer, &(PlaceRequest){.job = "c", .cpu = 2000, .run_us = 100000});
+    World_Run(&w, 100000);
+    World_SetCapacity(&w, 2000);
+    World_Run(&w, 205000);
+    g_assert_cmpuint(World_FindPeer(&w, peer)->capacity_cpu, ==, 2000);
+    World_AssertDeclined(&w, large, BW_DECLINE_UNSUITED);
+    for (uint32_t i = 0; i < 4; i++)
+        World_AssertKind(&w, first + i, 0);
+    World_Run(&w, 400000);
+    for (uint32_t i = 0; i < 4; i++)
+        World_AssertKind(&w, first + i, BW_OUTCOME_DONE);
+    World_AssertKind(&w, small, BW_OUTCOME_DONE);
+    World_AssertEmpty(&w);
+    World_Finish(&w);
+}
+
+/* What returns is used at once: by what waits there, and by the dispatchers.
+ */
+static void
+test_capacity_grows(void)
+{
+    World w;
+    uint32_t peer = World_Open(&w), waiting;
+
+    World_SetCapacity(&w, 1000);
+    World_Run(&w, 400000);
+    g_assert_cmpuint(World_FindPeer(&w, peer)->capacity_cpu, ==, 1000);
+    waiting = World_Place(
+        &w, peer, &(PlaceRequest){.job = "a", .count = 3, .run_us = 1000000});
+    World_Run(&w, 50000);
+    g_assert_cmpuint(w.worker.running->len, ==, 1);
+    World_SetCapacity(&w, 4000);
+    World_Run(&w, 210000);
+    g_assert_cmpuint(World_FindPeer(&w, peer)->capacity_cpu, ==, 4000);
+    g_assert_cmpuint(w.worker.running->len, ==, 3);
+    World_AssertKind(&w, waiting, 0);
+    World_Finish(&w);
+}
+
 static void
 test_drain(void)
 {
@@ -1288,6 +1339,8 @@
     }
     if (happens(w, 5))
         replace_worker(w);
+    if (happens(w, 20) && w->loss_permille == 0)
+        World_SetCapacity(w, between(w, 1, 6) * 1000);
     if (happens(w, worker->is_down ? 100 : 10)) {
         if (worker->is_down)
             replace_worker(w);
@@ -1603,6 +1656,8 @@
     g_test_add_func("/supervisor/recalled-replaced", test_recalled_replaced);
     g_test_add_func("/supervisor/recalled-late", test_recalled_late);
     g_test_add_func("/supervisor/new_instance", test_new_instance);
+    g_test_add_func("/supervisor/capacity_shrinks", test_capacity_shrinks);
+    g_test_add_func("/supervisor/capacity_grows", test_capacity_grows);
     g_test_add_func("/supervisor/drain", test_drain);
     g_test_add_func("/supervisor/leave", test_leave);
     g_test_add_func("/supervisor/fence", test_fence);
