Retry a request once after its backend server was lost

The same fault at entries and agents: an idempotent request that ends each backend server that gets it was sent to as many as the retry budget allowed, up to four. A broken connection and a backend server that answers 500 were the same to the home.

A connection that breaks while the task runs is the error backend_lost now (502, may_have_run), and a home does not retry after backend servers or agents were lost under two attempts. Tasks that are not idempotent start at most once anyway: /path/crashing-requests submits such a request three times under its key, and one backend server of six ends; an idempotent one ends two.

--- a/packages/core/brasswing.h
+++ b/packages/core/brasswing.h
@@ -68,6 +68,7 @@
     BW_ERR_UNAUTHENTICATED,
     BW_ERR_FORBIDDEN,
     BW_ERR_NO_SUCH_PATH,
+    BW_ERR_BACKEND_LOST,
     BW_ERR_COUNT
 } BwErrorKind;
 
--- a/packages/core/control.h
+++ b/packages/core/control.h
@@ -103,6 +103,9 @@
 /* ----------------------------------------------------------------- Retry */
 
 #define BW_RETRY_ATTEMPTS_MAX 3
+/* A task under which this many workers or backend servers have crashed is not
+   started again. */
+#define BW_CRASHES_MAX 2
 
 /* A token bucket; one retry costs 1000 millitokens. */
 typedef struct BwRetryBudget {
--- a/packages/core/errors.c
+++ b/packages/core/errors.c
@@ -48,6 +48,9 @@
      "use a token of the member that the request names"},
     {"no_such_path", 404, BW_NOT_RUN,
      "correct the path or method, see docs/CALLING.md"},
+    {"backend_lost", 502, BW_MAY_HAVE_RUN,
+     "check what the tasks did, and whether one of them ended its backend "
+     "server"},
 };
 
 static const BwErrorInfo unknown_error = {
--- a/packages/core/home.c
+++ b/packages/core/home.c
@@ -256,12 +256,18 @@
 }
 
 /* Schedules a further attempt of a failed request if its caller marked it as
-   idempotent and the retry budget and the deadline allow it.  Returns whether
+   idempotent and the retry budget and the deadline allow it, but not after
+   backend servers have been lost under BW_CRASHES_MAX attempts: the request
+   itself may end them.  Returns whether
    it did. */
 static bool
-retry_task(BwHome *home, uint64_t now_us, BwJob *job, HomeTask *task)
+retry_task(BwHome *home, uint64_t now_us, BwJob *job, HomeTask *task,
+           BwErrorKind error)
 {
-    if (job->task_count != 1 || !(job->flags & BW_SUBMIT_IDEMPOTENT))
+    task->crashes +=
+        error == BW_ERR_BACKEND_LOST || error == BW_ERR_EXECUTOR_LOST;
+    if (job->task_count != 1 || !(job->flags & BW_SUBMIT_IDEMPOTENT) ||
+        task->crashes >= BW_CRASHES_MAX)
         return false;
     job->retry_at_us = BwRetryBudget_Spend(
         &job->home_service->retries, &home->random, task->attempt, now_us,
@@ -320,7 +326,7 @@
 
         if (task->state != TASK_GRANTED || task->peer != peer)
             continue;
-        if (!retry_task(home, now_us, job, task))
+        if (!retry_task(home, now_us, job, task, BW_ERR_EXECUTOR_LOST))
             BwHome_EndJob(home, job, BW_ERR_EXECUTOR_LOST,
                           "a worker was lost with a task running on it");
         return;
@@ -435,13 +441,16 @@
     if (done->error != BW_OK) {
         char detail[160];
 
-        if (retry_task(home, now_us, job, task))
+        if (retry_task(home, now_us, job, task, done->error))
             return;
         task->state = TASK_DONE;
         job->done++;
         home->counters.tasks_done++;
         BwSpan_ToString(done->body, detail, sizeof(detail));
-        BwHome_EndJob(home, job, BW_ERR_TASK_FAILED, detail);
+        BwHome_EndJob(home, job,
+                      done->error == BW_ERR_BACKEND_LOST ? BW_ERR_BACKEND_LOST
+                                                         : BW_ERR_TASK_FAILED,
+                      detail);
         return;
     }
     task->state = TASK_DONE;
--- a/packages/core/job.h
+++ b/packages/core/job.h
@@ -21,6 +21,7 @@
     TaskState state;
     uint32_t peer; /* connection of the worker that it was granted to */
     uint32_t attempt;
+    uint32_t crashes; /* attempts that ended with their backend server */
     /* The fence answer that is being merged lists this task. */
     bool is_confirmed;
     uint32_t status;
--- a/packages/core/suspects.h
+++ b/packages/core/suspects.h
@@ -23,14 +23,13 @@
 
 #include <uthash.h>
 
+#include "control.h"
 #include "messages.h"
 
 /* Callers resend a job within seconds; its record must last longer. */
 #define BW_SUSPECT_US 30000000ull
 /* Limits the memory of the table. */
 #define BW_SUSPECT_JOBS_MAX 4096
-/* A task under which this many workers have crashed is not started again. */
-#define BW_CRASHES_MAX 2
 
 typedef struct BwSuspectTask {
     uint32_t step;
--- a/packages/daemon/backend.c
+++ b/packages/daemon/backend.c
@@ -1,9 +1,10 @@
 /* backend.c -- client of the backend server that runs beside this agent
 
    A task is one POST to the backend server.  An answer with a status below 500
-   is the task's answer; 500 and above, a broken connection or a timeout fail
-   the task.  So does a connection that could not be opened, since the ledger
-   already has the task as started.
+   is the task's answer; 500 and above or a timeout fail the task.  So does a
+   connection that could not be opened, since the ledger already has the task
+   as started.  A connection that breaks is an error of its own: the backend
+   server may have ended because of the task.
 */
 
 #include <stdio.h>
@@ -133,7 +134,8 @@
         return;
     }
     if (reply->outcome != BW_HTTP_ANSWERED) {
-        error = BW_ERR_TASK_FAILED;
+        error = reply->outcome == BW_HTTP_BROKEN ? BW_ERR_BACKEND_LOST
+                                                 : BW_ERR_TASK_FAILED;
         body = BwSpan_FromString(failures[reply->outcome]);
     }
     else if (reply->status >= 500) {
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -363,6 +363,52 @@
     g_assert_cmpuint(count_descriptors(), ==, before);
 }
 
+static uint32_t
+count_backends(void)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < fleet.plan.agents; i++) {
+        BwBlockingReply reply = {0};
+
+        count += Fleet_Request(fleet.backends[i].http_port, "GET", "/starts",
+                               "", &reply) == 200;
+        free(reply.body);
+    }
+    return count;
+}
+
+/* An idempotent request that crashes its backend server was sent to four of
+   them.  One that is not idempotent, and a job, crash one, also when they are
+   submitted again. */
+static void
+test_crashing_requests(void)
+{
+    static const char once[] = "idempotency-key: crash-1\r\n";
+    static const char again[] = "idempotency-key: crash-2\r\n"
+                                "brasswing-idempotent: true\r\n";
+    uint32_t before = count_backends();
+    BwBlockingReply reply;
+
+    for (uint32_t i = 0; i < 3; i++) {
+        g_assert_cmpuint(
+            send_single("/v1/requests/" SERVICE, once, "crash=1", &reply), ==,
+            502);
+        g_assert_nonnull(strstr(reply.body, "backend_lost"));
+        g_assert_nonnull(strstr(reply.body, "may_have_run"));
+        free(reply.body);
+    }
+    g_assert_cmpuint(count_backends(), ==, before - 1);
+    for (uint32_t i = 0; i < 2; i++) {
+        g_assert_cmpuint(
+            send_single("/v1/requests/" SERVICE, again, "crash=1", &reply), ==,
+            502);
+        g_assert_nonnull(strstr(reply.body, "backend_lost"));
+        free(reply.body);
+    }
+    g_assert_cmpuint(count_backends(), ==, before - 3);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -386,6 +432,7 @@
     g_test_add_func("/path/cut-body", test_cut_body);
     g_test_add_func("/path/entry-stops", test_entry_stops);
     g_test_add_func("/path/calls-close", test_calls_close);
+    g_test_add_func("/path/crashing-requests", test_crashing_requests);
     code = g_test_run();
     Fleet_Finish(&fleet);
     return code;
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -653,6 +653,26 @@
     free_fake(fake);
 }
 
+/* A request that ends each backend server that gets it was sent to as many as
+   the retry budget allowed. */
+static void
+test_crash_is_retried_once(void)
+{
+    Fake *fake = make_fake(&BwPlacement_Prompt, 4, 8);
+    BwOutcomes none = {0};
+
+    submit_flagged(fake, "a", 1, 10 * SECOND_US, BW_SUBMIT_IDEMPOTENT);
+    end_task(fake, "a", take_only_start(fake), 0, BW_ERR_BACKEND_LOST, none);
+    g_assert_cmpuint(fake->results, ==, 0);
+    BwHome_Flush(&fake->home, NOW_US + SECOND_US);
+    end_task(fake, "a", take_only_start(fake), 1, BW_ERR_BACKEND_LOST, none);
+    BwHome_Flush(&fake->home, NOW_US + 2 * SECOND_US);
+    g_assert_cmpuint(sum(fake->started), ==, 0);
+    g_assert_cmpuint(fake->results, ==, 1);
+    g_assert_cmpuint(fake->last_error, ==, BW_ERR_BACKEND_LOST);
+    free_fake(fake);
+}
+
 static void
 test_not_retried(void)
 {
@@ -1007,6 +1027,7 @@
     g_test_add_func("/health/ceiling", test_ejection_limit);
     g_test_add_func("/health/slow", test_slow_worker_is_last);
     g_test_add_func("/retry/idempotent", test_idempotent_is_retried);
+    g_test_add_func("/retry/crash", test_crash_is_retried_once);
     g_test_add_func("/retry/others", test_not_retried);
     g_test_add_func("/retry/budget", test_retry_budget);
     g_test_add_func("/admission/cases", test_admission);
