Soak: tasks that crash workers, changing capacity, clock steps, lasting tasks

- Workers lose capacity and get it back.
- The wall clock of half of the processes is set by up to 30 s, back or ahead, by a library that is preloaded.
Not with sanitizers.
- Jobs of 2.2 s: until now every task ended before callers may send again, so a dispatcher's tasks that run on after its connection or session showed nothing.

--- a/packages/cli/losses.c
+++ b/packages/cli/losses.c
@@ -16,9 +16,10 @@
 
 /* Events that explain a window, besides the ends of jobs. */
 static const char *const marks[] = {
-    "started",      "stopping",     "store_lost",      "store_regained",
-    "link_down",    "eject",        "config_in_force", "reload_refused",
-    "loop_stalled", "clock_stepped"};
+    "started",      "stopping",      "store_lost",      "store_regained",
+    "link_down",    "eject",         "config_in_force", "reload_refused",
+    "loop_stalled", "clock_stepped", "worker_crashed",  "confine",
+    "release"};
 
 #define MARK_COUNT (sizeof(marks) / sizeof(marks[0]))
 
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -6,7 +6,10 @@
 
      bound   dispatchers and supervisors, on the emulated workers, store and
              ingress of the lab; callers beside it keep their connections to
-             the dispatchers open and use them until the process is gone
+             the dispatchers open and use them until the process is gone.
+             Workers also crash under tasks and change their capacity, and the
+             wall clock of half of the processes is set meanwhile (not with
+             sanitizers, which cannot be preloaded)
      keyed   entries and agents, on the stand-ins of the log and of backend
              servers
 
@@ -98,6 +101,13 @@
 static void
 print_schedule(const SoakPlan *plan)
 {
+    if (plan->crash_permille > 0)
+        printf("    %u of 1000 urgent jobs crash their worker\n",
+               plan->crash_permille);
+    for (uint32_t i = 0; i < plan->clock_step_count; i++)
+        printf("    %6u ms  wall clock of half %u by %d s for %u ms\n",
+               plan->clock_steps[i].at_ms, plan->clock_steps[i].half,
+               plan->clock_steps[i].ahead_s, plan->clock_steps[i].for_ms);
     for (uint32_t i = 0; i < plan->disturbance_count; i++) {
         print_fault(&plan->disturbances[i].begin);
         if (plan->disturbances[i].end.at_ms > 0)
--- a/tests/soak.h
+++ b/tests/soak.h
@@ -10,6 +10,7 @@
 #include "experiment.h"
 
 #define SOAK_DISTURBANCES_MAX 64
+#define SOAK_CLOCK_STEPS_MAX 3
 
 /* A fault and, unless it is over at once, what ends it. */
 typedef struct SoakDisturbance {
@@ -17,9 +18,21 @@
     BwLabFault end; /* at_ms 0: none */
 } SoakDisturbance;
 
+/* A step of the wall clock of half of the processes, and back. */
+typedef struct SoakClockStep {
+    uint32_t at_ms;
+    uint32_t for_ms;
+    uint32_t half; /* 0 or 1 */
+    int32_t ahead_s;
+} SoakClockStep;
+
 typedef struct SoakPlan {
     uint32_t seed;
     bool is_wide; /* as many processes as the fleet allows */
+    /* Share of the urgent jobs with a task that crashes its worker. */
+    uint32_t crash_permille;
+    SoakClockStep clock_steps[SOAK_CLOCK_STEPS_MAX];
+    uint32_t clock_step_count;
     SoakDisturbance disturbances[SOAK_DISTURBANCES_MAX];
     uint32_t disturbance_count;
 } SoakPlan;
--- a/tests/soak_bound.c
+++ b/tests/soak_bound.c
@@ -9,11 +9,14 @@
 */
 
 #include <dirent.h>
+#include <fcntl.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/mman.h>
 #include <unistd.h>
 
+#include "brasswing.h"
 #include "clock.h"
 #include "configlog.h"
 #include "fleet.h"
@@ -27,11 +30,19 @@
 #define LAST_MS 8500 /* the last disturbance has ended by then */
 #define STOP_MS 4400 /* a planned stop, and the end of the process */
 #define STORM_GAP_MS 150
+/* How long a worker is away after a task has crashed it. */
+#define DOWN_TEXT "{\"down_ms\": 1500}"
+#define CRASH_PERMILLE_MAX 60
+#define CLOCK_STEP_MAX_S 30
+/* Tasks of the class `lasting` outlive their callers' time to send again, so
+   that a session or connection that does not end them shows. */
+#define LASTING_MS 2200
 #define DISTURBANCES 14
 #define DISPATCHERS 3
 #define WORKERS 6
 #define TARGETS (BW_FLEET_DISPATCHERS_MAX + 2 * BW_FLEET_WORKERS_MAX + 1)
 
+#define CLASSES 3
 #define CALLERS 6
 #define CALLER_TASKS 3
 #define CALLER_DEADLINE_MS 3000
@@ -134,6 +145,7 @@
         {"{\"crash\": true}", "{\"revive\": true}"},
         {"{\"late_starts\": true}",
          "{\"late_starts\": false, \"carry_out\": true}"},
+        {"{\"cpu\": 600}", "{\"cpu\": 4000}"},
     };
     uint32_t kind = draw(d, G_N_ELEMENTS(texts));
 
@@ -171,6 +183,23 @@
     }
 }
 
+static void
+draw_clock_steps(Draw *d)
+{
+    SoakPlan *plan = d->plan;
+
+    plan->clock_step_count = draw(d, SOAK_CLOCK_STEPS_MAX + 1);
+    for (uint32_t i = 0; i < plan->clock_step_count; i++) {
+        SoakClockStep *step = &plan->clock_steps[i];
+
+        step->at_ms = FIRST_MS + draw(d, LAST_MS - FIRST_MS - 2000);
+        step->for_ms = 100 + draw(d, 1900);
+        step->half = draw(d, 2);
+        step->ahead_s =
+            (int32_t)draw(d, 2 * CLOCK_STEP_MAX_S + 1) - CLOCK_STEP_MAX_S;
+    }
+}
+
 void
 SoakBound_Draw(SoakPlan *plan)
 {
@@ -206,6 +235,9 @@
             break;
         }
     }
+    draw_clock_steps(&d);
+    if (draw(&d, 3) == 0)
+        plan->crash_permille = 1 + draw(&d, CRASH_PERMILLE_MAX);
     g_rand_free(d.rand);
 }
 
@@ -221,9 +253,17 @@
 static BwLabFault *
 list_faults(const SoakPlan *plan, uint32_t *count)
 {
-    BwLabFault *faults = g_new0(BwLabFault, 2 * SOAK_DISTURBANCES_MAX);
+    BwLabFault *faults = g_new0(BwLabFault, 2 * SOAK_DISTURBANCES_MAX + 1);
 
     *count = 0;
+    if (plan->crash_permille > 0) {
+        BwLabFault *fault = &faults[(*count)++];
+
+        fault->at_ms = 1;
+        fault->action = BW_LAB_TELL;
+        g_strlcpy(fault->target, "worker", sizeof(fault->target));
+        g_strlcpy(fault->text, DOWN_TEXT, sizeof(fault->text));
+    }
     for (uint32_t i = 0; i < plan->disturbance_count; i++) {
         faults[(*count)++] = plan->disturbances[i].begin;
         if (plan->disturbances[i].end.at_ms > 0)
@@ -243,6 +283,8 @@
 } Call;
 
 typedef struct Play {
+    const SoakPlan *plan;
+    int32_t *clock_offsets_s; /* of both halves, mapped by the processes */
     BwLabRunner runner;
     BwExperiment experiment;
     SoakReport *report;
@@ -371,6 +413,26 @@
     return NULL;
 }
 
+/* Sets the clocks as the plan has it. */
+static void
+set_clocks(Play *play)
+{
+    uint64_t now_us = BwClock_Now();
+    int32_t offsets_s[2] = {0, 0};
+
+    for (uint32_t i = 0; i < play->plan->clock_step_count; i++) {
+        const SoakClockStep *step = &play->plan->clock_steps[i];
+        uint64_t from_us =
+            play->runner.start_us + (uint64_t)step->at_ms * 1000;
+
+        if (now_us >= from_us &&
+            now_us < from_us + (uint64_t)step->for_ms * 1000)
+            offsets_s[step->half] += step->ahead_s;
+    }
+    for (uint32_t i = 0; play->clock_offsets_s != NULL && i < 2; i++)
+        g_atomic_int_set(&play->clock_offsets_s[i], offsets_s[i]);
+}
+
 /* A revision never goes back while a process lives. */
 static gpointer
 run_monitor(gpointer data)
@@ -397,6 +459,7 @@
             pids[i] = pid;
             revisions[i] = revision;
         }
+        set_clocks(play);
         g_usleep(MONITOR_US);
     }
     return NULL;
@@ -509,6 +572,38 @@
 
 /* --------------------------------------------------------- comparisons */
 
+static bool
+has_lost_supervisor(const SoakPlan *plan)
+{
+    for (uint32_t i = 0; i < plan->disturbance_count; i++) {
+        const BwLabFault *fault = &plan->disturbances[i].begin;
+
+        if (g_str_has_prefix(fault->target, "supervisor") &&
+            fault->action != BW_LAB_RELOAD)
+            return true;
+    }
+    return false;
+}
+
+/* No task crashes a third worker, and no job fails without a task that crashes
+   workers.  A crash while the worker's supervisor is away is known to nobody,
+   so these plays are left out. */
+static void
+check_crashes(Play *play, const BwLabResults *results)
+{
+    BwLabOutcome filter = {0};
+    uint32_t crashes =
+        BwLabCounter_Find("crashes_by_task")->count(results, &filter);
+    uint32_t innocents =
+        BwLabCounter_Find("failed_innocents")->count(results, &filter);
+
+    if (crashes > BW_CRASHES_MAX && !has_lost_supervisor(play->plan))
+        SoakReport_Add(play->report, "a task crashed %u workers", crashes);
+    if (innocents > 0)
+        SoakReport_Add(play->report, "%u jobs failed without a cause",
+                       innocents);
+}
+
 static void
 check_rules(Play *play)
 {
@@ -527,6 +622,7 @@
         if (count > 0)
             SoakReport_Add(play->report, "%s=%u", counter->name, count);
     }
+    check_crashes(play, &results);
     BwLabResults_Finish(&results);
 }
 
@@ -684,9 +780,46 @@
     return NULL;
 }
 
+/* Processes that are started from now on take their wall clock from a file in
+   the directory. */
+static void
+open_clocks(Play *play, const char *dir)
+{
+#ifndef SOAK_SANITIZED
+    char *path = g_build_filename(dir, "clock", NULL);
+    int fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+    void *map = MAP_FAILED;
+
+    if (fd >= 0 && ftruncate(fd, 2 * sizeof(int32_t)) == 0)
+        map = mmap(NULL, 2 * sizeof(int32_t), PROT_READ | PROT_WRITE,
+                   MAP_SHARED, fd, 0);
+    if (map != MAP_FAILED) {
+        play->clock_offsets_s = map;
+        g_setenv("BW_CLOCK_FILE", path, TRUE);
+        g_setenv("LD_PRELOAD", BW_CLOCK_SHIM_PATH, TRUE);
+    }
+    if (fd >= 0)
+        close(fd);
+    g_free(path);
+#else
+    (void)play;
+    (void)dir;
+#endif
+}
+
+static void
+close_clocks(Play *play)
+{
+    g_unsetenv("LD_PRELOAD");
+    g_unsetenv("BW_CLOCK_FILE");
+    if (play->clock_offsets_s != NULL)
+        munmap(play->clock_offsets_s, 2 * sizeof(int32_t));
+}
+
 static void
-set_classes(BwLabClass classes[2], bool is_wide)
+set_classes(BwLabClass classes[CLASSES], const SoakPlan *plan)
 {
+    bool is_wide = plan->is_wide;
     uint32_t load = is_wide ? 4 : 1;
 
     classes[0] = (BwLabClass){.name = "short",
@@ -699,6 +832,7 @@
                               .mem = 100,
                               .clients = 20,
                               .deadline_ms = 5000,
+                              .crash_permille = plan->crash_permille,
                               .until_ms = DURATION_MS};
     classes[1] = (BwLabClass){.name = "long",
                               .priority = 2,
@@ -713,13 +847,24 @@
                               .give_up_permille = 100,
                               .give_up_ms = 400,
                               .until_ms = DURATION_MS};
+    classes[2] = (BwLabClass){.name = "lasting",
+                              .priority = 1,
+                              .target_ms = 2000,
+                              .rate_per_s = 3 * load,
+                              .tasks = 2,
+                              .run_ms = LASTING_MS,
+                              .cpu = 100,
+                              .mem = 100,
+                              .clients = 20,
+                              .deadline_ms = 6000,
+                              .until_ms = DURATION_MS};
 }
 
 void
 SoakBound_Play(const SoakPlan *plan, const char *daemon, const char *lab,
                SoakReport *report)
 {
-    BwLabClass classes[2];
+    BwLabClass classes[CLASSES];
     BwLabOutcome outcome = {.expect = "usable_workers"};
     Play *play = g_new0(Play, 1);
     BwExperiment *experiment = &play->experiment;
@@ -727,11 +872,13 @@
     GThread *companions;
     bool is_run;
 
+    play->plan = plan;
     play->report = report;
+    open_clocks(play, dir);
     play->seed = plan->seed;
     play->calls = g_array_new(FALSE, FALSE, sizeof(Call));
     g_mutex_init(&play->lock);
-    set_classes(classes, plan->is_wide);
+    set_classes(classes, plan);
     g_strlcpy(experiment->name, "soak", sizeof(experiment->name));
     experiment->seed = plan->seed;
     experiment->duration_ms = DURATION_MS;
@@ -769,6 +916,7 @@
         check_logs(play);
     }
     BwLabRunner_Finish(&play->runner);
+    close_clocks(play);
     if (report->lines->len > 0)
         report->dir = dir;
     else
