--- a/packages/emulator/labfleet.c
+++ b/packages/emulator/labfleet.c
@@ -16,7 +16,7 @@
 #define CONTROL_TIMEOUT_US 5000000
 #define PORT_FIRST 10000 /* the range is below the ephemeral ports */
 #define PORT_SPAN 20000
-#define PORT_STRIDE 64
+#define PORT_BLOCK 256 /* more than the largest fleet needs */
 #define ARGUMENTS_MAX (8 + 2 * BW_FLEET_DISPATCHERS_MAX)
 #define NUMBER_BYTES 24
 
@@ -26,34 +26,53 @@
 
 /* --------------------------------------------------------------- ports */
 
-static bool
-is_port_free(uint32_t port)
+/* Returns a socket that is bound to the port, or -1 if it is in use. */
+static int
+bind_port(uint32_t port, int reuses)
 {
     struct sockaddr_in address = {.sin_family = AF_INET,
                                   .sin_port = htons((uint16_t)port)};
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    int on = 1;
-    bool is_free;
 
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    is_free = bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &reuses, sizeof(reuses));
+    if (bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0)
+        return fd;
     close(fd);
-    return is_free;
+    return -1;
 }
 
-/* Returns a free port, or 0.  The search starts at a port that depends on the
-   process id, so that fleets of concurrent processes seldom collide. */
+/* Claims a block of ports by holding its first one for the life of the fleet:
+   a port that is free when it is looked for could be taken by a fleet beside
+   this one before its process has started. */
+static void
+claim_ports(BwFleet *fleet)
+{
+    const uint32_t blocks = PORT_SPAN / PORT_BLOCK;
+
+    fleet->claim_fd = -1;
+    for (uint32_t i = 0; i < blocks && fleet->claim_fd < 0; i++) {
+        uint32_t block = ((uint32_t)getpid() + i) % blocks;
+
+        fleet->next_port = PORT_FIRST + block * PORT_BLOCK;
+        fleet->claim_fd = bind_port(fleet->next_port, 0);
+    }
+    fleet->last_port = fleet->next_port + PORT_BLOCK - 1;
+}
+
+/* Returns a free port of the block, or 0. */
 static uint32_t
 allocate_port(BwFleet *fleet)
 {
     if (fleet->next_port == 0)
-        fleet->next_port = (uint32_t)getpid() * PORT_STRIDE % PORT_SPAN;
-    for (uint32_t i = 0; i < PORT_SPAN; i++) {
-        uint32_t port = PORT_FIRST + fleet->next_port++ % PORT_SPAN;
-
-        if (is_port_free(port))
-            return port;
+        claim_ports(fleet);
+    while (fleet->next_port < fleet->last_port) {
+        int fd = bind_port(++fleet->next_port, 1);
+
+        if (fd < 0)
+            continue;
+        close(fd);
+        return fleet->next_port;
     }
     return 0;
 }
@@ -331,6 +350,8 @@
     }
     BwProcess_Finish(&fleet->ingress);
     BwProcess_Finish(&fleet->store);
+    if (fleet->next_port != 0 && fleet->claim_fd >= 0)
+        close(fleet->claim_fd);
 }
 
 /* ------------------------------------------------------------ requests */
--- a/packages/emulator/labfleet.h
+++ b/packages/emulator/labfleet.h
@@ -36,8 +36,9 @@
 
 typedef struct BwFleet {
     BwFleetPlan plan;
-    char *dir; /* owned by the caller */
-    uint32_t next_port;
+    char *dir;                     /* owned by the caller */
+    uint32_t next_port, last_port; /* of the block that it has claimed */
+    int claim_fd;                  /* holds the block */
     uint32_t reloads; /* of settings; chooses the peer that is left out */
     BwProcess store;
     BwProcess ingress;
