Confine by every report, and release a route that was confined in error

Three of nine dispatchers had confined a route that the others had not, and a route that was confined in error stayed so for ten seconds.

- Of crashes within 20 ms only the first report changed the scores, and which one was first differed by the network's delay.
Every report changes them now; such crashes still count as one. /crash/order.
- An innocent route in the same pool as the one at fault shared its crashes, so it was never calm.
When crashes go on outside the pool, a route under which none has crashed in the pool is released as the next one is confined. /crash/wrong_choice failed before.

--- a/packages/core/confinement.c
+++ b/packages/core/confinement.c
@@ -202,18 +202,19 @@
                : 0;
 }
 
-static bool
-is_same_moment(const BwConfinement *confinement, uint64_t at_us)
+/* Returns the event of the same moment, or NULL. */
+static BwCrashEvent *
+find_event(BwConfinement *confinement, uint64_t at_us)
 {
     for (uint64_t i = first_event(confinement); i < confinement->event_count;
          i++) {
-        uint64_t other_us = event_at(confinement, i)->at_us;
+        BwCrashEvent *event = &confinement->events[i % BW_CRASH_EVENTS_MAX];
 
-        if (at_us < other_us + SAME_MOMENT_US &&
-            other_us < at_us + SAME_MOMENT_US)
-            return true;
+        if (at_us < event->at_us + SAME_MOMENT_US &&
+            event->at_us < at_us + SAME_MOMENT_US)
+            return event;
     }
-    return false;
+    return NULL;
 }
 
 static uint64_t
@@ -272,6 +273,7 @@
                       uint32_t usual_count)
 {
     BwCrashEvent event = {at_us, 0, is_in_pool};
+    BwCrashEvent *same;
     uint32_t crashed = 0;
     uint64_t usual_milli = 0;
 
@@ -291,8 +293,6 @@
         route->crashes += is_in_pool;
         crashed += routes[i].task_count;
     }
-    if (is_same_moment(confinement, at_us))
-        return false;
     for (const BwRouteSuspicion *route = confinement->routes; route != NULL;
          route = route->hh.next)
         usual_milli += route->usual_milli;
@@ -301,6 +301,11 @@
         score_route(confinement, route, at_us,
                     count_of(route, routes, route_count), crashed,
                     usual_milli);
+    same = find_event(confinement, at_us);
+    if (same != NULL) {
+        same->routes |= event.routes;
+        return false;
+    }
     confinement->events[confinement->event_count++ % BW_CRASH_EVENTS_MAX] =
         event;
     return true;
@@ -308,18 +313,18 @@
 
 /* ----------------------------------------------------------- decisions */
 
-/* Releases confined routes under which no worker has crashed since, and that
-   are clearly less suspect than `route`. */
+/* Releases the routes under which no worker of the pool has crashed while the
+   crashes went on elsewhere.  Otherwise an innocent route would stay as long
+   as the other one that is confined now, since its tasks run in the same pool.
+ */
 static void
-release_innocent(BwConfinement *confinement, uint64_t now_us,
-                 const BwRouteSuspicion *route)
+release_innocent(BwConfinement *confinement)
 {
-    for (BwRouteSuspicion *other = confinement->routes; other != NULL;
-         other = other->hh.next) {
-        if (other == route || !other->is_confined || other->crashes > 0 ||
-            aged_score(other, now_us) + LEAD_MIN > aged_score(route, now_us))
+    for (BwRouteSuspicion *route = confinement->routes; route != NULL;
+         route = route->hh.next) {
+        if (!route->is_confined || route->crashes > 0)
             continue;
-        other->is_confined = false;
+        route->is_confined = false;
         confinement->confined_count--;
     }
 }
@@ -391,7 +396,7 @@
     }
     if (lead == HUGE_VAL || lead < LEAD_MIN)
         return NULL;
-    release_innocent(confinement, now_us, first);
+    release_innocent(confinement);
     return confine(confinement, now_us, first);
 }
 
--- a/packages/core/confinement.h
+++ b/packages/core/confinement.h
@@ -13,8 +13,10 @@
    every few seconds.  A route is confined when several workers have crashed
    lately, at different moments, and its score leads clearly.  A wrong choice
    corrects itself: workers that crash without a task of the confined route
-   raise the scores of the others.  Workers that crash at the same moment have
-   a common cause that is not a task, and count as one crash.
+   raise the scores of the others.  Workers that crash at the same moment may
+   have a common cause that is not a task, and count as one crash.  Each of
+   them changes the scores, so that these do not depend on the order of
+   reports.
 
    While the cause of several crashes is open, each route gets workers of its
    own (BwConfinement_OwnerOf).  That bounds what is lost meanwhile, and the
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -161,6 +161,34 @@
     BwConfinement_Finish(&table);
 }
 
+/* Reports of crashes at the same moment reached dispatchers in different
+   orders, and these confined different routes. */
+static void
+test_order(void)
+{
+    const char *confined[2];
+    BwConfinement *tables[2] = {NULL, NULL};
+
+    for (uint32_t i = 0; i < 2; i++) {
+        BwConfinement *confinement = BwConfinement_Of(&tables[i], "service");
+
+        for (uint32_t j = 0; j < 3; j++) {
+            uint64_t at_us = START_US + j * 100 * MS;
+
+            if (i == 0)
+                crash(confinement, at_us, false, 6, 1, 1);
+            crash(confinement, at_us, false, 1, 6, 1);
+            if (i == 1)
+                crash(confinement, at_us, false, 6, 1, 1);
+        }
+        crash(confinement, START_US + 400 * MS, false, 6, 1, 1);
+        confined[i] = confine(confinement, START_US + 400 * MS);
+    }
+    g_assert_cmpstr(confined[0], ==, confined[1]);
+    BwConfinement_Finish(&tables[0]);
+    BwConfinement_Finish(&tables[1]);
+}
+
 /* The evidence against the route is three crashes with twice as many tasks of
    it as usual. */
 static void
@@ -171,7 +199,8 @@
     g_assert_cmpstr(confine(confinement, START_US + 300 * MS), ==, "a");
 }
 
-/* Crashes go on outside the pool: it was another route. */
+/* Crashes go on outside the pool, also under tasks of the confined route that
+   are left there: it was another route. */
 static void
 test_wrong_choice(void)
 {
@@ -181,7 +210,7 @@
 
     confine_a(confinement);
     for (uint32_t i = 0; i < 3; i++, at_us += 100 * MS)
-        crash(confinement, at_us, false, 0, 6, 1);
+        crash(confinement, at_us, false, 2, 7, 1);
     g_assert_cmpstr(confine(confinement, at_us), ==, "b");
     g_assert_false(BwConfinement_IsConfined(confinement, "a"));
     g_assert_true(BwConfinement_IsConfined(confinement, "b"));
@@ -399,6 +428,7 @@
     g_test_add_func("/crash/bounds", test_bounds);
     g_test_add_func("/crash/confined_by_evidence", test_confined_by_evidence);
     g_test_add_func("/crash/same_moment", test_same_moment);
+    g_test_add_func("/crash/order", test_order);
     g_test_add_func("/crash/wrong_choice", test_wrong_choice);
     g_test_add_func("/crash/two_routes", test_two_routes);
     g_test_add_func("/crash/released", test_released);
