--- a/packages/core/confinement.h
+++ b/packages/core/confinement.h
@@ -15,7 +15,7 @@
    corrects itself: workers that crash without a task of the confined route
    raise the scores of the others.  Workers that crash at the same moment may
    have a common cause that is not a task, and count as one crash.  Each of
-   them changes the scores, so that these do not depend on the order of
+   them changes the scores, so that these hardly depend on the order of
    reports.
 
    While the cause of several crashes is open, each route gets workers of its
--- a/tests/bound_load.c
+++ b/tests/bound_load.c
@@ -82,7 +82,7 @@
     uint64_t ref;
     double worth;
     bool is_open;
-    bool is_deadly; /* its first task is */
+    bool crashes_worker; /* its first task is */
     uint32_t crashes;
     bool is_running[TASKS_MAX];
 } Job;
@@ -271,7 +271,7 @@
     }
     else if (end == BW_BOUND_FAILED) {
         counts->failed++;
-        fleet->result->failed_innocents += !job->is_deadly;
+        fleet->result->failed_innocents += !job->crashes_worker;
     }
     else if (can_resend(job)) {
         schedule(fleet, RESEND_US, EVENT_SUBMIT)->data = job;
@@ -357,13 +357,14 @@
         class->worth * (0.3 + 0.7 * work_us * (double)job->cpu_milli /
                                   ((double)class->run_us * class->tasks *
                                    (double)class->cpu_milli));
-    job->is_deadly = class->deadly_permille > 0 &&
-                     fleet->now_us - START_US >= fleet->plan->deadly_from_us &&
-                     fleet->now_us - START_US < fleet->plan->deadly_until_us &&
-                     g_rand_int_range(fleet->random, 0, 1000) <
-                         (gint32) class->deadly_permille;
-    if (job->is_deadly) {
-        counts_of(job)->deadly++;
+    job->crashes_worker =
+        class->crash_permille > 0 &&
+        fleet->now_us - START_US >= fleet->plan->crashing_from_us &&
+        fleet->now_us - START_US < fleet->plan->crashing_until_us &&
+        g_rand_int_range(fleet->random, 0, 1000) <
+            (gint32) class->crash_permille;
+    if (job->crashes_worker) {
+        counts_of(job)->crashing++;
         job->worth = 0;
     }
     counts_of(job)->jobs++;
@@ -474,7 +475,7 @@
     LoadResult *result = fleet->result;
     Job *job = g_hash_table_lookup(fleet->jobs, task->job);
 
-    if (!job->is_deadly || task->index != 0) {
+    if (!job->crashes_worker || task->index != 0) {
         end_task(worker, task, BW_END_DONE);
         return;
     }
@@ -510,7 +511,7 @@
     task->started_us = fleet->now_us + CALL_US;
     task->ends_us = task->started_us +
                     job->run_us[order->index] * worker->pace_permille / 1000;
-    if (job->is_deadly && task->index == 0)
+    if (job->crashes_worker && task->index == 0)
         task->ends_us -= (task->ends_us - task->started_us) / 2;
     set_running(fleet, task, true);
     worker->used_milli += task->cpu_milli;
@@ -1042,7 +1043,7 @@
         result->all.refused += counts->refused;
         result->all.expired += counts->expired;
         result->all.failed += counts->failed;
-        result->all.deadly += counts->deadly;
+        result->all.crashing += counts->crashing;
         result->all.owed += counts->owed;
         result->all.earned += counts->earned;
     }
--- a/tests/bound_load.h
+++ b/tests/bound_load.h
@@ -33,9 +33,10 @@
     uint64_t cpu_milli;
     double jobs_per_s; /* of the whole fleet */
     double worth;      /* of a job in time; a fifth when it is late */
-    /* Share of the jobs sent while plan.deadly_from_us to deadly_until_us with
-       a task that crashes its worker when half of its run time is over. */
-    uint32_t deadly_permille;
+    /* Share of the jobs sent while plan.crashing_from_us to crashing_until_us
+       with a task that crashes its worker when half of its run time is over.
+     */
+    uint32_t crash_permille;
 } LoadClass;
 
 typedef struct LoadBurst {
@@ -66,8 +67,8 @@
        callers that were cut off send again; 0: never. */
     uint64_t restart_us;
     uint64_t down_us;
-    uint64_t deadly_from_us;
-    uint64_t deadly_until_us;
+    uint64_t crashing_from_us;
+    uint64_t crashing_until_us;
     uint64_t outage_us; /* how long a crashed worker is away */
     /* Intervals at which a worker crashes for another cause, and at which a
        dispatcher is replaced by a new process; 0: never. */
@@ -87,7 +88,7 @@
     uint64_t refused;
     uint64_t expired;
     uint64_t failed;
-    uint64_t deadly; /* jobs with a task that crashes its worker */
+    uint64_t crashing; /* jobs with a task that crashes its worker */
     double owed;
     double earned;
 } LoadCounts;
--- a/tests/load_plans.c
+++ b/tests/load_plans.c
@@ -96,10 +96,10 @@
     LoadPlan plan = make_plan(dispatchers, workers, weights, 0.5);
 
     plan.length_us = 16 * SECOND_US;
-    plan.deadly_from_us = 2 * SECOND_US;
-    plan.deadly_until_us = 12 * SECOND_US;
+    plan.crashing_from_us = 2 * SECOND_US;
+    plan.crashing_until_us = 12 * SECOND_US;
     plan.outage_us = 3300 * MS;
     plan.resends = true;
-    plan.classes[class_index].deadly_permille = 100;
+    plan.classes[class_index].crash_permille = 100;
     return plan;
 }
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -314,7 +314,7 @@
 {
     const LoadCounts *counts = &result->classes[class_index];
 
-    return (double)counts->in_time / (double)(counts->jobs - counts->deadly);
+    return (double)counts->in_time / (double)(counts->jobs - counts->crashing);
 }
 
 /* One class's tasks took every worker down, so that callers of all classes
@@ -328,7 +328,7 @@
     LoadResult result, without;
 
     plan.seed = calm.seed = 1;
-    calm.classes[class_index].deadly_permille = 0;
+    calm.classes[class_index].crash_permille = 0;
     BoundLoad_Play(&plan, &result);
     BoundLoad_Play(&calm, &without);
     g_test_message("%u workers, class %u: %u crashes, down %u, in time "
@@ -367,16 +367,16 @@
 
     plan.seed = seed;
     plan.length_us = 5 * SECOND_US;
-    plan.deadly_from_us = g_rand_int_range(random, 0, 2000) * MS;
-    plan.deadly_until_us =
-        plan.deadly_from_us + g_rand_int_range(random, 500, 4000) * MS;
+    plan.crashing_from_us = g_rand_int_range(random, 0, 2000) * MS;
+    plan.crashing_until_us =
+        plan.crashing_from_us + g_rand_int_range(random, 500, 4000) * MS;
     plan.outage_us = g_rand_int_range(random, 500, 4000) * MS;
     plan.resends = true;
     plan.deadline_us = g_rand_int_range(random, 500, 4000) * MS;
     for (uint32_t i = 0; i < plan.class_count; i++) {
-        plan.classes[i].deadly_permille = 0;
+        plan.classes[i].crash_permille = 0;
         if (i == class_index || g_rand_int_range(random, 0, 4) == 0)
-            plan.classes[i].deadly_permille =
+            plan.classes[i].crash_permille =
                 (uint32_t)g_rand_int_range(random, 5, 400);
     }
     if (g_rand_boolean(random))
@@ -407,9 +407,9 @@
         LoadResult result;
 
         BoundLoad_Play(&plan, &result);
-        g_test_message("seed %u: %u jobs, %u deadly, %u crashes, %u failed",
+        g_test_message("seed %u: %u jobs, %u crashing, %u crashes, %u failed",
                        seed, (uint32_t)result.all.jobs,
-                       (uint32_t)result.all.deadly, (uint32_t)result.crashes,
+                       (uint32_t)result.all.crashing, (uint32_t)result.crashes,
                        (uint32_t)result.all.failed);
         if (result.crashes_by_task > BW_CRASHES_MAX ||
             result.failed_innocents > result.other_crashes)
