Drop a request whose caller has gone before it is read

A task ran twice at the same time: a dispatcher that was suspended for 2.3 s found in a socket's buffer the request of a job whose caller had closed the connection and sent the job to another dispatcher 80 ms before. It started the tasks, saw the end of the connection 0.4 ms later and stopped them; for 38 ms one of them ran beside the run that the other dispatcher had started.

The server now asks for the state of the connection before it hands a request on. /httpserver/caller_gone_before failed before.

--- a/packages/adapters/httpserver.c
+++ b/packages/adapters/httpserver.c
@@ -6,6 +6,7 @@
    HTTP/2 connections are not watched, because h2o notices their end itself.
 */
 
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -97,10 +98,23 @@
     exchange->watched_fd = -1;
 }
 
+/* Whether the caller has closed its connection, also when no event has told it
+   yet: a process that was suspended reads requests whose callers have sent
+   them elsewhere since. */
+static bool
+is_caller_gone(const BwExchange *exchange)
+{
+    struct pollfd connection = {.fd = exchange->watched_fd,
+                                .events = POLLRDHUP};
+
+    return connection.fd >= 0 && poll(&connection, 1, 0) == 1 &&
+           (connection.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 /* Ends the exchange.  The reply, which no caller receives, makes h2o close the
    connection. */
 static void
-on_caller_gone(BwExchange *exchange)
+drop_exchange(BwExchange *exchange, bool is_known)
 {
     static h2o_generator_t generator = {NULL, NULL};
     h2o_iovec_t nothing = {"", 0};
@@ -110,7 +124,8 @@
     *exchange->pool_ref = NULL;
     exchange->server->open_exchanges--;
     exchange->req = NULL;
-    exchange->server->events->on_abort(exchange->server->ctx, exchange);
+    if (is_known)
+        exchange->server->events->on_abort(exchange->server->ctx, exchange);
     free(exchange);
     req->http1_is_persistent = 0;
     req->res.status = STATUS_CALLER_GONE;
@@ -131,7 +146,7 @@
     if (err != NULL)
         return;
     while (epoll_wait(server->watch_fd, &event, 1, 0) == 1)
-        on_caller_gone(event.data.ptr);
+        drop_exchange(event.data.ptr, true);
 }
 
 /* Called when h2o frees the request's pool: after the reply was sent, or
@@ -175,7 +190,9 @@
     *exchange->pool_ref = exchange;
     server->open_exchanges++;
     watch(exchange);
-    if (req->entity.len > server->body_bytes_max)
+    if (is_caller_gone(exchange))
+        drop_exchange(exchange, false);
+    else if (req->entity.len > server->body_bytes_max)
         server->events->on_too_large(server->ctx, exchange);
     else
         server->events->on_request(server->ctx, exchange);
