--- a/packages/core/confinement.h
+++ b/packages/core/confinement.h
@@ -80,10 +80,10 @@
     uint64_t released_us; /* when the last one was released */
     BwCrashEvent events[BW_CRASH_EVENTS_MAX]; /* a ring */
     uint64_t event_count;
-    uint64_t
-        owners; /* routes that have workers to themselves now, a bit each */
-    uint64_t
-        outage_us; /* moving average of how long a crashed worker is away */
+    /* Routes that have workers to themselves now, a bit each. */
+    uint64_t owners;
+    /* Moving average of how long a crashed worker is away. */
+    uint64_t outage_us;
     UT_hash_handle hh;
 } BwConfinement;
 
