--- a/packages/core/suspects.h
+++ b/packages/core/suspects.h
@@ -1,4 +1,4 @@
-/* suspects.h -- tasks on whose worker they ran when it crashed
+/* suspects.h -- tasks that ran on a worker when it crashed
 
    A task may crash every worker that starts it.  When a worker crashes, the
    tasks that ran there are suspects, and most of them are innocent.  The table
