Keep the loss of a backend server over retries; check one whose connection broke

Cause: the answer was that of the last attempt, and the retries went to agents whose backend server had ended, which stayed in use until their announcement expired, up to 3 s later. Same class: a loss is forgotten by what happens next.

The home keeps the loss of an earlier attempt as the job's answer. An agent whose connection to its backend server broke opens another one: meanwhile it starts nothing, and after a refusal it withdraws the backend server.

--- a/packages/core/brasswing.h
+++ b/packages/core/brasswing.h
@@ -869,6 +869,7 @@
     BwQueue queue;   /* reservations */
     BwOutcomes outcomes;
     bool is_leaving;
+    bool is_paused; /* no task starts; reservations wait */
     /* Ledger entries are kept this long past the deadline. */
     uint64_t keep_us;
     const BwRing *ring; /* NULL: accepts grants without a fence */
@@ -905,6 +906,16 @@
 void
 BwExecutor_SetOrder(BwExecutor *executor, const BwOrder *order);
 
+/* Starts no task while it is not known whether the backend server still runs.
+   Granted tasks are declined, so that their home can place them elsewhere;
+   reservations wait. */
+void
+BwExecutor_Pause(BwExecutor *executor);
+
+/* Ends the pause and pulls for the reservations. */
+void
+BwExecutor_Resume(BwExecutor *executor, uint64_t now_us);
+
 /* Makes the executor decline every further grant; running tasks go on. */
 void
 BwExecutor_Leave(BwExecutor *executor);
--- a/packages/core/executor.c
+++ b/packages/core/executor.c
@@ -74,8 +74,8 @@
 {
     uint32_t used = executor->busy + executor->pulled;
 
-    if (executor->is_leaving || used >= executor->slots ||
-        is_ledger_full(executor, NULL))
+    if (executor->is_leaving || executor->is_paused ||
+        used >= executor->slots || is_ledger_full(executor, NULL))
         return 0;
     return executor->slots - used;
 }
@@ -359,6 +359,19 @@
     return slots;
 }
 
+void
+BwExecutor_Pause(BwExecutor *executor)
+{
+    executor->is_paused = true;
+}
+
+void
+BwExecutor_Resume(BwExecutor *executor, uint64_t now_us)
+{
+    executor->is_paused = false;
+    pull_reserved(executor, now_us);
+}
+
 void
 BwExecutor_SetOrder(BwExecutor *executor, const BwOrder *order)
 {
--- a/packages/core/home.c
+++ b/packages/core/home.c
@@ -264,8 +264,10 @@
 retry_task(BwHome *home, uint64_t now_us, BwJob *job, HomeTask *task,
            BwErrorKind error)
 {
-    task->crashes +=
-        error == BW_ERR_BACKEND_LOST || error == BW_ERR_EXECUTOR_LOST;
+    if (error == BW_ERR_BACKEND_LOST || error == BW_ERR_EXECUTOR_LOST) {
+        task->crashes++;
+        task->loss = error;
+    }
     if (job->task_count != 1 || !(job->flags & BW_SUBMIT_IDEMPOTENT) ||
         task->crashes >= BW_CRASHES_MAX)
         return false;
@@ -448,8 +450,7 @@
         home->counters.tasks_done++;
         BwSpan_ToString(done->body, detail, sizeof(detail));
         BwHome_EndJob(home, job,
-                      done->error == BW_ERR_BACKEND_LOST ? BW_ERR_BACKEND_LOST
-                                                         : BW_ERR_TASK_FAILED,
+                      task->loss != BW_OK ? task->loss : BW_ERR_TASK_FAILED,
                       detail);
         return;
     }
--- a/packages/core/job.h
+++ b/packages/core/job.h
@@ -22,6 +22,9 @@
     uint32_t peer; /* connection of the worker that it was granted to */
     uint32_t attempt;
     uint32_t crashes; /* attempts that ended with their backend server */
+    /* How the last of these ended; BW_OK: none did.  A later attempt that
+       fails does not replace it, since the earlier one may have run. */
+    BwErrorKind loss;
     /* The fence answer that is being merged lists this task. */
     bool is_confirmed;
     uint32_t status;
--- a/packages/daemon/agent.c
+++ b/packages/daemon/agent.c
@@ -183,6 +183,8 @@
 {
     Agent *agent = ctx;
 
+    if (BwBackend_IsInDoubt(&agent->backend))
+        BwExecutor_Pause(&agent->executor);
     BwExecutor_TaskEnded(&agent->executor, BwClock_Now(), job, index, error,
                          status, body);
 }
@@ -472,6 +474,19 @@
     broadcast_load(agent);
 }
 
+static void
+on_backend_checked(void *ctx, bool is_there)
+{
+    Agent *agent = ctx;
+
+    if (!is_there) {
+        BW_LOG(&agent->daemon->logger, BW_LOG_WARNING, "backend_ended",
+               BW_LOG_TEXT("service", agent->executor.service));
+        withdraw_backend(agent);
+    }
+    BwExecutor_Resume(&agent->executor, BwClock_Now());
+}
+
 static void
 on_request(void *ctx, BwExchange *exchange)
 {
@@ -560,7 +575,7 @@
     BwExecutor_Init(&agent->executor, home_limits.keep_us, &executor_port,
                     agent);
     BwBackend_Init(&agent->backend, daemon->event_loop.loop, on_task_ended,
-                   agent);
+                   on_backend_checked, agent);
     BwPeers_Init(&daemon->peers, daemon->event_loop.loop, &daemon->logger,
                  &hello, &peer_events, daemon);
     if (!BwPeers_Listen(&daemon->peers, daemon->settings.peer.host, &port))
--- a/packages/daemon/backend.c
+++ b/packages/daemon/backend.c
@@ -4,7 +4,9 @@
    is the task's answer; 500 and above or a timeout fail the task.  So does a
    connection that could not be opened, since the ledger already has the task
    as started.  A connection that breaks is an error of its own: the backend
-   server may have ended because of the task.
+   server may have ended because of the task.  A further connection is opened
+   then: one that is refused tells that it has ended, seconds before its
+   announcement expires.
 */
 
 #include <stdio.h>
@@ -14,6 +16,7 @@
 #include <jansson.h>
 
 #include "backend.h"
+#include "net.h"
 
 #define ANSWER_BYTES_MAX (4u * 1024 * 1024)
 
@@ -26,17 +29,61 @@
 
 void
 BwBackend_Init(BwBackend *backend, h2o_loop_t *loop, BwBackendEnded ended,
-               void *ctx)
+               BwBackendChecked checked, void *ctx)
 {
     memset(backend, 0, sizeof(*backend));
     backend->loop = loop;
     backend->ended = ended;
+    backend->checked = checked;
     backend->ctx = ctx;
 }
 
+static void
+close_check(BwBackend *backend)
+{
+    if (backend->check != NULL)
+        h2o_socket_close(backend->check);
+    backend->check = NULL;
+}
+
+bool
+BwBackend_IsInDoubt(const BwBackend *backend)
+{
+    return backend->check != NULL;
+}
+
+static void
+on_check(h2o_socket_t *sock, const char *err)
+{
+    BwBackend *backend = sock->data;
+
+    close_check(backend);
+    backend->checked(backend->ctx, err == NULL);
+}
+
+/* Opens a connection to tell a backend server that has ended from one that
+   only closed a connection. */
+static void
+start_check(BwBackend *backend)
+{
+    struct sockaddr_storage address;
+    socklen_t length = BwNet_Parse(
+        backend->announced.host, (uint16_t)backend->announced.port, &address);
+
+    if (backend->check != NULL || backend->expires_us == 0 || length == 0)
+        return;
+    backend->check = h2o_socket_connect(
+        backend->loop, (struct sockaddr *)&address, length, on_check);
+    if (backend->check != NULL)
+        backend->check->data = backend;
+    else
+        backend->checked(backend->ctx, false);
+}
+
 void
 BwBackend_Finish(BwBackend *backend)
 {
+    close_check(backend);
     if (backend->has_client)
         BwHttpClient_Finish(&backend->client);
     backend->has_client = false;
@@ -133,6 +180,8 @@
         backend->failed_calls = call;
         return;
     }
+    if (reply->outcome == BW_HTTP_BROKEN || reply->is_refused)
+        start_check(backend);
     if (reply->outcome != BW_HTTP_ANSWERED) {
         error = reply->outcome == BW_HTTP_BROKEN ? BW_ERR_BACKEND_LOST
                                                  : BW_ERR_TASK_FAILED;
@@ -194,5 +243,6 @@
     if (backend->expires_us == 0 || now_us < backend->expires_us)
         return false;
     backend->expires_us = 0;
+    close_check(backend);
     return true;
 }
--- a/packages/daemon/backend.h
+++ b/packages/daemon/backend.h
@@ -33,6 +33,10 @@
                                BwErrorKind error, uint32_t status,
                                BwSpan body);
 
+/* Called when the check that a broken connection caused has ended.  `is_there`
+   tells whether the backend server accepted a further connection. */
+typedef void (*BwBackendChecked)(void *ctx, bool is_there);
+
 typedef struct BwBackendCall BwBackendCall;
 
 typedef struct BwBackend {
@@ -45,13 +49,16 @@
     BwAnnouncement announced;
     /* When the last announcement expires; 0: no backend server. */
     uint64_t expires_us;
+    /* The connection of the check in progress; NULL: none. */
+    h2o_socket_t *check;
     BwBackendEnded ended;
+    BwBackendChecked checked;
     void *ctx;
 } BwBackend;
 
 void
 BwBackend_Init(BwBackend *backend, h2o_loop_t *loop, BwBackendEnded ended,
-               void *ctx);
+               BwBackendChecked checked, void *ctx);
 
 void
 BwBackend_Finish(BwBackend *backend);
@@ -70,6 +77,11 @@
 BwBackend_Announce(BwBackend *backend, uint64_t now_us,
                    const BwAnnouncement *announcement);
 
+/* Whether a connection broke and it is not known yet whether the backend
+   server has ended.  No task should be sent to it meanwhile. */
+bool
+BwBackend_IsInDoubt(const BwBackend *backend);
+
 /* Sends a task to the backend server, which must have announced itself. */
 void
 BwBackend_Start(BwBackend *backend, const BwStart *start);
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -506,6 +506,39 @@
     BwExecutor_Finish(&executor);
 }
 
+/* A grant that meets an executor in doubt about its backend server comes back
+   as not started, and its reservation is pulled for after the pause. */
+static void
+test_paused_executor_starts_nothing(void)
+{
+    static const BwExecutorPort executor_port = {.start = ignore_start,
+                                                 .decline = count_decline,
+                                                 .pull = ignore_pull,
+                                                 .log_decision =
+                                                     ignore_decision};
+    BwGrantedTask task = {.index = 0};
+    BwGrant grant = {.job = make_job_id("a"),
+                     .not_after_us = NOW_US,
+                     .deadline_us = NOW_US + SECOND_US,
+                     .service = BwSpan_FromString(SERVICE),
+                     .tasks = &task,
+                     .task_count = 1};
+    BwExecutor executor;
+    uint32_t kept = 0;
+
+    BwExecutor_Init(&executor, SECOND_US, &executor_port, &kept);
+    BwExecutor_Announce(&executor, grant.service, 1);
+    BwExecutor_Pause(&executor);
+    BwExecutor_OnGrant(&executor, NOW_US, 1, &grant);
+    BwExecutor_Tick(&executor, NOW_US);
+    g_assert_cmpuint(executor.counters.starts, ==, 0);
+    g_assert_cmpuint(executor.counters.pulls, ==, 0);
+    g_assert_cmpuint(kept, ==, 1);
+    BwExecutor_Resume(&executor, NOW_US);
+    g_assert_cmpuint(executor.counters.pulls, ==, 1);
+    BwExecutor_Finish(&executor);
+}
+
 /* ------------------------------------------------------- estimates */
 
 static void
@@ -673,6 +706,26 @@
     free_fake(fake);
 }
 
+/* The answer was that of the last attempt, so a caller whose request may have
+   run was told only that it failed. */
+static void
+test_loss_is_kept_over_attempts(void)
+{
+    Fake *fake = make_fake(&BwPlacement_Prompt, 4, 8);
+    BwOutcomes none = {0};
+
+    submit_flagged(fake, "a", 1, 10 * SECOND_US, BW_SUBMIT_IDEMPOTENT);
+    end_task(fake, "a", take_only_start(fake), 0, BW_ERR_BACKEND_LOST, none);
+    for (uint32_t attempt = 1; fake->results == 0; attempt++) {
+        BwHome_Flush(&fake->home, NOW_US + attempt * SECOND_US);
+        end_task(fake, "a", take_only_start(fake), attempt, BW_ERR_TASK_FAILED,
+                 none);
+    }
+    g_assert_cmpuint(fake->home.counters.retries, >=, 2);
+    g_assert_cmpuint(fake->last_error, ==, BW_ERR_BACKEND_LOST);
+    free_fake(fake);
+}
+
 static void
 test_not_retried(void)
 {
@@ -1022,12 +1075,14 @@
     g_test_add_func("/order/ageing", test_low_priority_ages);
     g_test_add_func("/reservation/release", test_release_is_a_count);
     g_test_add_func("/reservation/awaited", test_awaited_slot_is_not_free);
+    g_test_add_func("/executor/paused", test_paused_executor_starts_nothing);
     g_test_add_func("/estimate", test_estimate);
     g_test_add_func("/health/ejected", test_failing_is_ejected);
     g_test_add_func("/health/ceiling", test_ejection_limit);
     g_test_add_func("/health/slow", test_slow_worker_is_last);
     g_test_add_func("/retry/idempotent", test_idempotent_is_retried);
     g_test_add_func("/retry/crash", test_crash_is_retried_once);
+    g_test_add_func("/retry/loss-kept", test_loss_is_kept_over_attempts);
     g_test_add_func("/retry/others", test_not_retried);
     g_test_add_func("/retry/budget", test_retry_budget);
     g_test_add_func("/admission/cases", test_admission);
