Evacuate a failure domain when operators ask for it

Dispatchers read the operators' records with the configuration, pass them on among themselves and tell the supervisors of the domain, which start nothing more and hand back what is queued; what runs ends by itself. The state is versioned by the offset of the log, so the newer one wins wherever it comes from. The newest records are now read in pages.

--- a/packages/adapters/wire.c
+++ b/packages/adapters/wire.c
@@ -320,6 +320,8 @@
     U64(BwWorkerState, capacity.gpu),
     U32(BwWorkerState, is_leaving),
     U32(BwWorkerState, is_clear),
+    U32(BwWorkerState, is_evacuated),
+    U64(BwWorkerState, evacuation_version),
     LIST(BwWorkerState, labels, label_count, name_layout),
     LIST(BwWorkerState, load, load_count, worker_load_layout),
 };
@@ -401,6 +403,15 @@
          dispatcher_address_layout),
 };
 
+static const Field evacuation_list_fields[] = {
+    U64(BwEvacuationList, version),
+    LIST(BwEvacuationList, domains, domain_count, name_layout),
+};
+static const Field evacuate_fields[] = {
+    U64(BwEvacuate, version),
+    U32(BwEvacuate, is_evacuated),
+};
+
 static const Layout layouts[BW_MSG_COUNT] = {
     [BW_MSG_HELLO] = LAYOUT(BwHello, hello_fields),
     [BW_MSG_SUBMIT] = LAYOUT(BwSubmit, submit_fields),
@@ -435,6 +446,8 @@
     [BW_MSG_CRASH] = LAYOUT(BwCrash, crash_fields),
     [BW_MSG_DISPATCHER_LIST] =
         LAYOUT(BwDispatcherList, dispatcher_list_fields),
+    [BW_MSG_EVACUATIONS] = LAYOUT(BwEvacuationList, evacuation_list_fields),
+    [BW_MSG_EVACUATE] = LAYOUT(BwEvacuate, evacuate_fields),
 };
 
 static void
--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -33,6 +33,7 @@
 #include "confinement.h"
 #include "control.h"
 #include "driver.h"
+#include "evacuations.h"
 #include "routestats.h"
 #include "suspects.h"
 
@@ -125,6 +126,7 @@
     bool is_usable;
     bool is_in_pool;        /* for confined routes and suspects */
     bool is_reserved;       /* for these only */
+    bool is_evacuated;      /* its failure domain is */
     uint64_t exclusive_ref; /* the last exclusive job assigned to it */
     uint32_t owner; /* number of the route that it is kept for, from 1 */
     uint32_t in_flight_count;
@@ -165,6 +167,9 @@
     uint64_t pool_order;  /* a hash of the name */
     char crashed_instance[BW_NAME_BYTES_MAX]; /* of the last report */
     uint64_t stopped_ref; /* job that a STOP was last sent for */
+    /* The state that its supervisor follows, as reported; 0: none. */
+    uint64_t evacuation_version;
+    bool reports_evacuated;
     uint32_t table_index; /* in BwDispatcher.view_table */
     UT_hash_handle hh;    /* by name */
     UT_hash_handle by_peer;
@@ -263,6 +268,7 @@
     BwTaskIndex place_tasks[BW_JOB_TASKS_MAX]; /* of the PLACE being sent */
     uint64_t last_ref;
     uint64_t last_link_generation;
+    BwEvacuations evacuations;
     uint64_t normalized_us; /* when the workers' paces were last normalized */
 } BwDispatcher;
 
@@ -328,6 +334,17 @@
 void
 BwDispatcher_EndAll(BwDispatcher *dispatcher, uint64_t now_us);
 
+/* Places no further task in the failure domains that are evacuated and tells
+   their supervisors; takes those up again that no longer are. */
+void
+BwDispatcher_SetEvacuations(BwDispatcher *dispatcher,
+                            const BwEvacuations *evacuations);
+
+/* Returns the number of supervisors that have not confirmed yet whether their
+   failure domain is evacuated. */
+uint32_t
+BwDispatcher_CountUnconfirmed(const BwDispatcher *dispatcher);
+
 /* Returns the number of workers that accept tasks.  Ejected ones count. */
 uint32_t
 BwDispatcher_CountUsable(const BwDispatcher *dispatcher);
--- a/packages/core/forecast.c
+++ b/packages/core/forecast.c
@@ -60,7 +60,7 @@
 static bool
 accepts_tasks(const BwSupervisorView *view)
 {
-    return view->peer != 0 && view->is_usable &&
+    return view->peer != 0 && view->is_usable && !view->is_evacuated &&
            view->session_renewed_us != 0 && !view->health.is_ejected &&
            (!view->health.is_probing || is_idle(view));
 }
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -84,6 +84,8 @@
     state->is_leaving = !BwWorkerTasks_IsUsable(s, now_us);
     state->is_clear =
         s->phase == BW_WORKER_READY && s->tasks_without_peer == 0;
+    state->is_evacuated = s->is_evacuated;
+    state->evacuation_version = s->evacuation_version;
     state->labels = labels;
     state->label_count = s->label_count;
     state->load = &load;
@@ -199,6 +201,8 @@
             const BwSupervisorPeer *peer, const BwPlace *place,
             uint32_t spread)
 {
+    if (s->is_evacuated)
+        return BW_DECLINE_EVACUATED;
     if (!BwWorkerTasks_IsUsable(s, now_us))
         return BW_DECLINE_LEAVING;
     if (now_us >= peer->valid_until_us)
@@ -277,6 +281,29 @@
     BwWorkerTasks_StartQueued(s, now_us);
 }
 
+/* What runs goes on and keeps its lease; what is queued is handed back to be
+   placed elsewhere. */
+static void
+on_evacuate(BwSupervisor *s, uint64_t now_us, const BwEvacuate *evacuate)
+{
+    bool is_evacuated = evacuate->is_evacuated != 0;
+    bool is_changed = is_evacuated != s->is_evacuated;
+
+    if (evacuate->version <= s->evacuation_version)
+        return;
+    s->evacuation_version = evacuate->version;
+    if (!is_changed)
+        return;
+    s->is_evacuated = is_evacuated;
+    s->port->log_worker(s->ctx, is_evacuated ? "evacuate" : "evacuate_end",
+                        HASH_COUNT(s->tasks_by_key) - s->queued_count,
+                        is_evacuated ? "no task starts in this failure domain"
+                                     : "the evacuation was taken back");
+    if (is_evacuated)
+        BwWorkerTasks_DeclineQueue(s, now_us, BW_DECLINE_EVACUATED);
+    BwSupervisor_BroadcastState(s, now_us);
+}
+
 void
 BwSupervisor_OnMessage(BwSupervisor *s, uint64_t now_us, uint32_t peer_id,
                        const BwMessage *message)
@@ -296,6 +323,9 @@
     case BW_MSG_STOP:
         on_stop(s, now_us, peer_id, message->u.stop.ref);
         break;
+    case BW_MSG_EVACUATE:
+        on_evacuate(s, now_us, &message->u.evacuate);
+        break;
     default:
         break;
     }
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -179,7 +179,9 @@
     BwResources used;
     bool is_worker_leaving;
     bool is_leaving;
-    uint64_t heartbeat_us; /* when the last heartbeat came */
+    bool is_evacuated;           /* its failure domain is: no task starts */
+    uint64_t evacuation_version; /* that told so; 0: none did */
+    uint64_t heartbeat_us;       /* when the last heartbeat came */
     /* The worker is known from a recalled heartbeat and has not answered
        yet. */
     bool is_recalled;
@@ -247,8 +249,8 @@
 BwSupervisor_PeerDown(BwSupervisor *supervisor, uint64_t now_us,
                       uint32_t peer);
 
-/* Processes a PLACE, STOP or SESSION of a dispatcher; other messages and those
-   of unknown peers are ignored. */
+/* Processes a PLACE, STOP, SESSION or EVACUATE of a dispatcher; other messages
+   and those of unknown peers are ignored. */
 void
 BwSupervisor_OnMessage(BwSupervisor *supervisor, uint64_t now_us,
                        uint32_t peer, const BwMessage *message);
--- a/packages/core/views.c
+++ b/packages/core/views.c
@@ -149,8 +149,8 @@
         const BwSupervisorView *view = d->view_table[(first + i) % all];
         uint32_t tasks_ahead;
 
-        if (view->peer == 0 || !view->is_usable || view->reported_us == 0 ||
-            strcmp(view->service, service) != 0)
+        if (view->peer == 0 || !view->is_usable || view->is_evacuated ||
+            view->reported_us == 0 || strcmp(view->service, service) != 0)
             continue;
         free_milli += BwViews_FreeResources(view, 0, &tasks_ahead).cpu_milli;
         capacity_milli += view->capacity.cpu_milli;
@@ -405,6 +405,51 @@
     }
 }
 
+/* -------------------------------------------------------- evacuations */
+
+/* Whether the supervisor follows another state of its failure domain than this
+   dispatcher's, and that is the older one. */
+static bool
+is_unconfirmed(const BwDispatcher *d, const BwSupervisorView *view)
+{
+    return view->peer != 0 && view->domain[0] != '\0' &&
+           view->evacuation_version < d->evacuations.version &&
+           view->reports_evacuated != view->is_evacuated;
+}
+
+static void
+update_evacuation(BwDispatcher *d, BwSupervisorView *view)
+{
+    BwMessage message = {.kind = BW_MSG_EVACUATE};
+
+    view->is_evacuated = BwEvacuations_Contains(
+        &d->evacuations, BwSpan_FromString(view->domain));
+    if (!is_unconfirmed(d, view))
+        return;
+    message.u.evacuate.version = d->evacuations.version;
+    message.u.evacuate.is_evacuated = view->is_evacuated;
+    d->port->send(d->ctx, view->peer, &message);
+}
+
+void
+BwDispatcher_SetEvacuations(BwDispatcher *d, const BwEvacuations *evacuations)
+{
+    d->evacuations = *evacuations;
+    for (BwSupervisorView *view = d->views; view != NULL; view = view->hh.next)
+        update_evacuation(d, view);
+}
+
+uint32_t
+BwDispatcher_CountUnconfirmed(const BwDispatcher *d)
+{
+    uint32_t count = 0;
+
+    for (const BwSupervisorView *view = d->views; view != NULL;
+         view = view->hh.next)
+        count += is_unconfirmed(d, view);
+    return count;
+}
+
 /* ----------------------------------------------------------- messages */
 
 static void
@@ -425,6 +470,9 @@
     BwSpan_ToString(state->domain, view->domain, sizeof(view->domain));
     view->capacity = state->capacity;
     view->is_usable = state->is_leaving == 0;
+    view->evacuation_version = state->evacuation_version;
+    view->reports_evacuated = state->is_evacuated != 0;
+    update_evacuation(d, view);
     BwBoundCrash_OnUsable(d, now_us, view);
     view->label_count = state->label_count < BW_LABELS_MAX ? state->label_count
                                                            : BW_LABELS_MAX;
@@ -480,7 +528,7 @@
 
     for (const BwSupervisorView *view = d->views; view != NULL;
          view = view->hh.next)
-        count += view->peer != 0 && view->is_usable &&
+        count += view->peer != 0 && view->is_usable && !view->is_evacuated &&
                  view->session_renewed_us != 0;
     return count;
 }
--- a/packages/core/workertasks.c
+++ b/packages/core/workertasks.c
@@ -47,6 +47,7 @@
     [BW_DECLINE_DUPLICATE] = "the task is queued or running here already",
     [BW_DECLINE_UNSUITED] = "label, spread limit or capacity does not suit",
     [BW_DECLINE_REFUSED] = "refused by the worker",
+    [BW_DECLINE_EVACUATED] = "the failure domain is evacuated",
 };
 
 bool
@@ -65,7 +66,7 @@
 BwWorkerTasks_IsUsable(const BwSupervisor *s, uint64_t now_us)
 {
     return s->phase == BW_WORKER_READY && !s->is_worker_leaving &&
-           !s->is_leaving && s->down_since_us == 0 &&
+           !s->is_leaving && !s->is_evacuated && s->down_since_us == 0 &&
            BwWorkerTasks_IsResponsive(s, now_us);
 }
 
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -12,6 +12,7 @@
 #include "brasswing.h"
 #include "daemon.h"
 #include "dispatcher.h"
+#include "evacuationsync.h"
 #include "node.h"
 #include "nodestatus.h"
 #include "routeconfig.h"
@@ -60,6 +61,7 @@
     BwHttpServer http; /* for callers */
     BwHttpServer ready;
     BwRouteConfig config;
+    BwEvacuationSync evacuations;
     BwRouteRecord route_record;
     BwDispatcher dispatcher;
     uint64_t refusals[REFUSAL_COUNT];
@@ -86,6 +88,14 @@
     BwClassAdmission_Keep(&role->dispatcher.class_admissions, routes);
 }
 
+static void
+on_evacuations_changed(void *ctx, const BwEvacuations *evacuations)
+{
+    Role *role = ctx;
+
+    BwDispatcher_SetEvacuations(&role->dispatcher, evacuations);
+}
+
 /* ------------------------------------------------------------ callers */
 
 static void
@@ -380,8 +390,10 @@
                             BwSpan_FromString(link->name));
     /* A link with a target was dialled by this process.  Each of two
        dispatchers dials the other, so each announces its revision once. */
-    else if (link->target != NULL)
+    else if (link->target != NULL) {
+        BwEvacuationSync_Announce(&role->evacuations, link->id);
         BwRouteConfig_Announce(&role->config, link->id);
+    }
 }
 
 static void
@@ -398,7 +410,8 @@
 {
     Role *role = ctx;
 
-    if (!BwRouteConfig_OnMessage(&role->config, link->id, message))
+    if (!BwRouteConfig_OnMessage(&role->config, link->id, message) &&
+        !BwEvacuationSync_OnMessage(&role->evacuations, link->id, message))
         BwDispatcher_OnMessage(&role->dispatcher, BwClock_Now(), link->id,
                                message);
 }
@@ -486,9 +499,12 @@
     node->role = role;
     role->started_us = BwClock_Now();
     BwDispatcher_Init(&role->dispatcher, &limits, &dispatcher_port, role);
+    BwEvacuationSync_Init(&role->evacuations, node, on_evacuations_changed,
+                          role);
     if (!(BwMesh_Init(&node->mesh, node->event_loop.loop, settings,
                       &node->logger, node->incarnation, &mesh_events, role) &&
-          BwRouteConfig_Init(&role->config, node, on_routes_changed, role) &&
+          BwRouteConfig_Init(&role->config, node, &role->evacuations,
+                             on_routes_changed, role) &&
           BwRouteRecord_Init(&role->route_record, node->event_loop.loop,
                              settings, node->driver, &role->dispatcher) &&
           BwHttpServer_Init(
@@ -540,7 +556,8 @@
     Role *role = node->role;
 
     log_refusals(role, now_us);
-
+    BwEvacuationSync_Tick(&role->evacuations, now_us,
+                          BwDispatcher_CountUnconfirmed(&role->dispatcher));
     BwRouteConfig_Tick(&role->config, now_us);
     BwRouteRecord_Tick(&role->route_record, now_us);
     BwDispatcher_Tick(&role->dispatcher, now_us);
@@ -615,6 +632,14 @@
     n = BwCounters_Add(list, n, capacity, "brasswing_workers_usable",
                        "Workers that take tasks now", BW_GAUGE,
                        BwDispatcher_CountUsable(&role->dispatcher));
+    n = BwCounters_Add(list, n, capacity, "brasswing_domains_evacuated",
+                       "Failure domains in which no task starts", BW_GAUGE,
+                       role->evacuations.state.domain_count);
+    n = BwCounters_Add(list, n, capacity, "brasswing_evacuation_unconfirmed",
+                       "Supervisors that have not confirmed an evacuation, or "
+                       "its end",
+                       BW_GAUGE,
+                       BwDispatcher_CountUnconfirmed(&role->dispatcher));
     return BwRouteConfig_Counters(&role->config, BwClock_Now(), list, n,
                                   capacity);
 }
@@ -626,6 +651,7 @@
     json_t *out = BwNodeStatus_Dispatcher(&role->dispatcher, now_us);
 
     BwRouteConfig_AddStatus(&role->config, now_us, out);
+    BwEvacuationSync_AddStatus(&role->evacuations, out);
     json_object_set_new(out, "ready", json_boolean(is_ready(role)));
     return out;
 }
--- a/packages/daemon/nodestatus.c
+++ b/packages/daemon/nodestatus.c
@@ -31,14 +31,15 @@
 {
     bool is_ejected = view->health.is_ejected;
     json_t *object = json_pack(
-        "{s:s, s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:o, s:o}", "supervisor",
-        view->name, "instance", view->instance, "service", view->service,
-        "domain", view->domain, "connected", (int)(view->peer != 0), "usable",
-        (int)(view->peer != 0 && view->is_usable &&
+        "{s:s, s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:b, s:o, s:o}",
+        "supervisor", view->name, "instance", view->instance, "service",
+        view->service, "domain", view->domain, "connected",
+        (int)(view->peer != 0), "usable",
+        (int)(view->peer != 0 && view->is_usable && !view->is_evacuated &&
               view->session_renewed_us != 0 && !is_ejected),
         "ejected", (int)is_ejected, "in_pool", (int)view->is_in_pool,
-        "capacity", make_resources(&view->capacity), "free",
-        make_resources(&view->free));
+        "evacuated", (int)view->is_evacuated, "capacity",
+        make_resources(&view->capacity), "free", make_resources(&view->free));
     json_t *rest = json_pack(
         "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "queued",
         (json_int_t)view->queued, "release_ms",
@@ -102,14 +103,15 @@
 
     for (uint32_t i = 0; i < s->label_count; i++)
         json_array_append_new(labels, json_string(s->labels[i]));
-    return json_pack(
-        "{s:s, s:s, s:s, s:s, s:b, s:b, s:I, s:I, s:I, s:o}", "phase",
-        phases[s->phase], "instance", s->instance, "service", s->service,
-        "domain", s->domain, "usable", (int)s->was_usable, "leaving",
-        (int)s->is_worker_leaving, "announced_ms",
-        s->heartbeat_us != 0 ? age_ms(s->heartbeat_us, now_us) : -1,
-        "lease_left_ms", remaining_ms(s->lease_end_us, now_us), "fence",
-        (json_int_t)s->fence, "labels", labels);
+    return json_pack("{s:s, s:s, s:s, s:s, s:b, s:b, s:b, s:I, s:I, s:I, s:o}",
+                     "phase", phases[s->phase], "instance", s->instance,
+                     "service", s->service, "domain", s->domain, "usable",
+                     (int)s->was_usable, "leaving", (int)s->is_worker_leaving,
+                     "evacuated", (int)s->is_evacuated, "announced_ms",
+                     s->heartbeat_us != 0 ? age_ms(s->heartbeat_us, now_us)
+                                          : -1,
+                     "lease_left_ms", remaining_ms(s->lease_end_us, now_us),
+                     "fence", (json_int_t)s->fence, "labels", labels);
 }
 
 static json_t *
--- a/packages/daemon/routeconfig.c
+++ b/packages/daemon/routeconfig.c
@@ -146,8 +146,27 @@
     BwMesh_AddAddress(&config->node->mesh, BwClock_Now(), name, address);
 }
 
-static const BwStoreReaderEvents store_events = {on_store_config,
-                                                 add_dispatcher};
+static void
+on_store_evacuations(void *ctx, const BwEvacuations *evacuations)
+{
+    BwRouteConfig *config = ctx;
+
+    BwEvacuationSync_OnList(config->evacuations, evacuations);
+}
+
+static void
+on_store_evacuation(void *ctx, uint64_t version, BwSpan domain,
+                    bool is_evacuated)
+{
+    BwRouteConfig *config = ctx;
+
+    BwEvacuationSync_OnRecord(config->evacuations, version, domain,
+                              is_evacuated);
+}
+
+static const BwStoreReaderEvents store_events = {
+    on_store_config, on_store_evacuations, on_store_evacuation,
+    add_dispatcher};
 
 /* -------------------------------------------------- counters and status */
 
@@ -204,6 +223,7 @@
 
 bool
 BwRouteConfig_Init(BwRouteConfig *config, BwNode *node,
+                   BwEvacuationSync *evacuations,
                    void (*on_change)(void *ctx, const BwRoutes *routes),
                    void *ctx)
 {
@@ -211,6 +231,7 @@
     BwConfigSource_Init(&config->source,
                         node->settings.limits.config_apply_ms * 1000);
     config->node = node;
+    config->evacuations = evacuations;
     config->on_change = on_change;
     config->ctx = ctx;
     return BwStoreReader_Init(&config->store, node->event_loop.loop,
--- a/packages/daemon/routeconfig.h
+++ b/packages/daemon/routeconfig.h
@@ -14,6 +14,7 @@
 #define BW_ROUTECONFIG_H
 
 #include "configsource.h"
+#include "evacuationsync.h"
 #include "node.h"
 #include "routes.h"
 #include "storereader.h"
@@ -21,7 +22,8 @@
 typedef struct BwRouteConfig {
     BwNode *node;
     BwStoreReader store;
-    BwRoutes routes; /* revision 0: none in force yet */
+    BwEvacuationSync *evacuations; /* also read from the store */
+    BwRoutes routes;               /* revision 0: none in force yet */
     char *text;
     uint32_t text_bytes;
     uint64_t in_force_us; /* since when; 0: none yet */
@@ -31,10 +33,12 @@
     void *ctx;
 } BwRouteConfig;
 
-/* Reads nothing yet.  `node` must outlive the configuration.  Returns false
+/* Reads nothing yet.  `node` and `evacuations` must outlive the
+   configuration.  Returns false
    when the store's address in the settings is wrong. */
 bool
 BwRouteConfig_Init(BwRouteConfig *config, BwNode *node,
+                   BwEvacuationSync *evacuations,
                    void (*on_change)(void *ctx, const BwRoutes *routes),
                    void *ctx);
 
--- a/packages/daemon/storereader.c
+++ b/packages/daemon/storereader.c
@@ -1,5 +1,5 @@
-/* storereader.c -- reads the configuration and the dispatchers' addresses from
-   the platform's store
+/* storereader.c -- reads what operators write and the dispatchers' addresses
+   from the platform's store
 
    Method and callers are described in storereader.h.
 */
@@ -96,6 +96,52 @@
     reader->is_up = true;
 }
 
+/* Records are applied in the order of the log. */
+static void
+deliver_evacuations(BwStoreReader *reader, const BwStorePage *page)
+{
+    for (uint32_t i = 0; i < page->record_count; i++) {
+        const BwStoreRecord *record = &page->records[i];
+        BwSpan domain;
+
+        if (reader->driver->read_evacuation_key(record->key, &domain))
+            reader->events->on_evacuation(reader->ctx, record->offset + 1,
+                                          domain,
+                                          record->value.size_bytes > 0);
+    }
+}
+
+/* Adds a page of the newest records to those before.  Returns whether it was
+   the last one.  What is written meanwhile comes with the reads from the end
+   of the log as of the first page. */
+static bool
+collect_newest(BwStoreReader *reader, const BwStorePage *page)
+{
+    BwSpan last = {"", 0};
+
+    if (reader->newest_after_bytes == 0) {
+        memset(&reader->newest_evacuations, 0,
+               sizeof(reader->newest_evacuations));
+        reader->newest_end = page->end;
+    }
+    for (uint32_t i = 0; i < page->record_count; i++) {
+        const BwStoreRecord *record = &page->records[i];
+        BwSpan domain;
+
+        last = record->key;
+        if (record->value.size_bytes > 0 &&
+            reader->driver->read_evacuation_key(record->key, &domain))
+            BwEvacuations_List(&reader->newest_evacuations, domain);
+    }
+    reader->newest_after_bytes = 0;
+    if (!page->has_more || last.size_bytes == 0 ||
+        last.size_bytes > sizeof(reader->newest_after))
+        return true;
+    memcpy(reader->newest_after, last.base, last.size_bytes);
+    reader->newest_after_bytes = last.size_bytes;
+    return false;
+}
+
 /* An append that was carried out late may have put an older text after a newer
    one, so all of them count.  Usually the last one is the newest, and the
    others change nothing. */
@@ -124,9 +170,14 @@
         return;
     }
     record_success(reader);
+    if (collect_newest(reader, &page)) {
+        reader->newest_evacuations.version = reader->newest_end;
+        reader->events->on_evacuations(reader->ctx,
+                                       &reader->newest_evacuations);
+        reader->next_offset = reader->newest_end;
+        reader->has_config = true;
+    }
     deliver_config(reader, &page);
-    reader->next_offset = page.end;
-    reader->has_config = true;
     reader->driver->release(page.memory);
 }
 
@@ -147,6 +198,7 @@
         return;
     }
     record_success(reader);
+    deliver_evacuations(reader, &page);
     deliver_config(reader, &page);
     reader->next_offset += page.record_count;
     if (page.end < reader->next_offset)
@@ -206,7 +258,9 @@
     BwHttpCallback callback;
 
     if (!reader->has_config) {
-        reader->driver->make_newest(BW_TOPIC_CONFIG, none, &request);
+        BwSpan after = {reader->newest_after, reader->newest_after_bytes};
+
+        reader->driver->make_newest(BW_TOPIC_CONFIG, after, &request);
         callback = on_newest;
     }
     else if (!reader->has_dispatchers) {
--- a/packages/ports/driver.h
+++ b/packages/ports/driver.h
@@ -199,7 +199,9 @@
 } BwStorePage;
 
 typedef enum BwStoreTopic {
-    BW_TOPIC_CONFIG,      /* the operators' configuration */
+    /* What operators write: the configuration, and evacuations of failure
+       domains. */
+    BW_TOPIC_CONFIG,
     BW_TOPIC_DISPATCHERS, /* addresses of the dispatchers, a record for each */
     BW_TOPIC_WORKERS,     /* last heartbeats, by the supervisors' names */
     BW_TOPIC_ROUTES,      /* what was learnt of routes, by the dispatchers' */
@@ -248,6 +250,10 @@
     bool (*read_newest)(BwSpan body, BwStorePage *page);
     bool (*read_page)(uint64_t from, BwSpan body, BwStorePage *page);
     BwSpan (*config_key)(void);
+    /* Whether a key of the operators' topic asks for the evacuation of a
+       failure domain, which `domain` is set to.  While its record has a value
+       the domain is evacuated. */
+    bool (*read_evacuation_key)(BwSpan key, BwSpan *domain);
 } BwDriver;
 
 extern const BwDriver BwPlatform_Driver;
--- a/packages/ports/messages.h
+++ b/packages/ports/messages.h
@@ -16,7 +16,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define BW_WIRE_VERSION 3
+#define BW_WIRE_VERSION 4
 #define BW_NAME_BYTES_MAX 64
 #define BW_JOB_TASKS_MAX 1700
 #define BW_FRAME_BYTES_MAX (32u * 1024 * 1024)
@@ -65,6 +65,8 @@
     BW_MSG_SESSION,
     BW_MSG_CRASH,
     BW_MSG_DISPATCHER_LIST,
+    BW_MSG_EVACUATIONS,
+    BW_MSG_EVACUATE,
     BW_MSG_COUNT
 } BwMessageKind;
 
@@ -195,8 +197,9 @@
     BW_DECLINE_NO_SERVICE,
     BW_DECLINE_NO_SESSION,
     BW_DECLINE_DUPLICATE,
-    BW_DECLINE_UNSUITED, /* label, spread or capacity */
-    BW_DECLINE_REFUSED,  /* by the worker */
+    BW_DECLINE_UNSUITED,  /* label, spread or capacity */
+    BW_DECLINE_REFUSED,   /* by the worker */
+    BW_DECLINE_EVACUATED, /* the failure domain is */
 } BwDeclineReason;
 
 typedef struct BwTaskIndex {
@@ -510,12 +513,29 @@
     BwResources capacity;
     uint32_t is_leaving;
     uint32_t is_clear; /* no task of the receiver is left there */
+    uint32_t is_evacuated;
+    uint64_t evacuation_version; /* that it was told of; 0: none */
     BwName *labels;
     uint32_t label_count;
     BwWorkerLoad *load; /* array of 0 or 1 items */
     uint32_t load_count;
 } BwWorkerState;
 
+/* Dispatcher to dispatcher: the failure domains that are evacuated, by the
+   newest state of the store's log that the sender knows. */
+typedef struct BwEvacuationList {
+    uint64_t version; /* as in BwEvacuations */
+    BwName *domains;
+    uint32_t domain_count;
+} BwEvacuationList;
+
+/* Dispatcher to supervisor: whether its failure domain is evacuated.  A lower
+   version than it knows is ignored. */
+typedef struct BwEvacuate {
+    uint64_t version;
+    uint32_t is_evacuated;
+} BwEvacuate;
+
 /* Dispatcher to supervisor: run these tasks of one step as resources become
    free.  Times are durations from the arrival, except requested_us. */
 typedef struct BwPlace {
@@ -665,6 +685,8 @@
         BwSession session;
         BwCrash crash;
         BwDispatcherList dispatcher_list;
+        BwEvacuationList evacuations;
+        BwEvacuate evacuate;
     } u;
 } BwMessage;
 
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -22,6 +22,7 @@
 #define STOP_US 120000
 
 typedef struct Sent {
+    bool is_evacuated; /* of an EVACUATE */
     uint32_t peer;
     BwMessageKind kind;
     uint64_t ref;
@@ -77,6 +78,8 @@
     }
     if (message->kind == BW_MSG_STOP)
         sent->ref = message->u.stop.ref;
+    if (message->kind == BW_MSG_EVACUATE)
+        sent->is_evacuated = message->u.evacuate.is_evacuated != 0;
 }
 
 static void
@@ -1918,6 +1921,118 @@
     tear_down(&f);
 }
 
+/* -------------------------------------------------------- evacuations */
+
+static void
+send_domain_state(Fixture *f, uint32_t peer, const char *domain,
+                  uint64_t version, bool is_evacuated)
+{
+    BwMessage message = {.kind = BW_MSG_WORKER};
+    BwWorkerState *state = &message.u.worker;
+    BwWorkerLoad load = make_load(0, 4000);
+
+    state->instance = span("instance");
+    state->service = span("service");
+    state->domain = span(domain);
+    state->capacity = load.free;
+    state->is_leaving = is_evacuated;
+    state->is_evacuated = is_evacuated;
+    state->evacuation_version = version;
+    state->load = &load;
+    state->load_count = 1;
+    BwDispatcher_OnMessage(&f->d, f->now_us, peer, &message);
+}
+
+static void
+connect_domain(Fixture *f, uint32_t peer, const char *name, const char *domain)
+{
+    BwDispatcher_PeerUp(&f->d, f->now_us, peer, span(name));
+    send_domain_state(f, peer, domain, 0, false);
+    send_session(f, peer, 0, 4000);
+}
+
+static void
+evacuate(Fixture *f, uint64_t version, const char *domain)
+{
+    BwEvacuations evacuations = {.version = version};
+
+    if (domain != NULL)
+        BwEvacuations_List(&evacuations, span(domain));
+    BwDispatcher_SetEvacuations(&f->d, &evacuations);
+}
+
+/* Nothing more is placed there, also not before the supervisors have answered,
+   and what they hand back goes elsewhere. */
+static void
+test_evacuated_domain(void)
+{
+    Fixture f;
+    uint64_t ref;
+
+    set_up(&f);
+    connect_domain(&f, 1, "a", "x");
+    connect_domain(&f, 2, "b", "y");
+    ref = submit_simple(&f, 2, 1000);
+    g_assert_cmpuint(placed_at(&f, 1, ref), ==, 1);
+    evacuate(&f, 8, "x");
+    g_assert_cmpuint(f.sent[f.sent_count - 1].kind, ==, BW_MSG_EVACUATE);
+    g_assert_cmpuint(last_peer(&f), ==, 1);
+    g_assert_true(f.sent[f.sent_count - 1].is_evacuated);
+    g_assert_cmpuint(BwDispatcher_CountUnconfirmed(&f.d), ==, 1);
+    g_assert_cmpuint(BwDispatcher_CountUsable(&f.d), ==, 1);
+    send_outcome(&f, 1, ref, 0, f.last_placed_peer[0] == 1 ? 0 : 1,
+                 BW_OUTCOME_NOT_RUN);
+    g_assert_cmpuint(placed_at(&f, 1, ref), ==, 1);
+    g_assert_cmpuint(placed_at(&f, 2, ref), ==, 2);
+    send_domain_state(&f, 1, "x", 8, true);
+    g_assert_cmpuint(BwDispatcher_CountUnconfirmed(&f.d), ==, 0);
+    /* taken back */
+    evacuate(&f, 9, NULL);
+    g_assert_cmpuint(last_peer(&f), ==, 1);
+    g_assert_false(f.sent[f.sent_count - 1].is_evacuated);
+    send_domain_state(&f, 1, "x", 9, false);
+    ref = submit_simple(&f, 1, 1000);
+    g_assert_cmpuint(placed_at(&f, 1, ref), ==, 1);
+    tear_down(&f);
+}
+
+/* With every domain evacuated a job is refused at once. */
+static void
+test_evacuated_everywhere(void)
+{
+    Fixture f;
+
+    set_up(&f);
+    connect_domain(&f, 1, "a", "x");
+    evacuate(&f, 8, "x");
+    g_assert_cmpuint(submit_simple(&f, 1, 1000), ==, 0);
+    assert_answer(&f, 0, BW_BOUND_REFUSED);
+    tear_down(&f);
+}
+
+/* A supervisor that starts, or that was told by a dispatcher that knew less,
+   is told again when it connects; one that knows more is not. */
+static void
+test_evacuation_told_again(void)
+{
+    Fixture f;
+    uint32_t sent_before;
+
+    set_up(&f);
+    evacuate(&f, 8, "x");
+    connect_domain(&f, 1, "a", "x");
+    g_assert_cmpuint(count_sent(&f, BW_MSG_EVACUATE, 1, 0), ==, 1);
+    connect_domain(&f, 2, "b", "y");
+    g_assert_cmpuint(count_sent(&f, BW_MSG_EVACUATE, 2, 0), ==, 0);
+    send_domain_state(&f, 2, "y", 7, true);
+    g_assert_cmpuint(count_sent(&f, BW_MSG_EVACUATE, 2, 0), ==, 1);
+    sent_before = f.sent_count;
+    send_domain_state(&f, 2, "y", 9, true);
+    send_domain_state(&f, 1, "x", 8, true);
+    g_assert_cmpuint(f.sent_count, ==, sent_before);
+    tear_down(&f);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1982,5 +2097,10 @@
     g_test_add_func("/dispatcher/confined", test_confined);
     g_test_add_func("/dispatcher/released", test_released);
     g_test_add_func("/dispatcher/crash_withdrawn", test_crash_withdrawn);
+    g_test_add_func("/dispatcher/evacuated-domain", test_evacuated_domain);
+    g_test_add_func("/dispatcher/evacuated-everywhere",
+                    test_evacuated_everywhere);
+    g_test_add_func("/dispatcher/evacuation-told-again",
+                    test_evacuation_told_again);
     return g_test_run();
 }
--- a/tests/test_storereader.c
+++ b/tests/test_storereader.c
@@ -33,6 +33,7 @@
     uint32_t configs; /* delivered by the reader */
     char revision;    /* in force */
     uint32_t changes; /* of it */
+    BwEvacuations evacuations;
 } World;
 
 /* ------------------------------------------------------------- driver */
@@ -48,14 +49,26 @@
     return true;
 }
 
+/* A page "more" or "last" has one record, of an evacuation; the log has grown
+   between the two. */
 static bool
 read_newest(BwSpan body, BwStorePage *page)
 {
     static BwStoreRecord record;
+    bool has_more = BwSpan_Equal(body, BwSpan_FromString("more"));
+    bool is_last = BwSpan_Equal(body, BwSpan_FromString("last"));
 
     memset(page, 0, sizeof(*page));
-    record.key = BwSpan_FromString("config");
     record.value = body;
+    if (has_more || is_last) {
+        record.key = BwSpan_FromString(has_more ? "evacuate/a" : "evacuate/b");
+        page->records = &record;
+        page->record_count = 1;
+        page->has_more = has_more;
+        page->end = has_more ? 5 : 7;
+        return true;
+    }
+    record.key = BwSpan_FromString("config");
     page->records = &record;
     page->record_count = 1;
     page->end = 1;
@@ -71,7 +84,8 @@
     return make_newest(topic, BwSpan_FromString(""), call);
 }
 
-/* One record for each byte of the body. */
+/* One record for each byte of the body: 'e' asks for an evacuation and 'w'
+   takes it back, all else is a configuration. */
 static bool
 read_page(uint64_t from, BwSpan body, BwStorePage *page)
 {
@@ -82,8 +96,13 @@
     for (uint32_t i = 0; i < body.size_bytes && i < PARTS; i++) {
         BwStoreRecord *record = &records[page->record_count++];
 
-        record->key = BwSpan_FromString("config");
-        record->value = (BwSpan){body.base + i, 1};
+        bool is_end = body.base[i] == 'w';
+
+        record->key = is_end || body.base[i] == 'e'
+                          ? BwSpan_FromString("evacuate/a")
+                          : BwSpan_FromString("config");
+        record->value = (BwSpan){body.base + i, is_end ? 0 : 1};
+        record->offset = from + i;
     }
     page->end = from + page->record_count;
     return true;
@@ -95,6 +114,16 @@
     return BwSpan_FromString("config");
 }
 
+static bool
+read_evacuation_key(BwSpan key, BwSpan *domain)
+{
+    if (BwSpan_Equal(key, BwSpan_FromString("config")))
+        return false;
+    domain->base = key.base + strlen("evacuate/");
+    domain->size_bytes = key.size_bytes - (uint32_t)strlen("evacuate/");
+    return true;
+}
+
 static void
 release(void *memory)
 {
@@ -106,6 +135,7 @@
                                 .make_read = make_read,
                                 .read_page = read_page,
                                 .config_key = config_key,
+                                .read_evacuation_key = read_evacuation_key,
                                 .release = release};
 
 /* That of node.c, which is not linked. */
@@ -134,6 +164,23 @@
     world->changes++;
 }
 
+static void
+on_evacuations(void *ctx, const BwEvacuations *evacuations)
+{
+    World *world = ctx;
+
+    BwEvacuations_Replace(&world->evacuations, evacuations);
+}
+
+static void
+on_evacuation(void *ctx, uint64_t version, BwSpan domain, bool is_evacuated)
+{
+    World *world = ctx;
+
+    g_assert_true(
+        BwEvacuations_Set(&world->evacuations, version, domain, is_evacuated));
+}
+
 static void
 on_dispatcher(void *ctx, BwSpan name, BwSpan address)
 {
@@ -142,7 +189,8 @@
     (void)address;
 }
 
-static const BwStoreReaderEvents events = {on_config, on_dispatcher};
+static const BwStoreReaderEvents events = {on_config, on_evacuations,
+                                           on_evacuation, on_dispatcher};
 
 static void
 init(World *world, uint32_t text_bytes)
@@ -242,6 +290,61 @@
     finish(&world);
 }
 
+static void
+test_evacuation_records(void)
+{
+    static const char *const pages[] = {"e", "ew", "3ew", "ewe", "w4e"};
+    static const bool is_evacuated[] = {true, false, false, true, true};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(pages); i++) {
+        World world;
+
+        read_records(&world, pages[i]);
+        g_assert_true(BwEvacuations_Contains(&world.evacuations,
+                                             BwSpan_FromString("a")) ==
+                      is_evacuated[i]);
+        g_assert_cmpuint(world.evacuations.version, ==, strlen(pages[i]));
+        finish(&world);
+    }
+}
+
+static void
+answer(World *world, const char *body)
+{
+    char head[64];
+
+    BwStoreReader_Tick(&world->reader, BwClock_Now());
+    PartServer_ReceiveRequest(&world->server);
+    g_snprintf(head, sizeof(head),
+               "HTTP/1.1 200 OK\r\nconnection: close\r\n"
+               "content-length: %zu\r\n\r\n",
+               strlen(body));
+    PartServer_Send(&world->server, head);
+    PartServer_Send(&world->server, body);
+}
+
+/* What the second page lacks is not taken back, and reads go on from the end
+   of the log as the first page told it. */
+static void
+test_newest_in_pages(void)
+{
+    World world;
+
+    init(&world, PARTS);
+    answer(&world, "more");
+    g_assert_false(world.reader.has_config);
+    g_assert_cmpuint(world.evacuations.version, ==, 0);
+    answer(&world, "last");
+    g_assert_true(world.reader.has_config);
+    g_assert_cmpuint(world.evacuations.version, ==, 5);
+    g_assert_cmpuint(world.reader.next_offset, ==, 5);
+    g_assert_true(
+        BwEvacuations_Contains(&world.evacuations, BwSpan_FromString("a")));
+    g_assert_true(
+        BwEvacuations_Contains(&world.evacuations, BwSpan_FromString("b")));
+    finish(&world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -249,5 +352,7 @@
     g_test_add_func("/storereader/answer-in-parts", test_answer_in_parts);
     g_test_add_func("/storereader/older-after-newer", test_older_after_newer);
     g_test_add_func("/storereader/burst", test_burst);
+    g_test_add_func("/storereader/evacuations", test_evacuation_records);
+    g_test_add_func("/storereader/newest-in-pages", test_newest_in_pages);
     return g_test_run();
 }
