Tell apart the lives of a worker that starts again under its name

A worker may start again under the id that it had, with its numbers, clock and fence anew. The supervisor took the new life for the one it knew: tasks that were gone ran on until their lease ended, ends with lower numbers were skipped and heartbeats ignored as old.

Heartbeats and polls carry the start of the instance; name and start together identify it, towards dispatchers too. The fence rises over all lives, so late orders of an earlier one are refused.

--- a/packages/core/crashreports.c
+++ b/packages/core/crashreports.c
@@ -103,7 +103,7 @@
     for (uint32_t i = 0; i < BW_CRASH_REPORTS_MAX; i++) {
         BwCrashReport *report = &s->crash_reports.reports[i];
 
-        if (report->at_us != 0 && strcmp(report->instance, s->instance) == 0)
+        if (report->at_us != 0 && strcmp(report->instance, s->life) == 0)
             return report;
     }
     return NULL;
@@ -206,7 +206,7 @@
         return;
     }
     report->at_us = now_us;
-    strcpy(report->instance, s->instance);
+    strcpy(report->instance, s->life);
     strcpy(report->service, s->service);
     s->counters.crashes++;
     s->port->log_worker(s->ctx, "worker_crashed", count,
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -77,7 +77,7 @@
 
     for (uint32_t i = 0; i < s->label_count; i++)
         labels[i].name = BwSpan_FromString(s->labels[i]);
-    state->instance = BwSpan_FromString(s->instance);
+    state->instance = BwSpan_FromString(s->life);
     state->service = BwSpan_FromString(s->service);
     state->domain = BwSpan_FromString(s->domain);
     state->capacity = s->capacity;
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -169,8 +169,12 @@
 
     BwWorkerPhase phase;
     char instance[BW_NAME_BYTES_MAX];
+    uint64_t born_ms; /* when the instance started; 0: not told */
+    /* Name and start of the instance, which no other one shares. */
+    char life[BW_NAME_BYTES_MAX];
     /* The instance that was replaced; its heartbeats are ignored. */
     char previous_instance[BW_NAME_BYTES_MAX];
+    uint64_t previous_born_ms;
     char service[BW_NAME_BYTES_MAX];
     char domain[BW_NAME_BYTES_MAX];
     char labels[BW_LABELS_MAX][BW_NAME_BYTES_MAX];
--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -16,6 +16,7 @@
    anything is started.  The daemon passes in what the worker sends.
 */
 
+#include <stdio.h>
 #include <string.h>
 
 #include "brasswing.h"
@@ -40,6 +41,8 @@
 #define START_ATTEMPTS_MAX 4
 #define RUN_STEP 16
 
+#define BORN_BYTES_MAX 22 /* '@', a time in milliseconds and the final 0 */
+
 #define STALL_MIN_US 100000
 /* A task is stalled after this many times its mean time per percent. */
 #define STALL_FACTOR 4
@@ -87,6 +90,42 @@
                         HASH_COUNT(s->tasks_by_key) - s->queued_count, reason);
 }
 
+/* Whether a heartbeat is of the instance of that name and start.  Two lives
+   under one name differ in their start, and one that says nothing of its start
+   is not a life of a worker that does. */
+static bool
+is_of(const BwWorkerHeartbeat *heartbeat, const char *instance,
+      uint64_t born_ms)
+{
+    return BwSpan_Equal(heartbeat->instance, BwSpan_FromString(instance)) &&
+           heartbeat->born_ms == born_ms;
+}
+
+/* Whether a heartbeat cannot be of the worker that is there: it is of the
+   instance before, of an earlier life under the same name, or lacks the start
+   that this worker gives. */
+static bool
+is_outdated(const BwSupervisor *s, const BwWorkerHeartbeat *heartbeat)
+{
+    bool is_known_name =
+        BwSpan_Equal(heartbeat->instance, BwSpan_FromString(s->instance));
+
+    if (s->previous_instance[0] != '\0' &&
+        is_of(heartbeat, s->previous_instance, s->previous_born_ms))
+        return true;
+    return is_known_name && heartbeat->born_ms < s->born_ms;
+}
+
+/* The message that a worker ends does not tell its start, and a late one may
+   be of an earlier life.  A worker that tells its start announces first that
+   it leaves. */
+static bool
+is_end_of_this(const BwSupervisor *s, const BwWorkerHeartbeat *heartbeat)
+{
+    return BwSpan_Equal(heartbeat->instance, BwSpan_FromString(s->instance)) &&
+           (s->born_ms == 0 || s->is_worker_leaving);
+}
+
 /* Returns whether the heartbeat describes the worker as it is known. */
 static bool
 is_as_known(const BwSupervisor *s, const BwWorkerHeartbeat *heartbeat)
@@ -117,6 +156,29 @@
         BwSpan_ToString(heartbeat->labels[i], s->labels[i], BW_NAME_BYTES_MAX);
 }
 
+static void
+adopt_name(BwSupervisor *s, const BwWorkerHeartbeat *heartbeat)
+{
+    BwSpan_ToString(heartbeat->instance, s->instance, sizeof(s->instance));
+    s->born_ms = heartbeat->born_ms;
+    if (s->born_ms == 0)
+        strcpy(s->life, s->instance);
+    else
+        snprintf(s->life, sizeof(s->life), "%.*s@%llu",
+                 BW_NAME_BYTES_MAX - BORN_BYTES_MAX, s->instance,
+                 (unsigned long long)s->born_ms);
+}
+
+/* The clock of a new life starts anew.  Its fence must not be lower than those
+   of the lives before: their late orders would pass it. */
+static void
+adopt_fence(BwSupervisor *s, const BwWorkerHeartbeat *heartbeat)
+{
+    uint64_t least = s->born_ms != 0 ? s->fence + 1 : 1;
+
+    s->fence = heartbeat->clock_ms > least ? heartbeat->clock_ms : least;
+}
+
 /* The worker that is in use describes itself differently.  Tasks that run go
    on; queued ones that can never fit are declined. */
 static void
@@ -149,15 +211,15 @@
                          const BwWorkerHeartbeat *heartbeat)
 {
     bool was_leaving = s->is_worker_leaving;
-    char instance[BW_NAME_BYTES_MAX];
-    bool is_same;
+    bool is_same = is_of(heartbeat, s->instance, s->born_ms);
 
     if (heartbeat->is_recalled && s->phase != BW_WORKER_NONE)
         return;
-    BwSpan_ToString(heartbeat->instance, instance, sizeof(instance));
-    is_same = strcmp(instance, s->instance) == 0;
-    if (strcmp(instance, s->previous_instance) == 0 ||
-        (heartbeat->is_gone && !is_same))
+    if (heartbeat->is_gone)
+        is_same = is_end_of_this(s, heartbeat);
+    else if (is_outdated(s, heartbeat))
+        return;
+    if (heartbeat->is_gone && !is_same)
         return;
     if (is_same && heartbeat->sequence < s->heartbeat_sequence &&
         !heartbeat->is_gone)
@@ -186,12 +248,13 @@
                 if (s->down_since_us != 0)
                     record_up(s, "another instance has registered");
                 strcpy(s->previous_instance, s->instance);
+                s->previous_born_ms = s->born_ms;
                 memset(&s->outcomes, 0, sizeof(s->outcomes));
+                adopt_name(s, heartbeat);
             }
-            strcpy(s->instance, instance);
             s->clock_ms = heartbeat->clock_ms;
             s->clock_read_us = now_us;
-            s->fence = heartbeat->clock_ms > 0 ? heartbeat->clock_ms : 1;
+            adopt_fence(s, heartbeat);
             s->is_recalled = heartbeat->is_recalled;
             clear_worker(s, now_us);
         }
@@ -211,6 +274,15 @@
            answer->verdict != BW_WORKER_UNREACHABLE;
 }
 
+/* Whether another instance answered, or another life under the same name. */
+static bool
+is_of_other(const BwSupervisor *s, const BwWorkerAnswer *answer)
+{
+    return answer->verdict == BW_WORKER_WRONG_INSTANCE ||
+           (answer->born_ms != 0 && s->born_ms != 0 &&
+            answer->born_ms != s->born_ms);
+}
+
 /* Records whether the worker's process can be reached.  A refused connection
    on the worker's own host means that the process has ended. */
 static void
@@ -228,7 +300,7 @@
         BwSupervisor_BroadcastState(s, now_us);
     }
     else if (is_answered(answer) && s->down_since_us != 0) {
-        bool is_same = answer->verdict != BW_WORKER_WRONG_INSTANCE;
+        bool is_same = !is_of_other(s, answer);
 
         record_up(s, is_same ? "the same instance answers"
                              : "another instance answers");
@@ -240,7 +312,7 @@
 static void
 record_clock(BwSupervisor *s, uint64_t now_us, const BwWorkerAnswer *answer)
 {
-    if (!is_answered(answer) || answer->verdict == BW_WORKER_WRONG_INSTANCE)
+    if (!is_answered(answer) || is_of_other(s, answer))
         return;
     if (answer->clock_ms == 0)
         return;
@@ -366,7 +438,7 @@
         return NULL;
     record_reach(s, now_us, answer);
     record_clock(s, now_us, answer);
-    if (answer->verdict == BW_WORKER_WRONG_INSTANCE) {
+    if (is_of_other(s, answer)) {
         on_other_instance(s, now_us);
         return NULL;
     }
@@ -663,7 +735,7 @@
     record_clock(s, now_us, answer);
     if (is_answered(answer) && answer->verdict != BW_WORKER_UNHEALTHY)
         s->answer_due_us = next_answer_due_us(s, now_us);
-    if (answer->verdict == BW_WORKER_WRONG_INSTANCE) {
+    if (is_of_other(s, answer)) {
         on_other_instance(s, now_us);
         return;
     }
--- a/packages/daemon/workerrecord.c
+++ b/packages/daemon/workerrecord.c
@@ -37,6 +37,7 @@
 {
     uint64_t digest = digest_span(heartbeat->instance, heartbeat->is_leaving);
 
+    digest = XXH64(&heartbeat->born_ms, sizeof(heartbeat->born_ms), digest);
     digest = digest_span(heartbeat->service, digest);
     digest = digest_span(heartbeat->domain, digest);
     digest = XXH64(&heartbeat->capacity, sizeof(heartbeat->capacity), digest);
--- a/packages/ports/driver.h
+++ b/packages/ports/driver.h
@@ -91,6 +91,9 @@
     BwResources capacity;
     uint64_t clock_ms; /* of the worker */
     uint64_t sequence;
+    /* When the instance started; it tells apart two lives under one name.  0:
+       the platform does not say, and each life has a name of its own. */
+    uint64_t born_ms;
     bool is_leaving;
     bool is_gone;      /* it ends now; only `instance` is set then */
     bool has_capacity; /* else `capacity` is not given */
@@ -171,6 +174,7 @@
     void *memory;
     BwWorkerVerdict verdict;
     uint64_t clock_ms; /* 0: not given */
+    uint64_t born_ms;  /* as in a heartbeat; 0: not given */
     BwListedTask *running;
     uint32_t running_count;
     BwListedTask *ended;
--- a/packages/ports/messages.h
+++ b/packages/ports/messages.h
@@ -507,7 +507,7 @@
 /* Supervisor to dispatcher: the state of its worker, when they connect and on
    each change. */
 typedef struct BwWorkerState {
-    BwSpan instance; /* empty: no heartbeat of a worker yet */
+    BwSpan instance; /* its life; empty: no heartbeat of a worker yet */
     BwSpan service;
     BwSpan domain;
     BwResources capacity;
--- a/tests/supervisor_world.c
+++ b/tests/supervisor_world.c
@@ -151,6 +151,14 @@
             (uint64_t)g_rand_int_range(w->rand, 2, 6) * 1000;
 }
 
+void
+World_RebornWorker(World *w)
+{
+    w->worker.instance--;
+    World_RestartWorker(w);
+    w->worker.born_ms++;
+}
+
 void
 World_CrashWorker(World *w)
 {
@@ -254,6 +262,7 @@
         verdict != BW_WORKER_WRONG_INSTANCE &&
         verdict != BW_WORKER_UNREACHABLE)
         call->answer.clock_ms = World_Clock(w);
+    call->answer.born_ms = call->kind == CALL_POLL ? w->worker.born_ms : 0;
     if (call->kind != CALL_POLL || verdict != BW_WORKER_OK)
         return;
     call->running = g_array_new(FALSE, TRUE, sizeof(Task));
@@ -788,6 +797,7 @@
     heartbeat.has_capacity = !from->is_gone;
     heartbeat.clock_ms = from->is_gone ? 0 : from->clock_ms;
     heartbeat.sequence = from->sequence;
+    heartbeat.born_ms = from->is_gone ? 0 : from->born_ms;
     heartbeat.is_leaving = from->is_leaving;
     heartbeat.is_gone = from->is_gone;
     heartbeat.is_recalled = from->is_recalled;
@@ -799,6 +809,7 @@
 {
     return (Heartbeat){.due_us = w->now_us,
                        .instance = w->worker.instance,
+                       .born_ms = w->worker.born_ms,
                        .sequence = ++w->worker.sequence,
                        .clock_ms = World_Clock(w),
                        .capacity_cpu = w->worker.capacity_cpu,
--- a/tests/supervisor_world.h
+++ b/tests/supervisor_world.h
@@ -75,6 +75,7 @@
 
 typedef struct Worker {
     uint32_t instance;
+    uint64_t born_ms; /* 0: it does not tell */
     uint64_t started_us;
     uint64_t clock_base_ms;
     uint64_t clock_slow_permille;
@@ -128,6 +129,7 @@
 typedef struct Heartbeat {
     uint64_t due_us;
     uint32_t instance;
+    uint64_t born_ms;
     uint64_t sequence;
     uint64_t clock_ms;
     uint64_t capacity_cpu;
@@ -229,6 +231,10 @@
 void
 World_RestartWorker(World *w);
 
+/* Starts a worker that tells its start again under the name that it had. */
+void
+World_RebornWorker(World *w);
+
 /* Changes the worker's capacity while it runs. */
 void
 World_SetCapacity(World *w, uint64_t cpu);
--- a/tests/test_driver.c
+++ b/tests/test_driver.c
@@ -354,6 +354,7 @@
     const char *text =
         "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\","
         "\"state\":\"draining\",\"sequence\":9,\"clockMs\":482113,"
+        "\"born\":1700000000123,"
         "\"capacity\":{\"cpu\":4000,\"memMb\":8192,\"gpu\":2},"
         "\"labels\":[\"kind\",5,\"r1-3\"]}";
     const char *fault = NULL;
@@ -378,6 +379,7 @@
     g_assert_cmpuint(heartbeat.capacity.gpu, ==, 2);
     g_assert_cmpuint(heartbeat.clock_ms, ==, 482113);
     g_assert_cmpuint(heartbeat.sequence, ==, 9);
+    g_assert_cmpuint(heartbeat.born_ms, ==, 1700000000123);
     g_assert_cmpuint(heartbeat.label_count, ==, 2);
     assert_span(heartbeat.labels[0], "kind");
     assert_span(heartbeat.labels[1], "r1-3");
@@ -393,7 +395,6 @@
 test_beat_refused(void)
 {
     const char *path = "/api/Instances.Heartbeat/w17";
-    GString *oversized = g_string_new("{\"labels\":[\"x\"");
     BwWorkerHeartbeat heartbeat;
 
     g_assert_false(read_heartbeat(path, "", &heartbeat));
@@ -407,18 +408,95 @@
     g_assert_false(
         read_heartbeat("/api/Instances.Heartbeat/", "{}", &heartbeat));
     driver->release(heartbeat.memory);
-    g_assert_true(
+    g_assert_false(
         read_heartbeat(path, "{\"labels\":5,\"capacity\":[]}", &heartbeat));
-    g_assert_cmpuint(heartbeat.label_count, ==, 0);
-    g_assert_false(heartbeat.has_capacity);
     driver->release(heartbeat.memory);
+}
+
+/* The fields of a heartbeat that names a worker to use. */
+static json_t *
+make_heartbeat(void)
+{
+    return json_pack("{s:s, s:s, s:s, s:s, s:I, s:I, s:I, s:{s:I, s:I, s:I}, "
+                     "s:[s, s]}",
+                     "service", "s", "address", "127.0.0.1:1", "zone", "z",
+                     "state", "ready", "sequence", (json_int_t)9, "clockMs",
+                     (json_int_t)482113, "born", (json_int_t)1700000000123,
+                     "capacity", "cpu", (json_int_t)4000, "memMb",
+                     (json_int_t)8192, "gpu", (json_int_t)0, "labels", "kind",
+                     "r1-3");
+}
+
+static bool
+is_accepted(const json_t *document)
+{
+    char *text = json_dumps(document, JSON_COMPACT);
+    BwWorkerHeartbeat heartbeat;
+    bool is_valid =
+        read_heartbeat("/api/Instances.Heartbeat/w17", text, &heartbeat);
+
+    driver->release(heartbeat.memory);
+    free(text);
+    return is_valid;
+}
+
+/* Other writers leave fields out, or give them another type. */
+static void
+test_beat_of_other_writer(void)
+{
+    static const char *const required[] = {"service",  "zone",    "state",
+                                           "sequence", "clockMs", "capacity",
+                                           "labels"};
+    const struct {
+        const char *field;
+        json_t *value;
+    } wrong[] = {
+        {"service", json_integer(5)},   {"service", json_string("")},
+        {"zone", json_null()},          {"state", json_string("resting")},
+        {"state", json_true()},         {"sequence", json_string("9")},
+        {"sequence", json_integer(-1)}, {"clockMs", json_array()},
+        {"born", json_real(1.5)},       {"born", json_string("1700000000123")},
+        {"born", json_integer(0)},      {"born", json_null()},
+        {"labels", json_integer(5)},    {"capacity", json_array()},
+        {"capacity", json_object()},
+    };
+    json_t *document = make_heartbeat();
+
+    g_assert_true(is_accepted(document));
+    json_object_del(document, "born");
+    g_assert_true(is_accepted(document));
+    json_decref(document);
+    for (size_t i = 0; i < G_N_ELEMENTS(required); i++) {
+        document = make_heartbeat();
+        json_object_del(document, required[i]);
+        g_assert_false(is_accepted(document));
+        json_decref(document);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(wrong); i++) {
+        document = make_heartbeat();
+        json_object_set_new(document, wrong[i].field, wrong[i].value);
+        g_assert_false(is_accepted(document));
+        json_decref(document);
+    }
+}
+
+static void
+test_beat_labels(void)
+{
+    json_t *document = make_heartbeat();
+    json_t *labels = json_object_get(document, "labels");
+    BwWorkerHeartbeat heartbeat;
+    char *text;
+
     for (int i = 0; i < 100; i++)
-        g_string_append(oversized, ",\"x\"");
-    g_string_append(oversized, "]}");
-    g_assert_true(read_heartbeat(path, oversized->str, &heartbeat));
+        json_array_append_new(labels, json_string("x"));
+    text = json_dumps(document, JSON_COMPACT);
+    g_assert_true(
+        read_heartbeat("/api/Instances.Heartbeat/w17", text, &heartbeat));
     g_assert_cmpuint(heartbeat.label_count, ==, BW_LABELS_MAX);
     driver->release(heartbeat.memory);
-    g_string_free(oversized, TRUE);
+    free(text);
+    json_decref(document);
 }
 
 static BwTaskOrder
@@ -1223,6 +1301,8 @@
     ADD(routes);
     ADD(beat);
     ADD(beat_refused);
+    ADD(beat_of_other_writer);
+    ADD(beat_labels);
     ADD(calls);
     ADD(calls_too_long);
     ADD(answer);
