Hold requests while no configuration is in force; evacuations with real processes

After the loss of all processes the store may answer seconds after the dispatchers have started.

Once there is a configuration the held ones are served by priority and arrival, with the time that is left to them. Counter brasswing_held_total, log line serve_held.

--- a/packages/adapters/settings.c
+++ b/packages/adapters/settings.c
@@ -80,6 +80,10 @@
            "give the silence after which contact with a host counts as lost"),
     NUMBER(BwLimits, "grace_s", BW_YAML_SECONDS, grace_ms, 100, 600000,
            "give the time from SIGTERM until the host kills a process"),
+    NUMBER(BwLimits, "startup_hold_permille", BW_YAML_U32,
+           startup_hold_permille, 0, 900,
+           "give the share of a caller's time for which its request is held "
+           "while no configuration is in force"),
     NUMBER(BwLimits, "config_apply_ms", BW_YAML_U64, config_apply_ms, 500,
            600000,
            "give the time in which a published configuration has to "
--- a/packages/adapters/settings.h
+++ b/packages/adapters/settings.h
@@ -46,6 +46,9 @@
     uint64_t worker_stop_ms;      /* workers end a stopped task within */
     uint64_t contact_ms; /* silence after which contact counts as lost */
     uint64_t grace_ms;   /* from SIGTERM to SIGKILL; 0: not stated */
+    /* Share of a caller's time for which a dispatcher without a configuration
+       holds its request; 0: it refuses it. */
+    uint32_t startup_hold_permille;
     /* A configuration is in force within; by role where the file has none. */
     uint64_t config_apply_ms;
     /* Longest duration of a planned stop; derived from grace_ms where the file
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -9,6 +9,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <utlist.h>
+
 #include "brasswing.h"
 #include "daemon.h"
 #include "dispatcher.h"
@@ -17,6 +19,7 @@
 #include "nodestatus.h"
 #include "routeconfig.h"
 #include "routerecord.h"
+#include "startuphold.h"
 
 /* A planned stop closes the callers' listener after this time, or
    CLOSE_MARGIN_US before its end.  By then the load balancer has noticed that
@@ -56,6 +59,18 @@
     [REFUSAL_NOT_ADMITTED] = "the name is in use or too many jobs wait",
 };
 
+/* A request that has not been answered.  `ref` is 0 until the dispatcher has
+   accepted its job. */
+typedef struct PendingRequest {
+    BwExchange *exchange;
+    uint64_t ref;
+    /* While it is held since no configuration is in force: */
+    bool is_held;
+    uint64_t held_until_us;
+    BwHeldRequest held;
+    struct PendingRequest *prev, *next; /* in Role.held */
+} PendingRequest;
+
 typedef struct Role {
     BwNode *node;
     BwHttpServer http; /* for callers */
@@ -67,18 +82,14 @@
     uint64_t refusals[REFUSAL_COUNT];
     uint64_t refusals_logged[REFUSAL_COUNT];
     uint64_t refusals_logged_us;
+    PendingRequest *held; /* list of requests */
+    uint32_t held_count;
+    uint64_t held_total;
     uint64_t started_us;
     bool is_accepting; /* connections of callers */
     bool is_http_closed;
 } Role;
 
-/* A POST that has not been answered.  `ref` is 0 until the dispatcher has
-   accepted its job. */
-typedef struct PendingRequest {
-    BwExchange *exchange;
-    uint64_t ref;
-} PendingRequest;
-
 static void
 on_routes_changed(void *ctx, const BwRoutes *routes)
 {
@@ -206,8 +217,10 @@
     return min_us(deadline_us, last_answer_us(role->node));
 }
 
+/* `held_us` is how long the request was held before. */
 static void
-submit(Role *role, BwExchange *exchange, const BwRoute *route, BwSpan name)
+submit(Role *role, BwExchange *exchange, const BwRoute *route, BwSpan name,
+       uint64_t held_us)
 {
     uint64_t now_us = BwClock_Now();
     uint64_t allowed_us = read_allowed_us(role, exchange);
@@ -217,6 +230,7 @@
     PendingRequest *pending;
     uint64_t ref;
 
+    allowed_us -= min_us(allowed_us, held_us);
     if (name.size_bytes >= BW_NAME_BYTES_MAX ||
         !driver->read_request(exchange->body, &request, &fault)) {
         BwDaemon_ReplyError(exchange, BW_ERR_BAD_REQUEST, fault);
@@ -293,18 +307,11 @@
 }
 
 static void
-on_request(void *ctx, BwExchange *exchange)
+serve_request(Role *role, BwExchange *exchange, uint64_t held_us)
 {
-    Role *role = ctx;
     const BwRoute *route;
     BwSpan name;
 
-    if (role->config.routes.revision == 0) {
-        role->refusals[REFUSAL_NO_CONFIG]++;
-        BwDaemon_ReplyError(exchange, BW_ERR_NO_BACKEND,
-                            "no configuration is in force yet; retry later");
-        return;
-    }
     if (BwClock_Now() +
             min_us(ACCEPT_MARGIN_US, planned_stop_us(role->node) / 3) >
         last_answer_us(role->node)) {
@@ -323,7 +330,7 @@
     name.base = exchange->path.base + route->prefix_bytes;
     name.size_bytes = exchange->path.size_bytes - route->prefix_bytes;
     if (is_method(exchange, "POST") && name.size_bytes > 0)
-        submit(role, exchange, route, name);
+        submit(role, exchange, route, name, held_us);
     else if (is_method(exchange, "GET"))
         serve_get(role, exchange, route, name);
     else if (is_method(exchange, "DELETE") && name.size_bytes > 0)
@@ -334,6 +341,118 @@
             "send POST to the route's prefix followed by a job name");
 }
 
+/* ---------------------------------------- requests without a configuration */
+
+static void
+refuse_without_config(Role *role, BwExchange *exchange)
+{
+    role->refusals[REFUSAL_NO_CONFIG]++;
+    BwDaemon_ReplyError(exchange, BW_ERR_NO_BACKEND,
+                        "no configuration is in force yet; retry later");
+}
+
+static void
+unhold(Role *role, PendingRequest *pending)
+{
+    DL_DELETE(role->held, pending);
+    role->held_count--;
+    pending->exchange->data = NULL;
+    free(pending);
+}
+
+/* Returns false when the request is not held. */
+static bool
+hold_request(Role *role, BwExchange *exchange)
+{
+    const BwLimits *limits = &role->node->settings.limits;
+    uint64_t now_us = BwClock_Now();
+    uint64_t until_us =
+        BwStartupHold_UntilUs(now_us, read_allowed_us(role, exchange),
+                              limits->startup_hold_permille);
+    PendingRequest *pending;
+
+    if (until_us <= now_us || role->node->is_stopping ||
+        role->held_count >= limits->waiting_requests)
+        return false;
+    pending = calloc(1, sizeof(*pending));
+    if (pending == NULL)
+        return false;
+    pending->exchange = exchange;
+    pending->is_held = true;
+    pending->held_until_us = until_us;
+    pending->held.arrived_us = now_us;
+    exchange->data = pending;
+    DL_APPEND(role->held, pending);
+    role->held_count++;
+    role->held_total++;
+    return true;
+}
+
+static int
+compare_held(const PendingRequest *left, const PendingRequest *right)
+{
+    return BwStartupHold_Compare(&left->held, &right->held);
+}
+
+/* Serves the held requests now that there is a configuration. */
+static void
+serve_held(Role *role, uint64_t now_us)
+{
+    PendingRequest *pending;
+
+    BW_LOG(&role->node->logger, BW_LOG_INFO, "serve_held",
+           BW_LOG_NUMBER("count", role->held_count));
+    DL_FOREACH(role->held, pending)
+    {
+        const BwRoute *route =
+            BwRoutes_Find(&role->config.routes, pending->exchange->host,
+                          pending->exchange->path);
+
+        pending->held.priority = route != NULL ? route->priority : UINT32_MAX;
+    }
+    DL_SORT(role->held, compare_held);
+    while (role->held != NULL) {
+        BwExchange *exchange = role->held->exchange;
+        uint64_t held_us = now_us - role->held->held.arrived_us;
+
+        unhold(role, role->held);
+        serve_request(role, exchange, held_us);
+    }
+}
+
+static void
+tick_held(Role *role, uint64_t now_us)
+{
+    PendingRequest *pending, *next;
+
+    if (role->held == NULL)
+        return;
+    if (role->config.routes.revision > 0) {
+        serve_held(role, now_us);
+        return;
+    }
+    DL_FOREACH_SAFE(role->held, pending, next)
+    {
+        BwExchange *exchange = pending->exchange;
+
+        if (now_us < pending->held_until_us && !role->node->is_stopping)
+            continue;
+        unhold(role, pending);
+        refuse_without_config(role, exchange);
+    }
+}
+
+static void
+on_request(void *ctx, BwExchange *exchange)
+{
+    Role *role = ctx;
+
+    if (role->config.routes.revision > 0)
+        serve_request(role, exchange, 0);
+    else if (!hold_request(role, exchange))
+        refuse_without_config(role, exchange);
+}
+
 static void
 on_abort(void *ctx, BwExchange *exchange)
 {
@@ -342,6 +461,10 @@
 
     if (pending == NULL)
         return;
+    if (pending->is_held) {
+        unhold(role, pending);
+        return;
+    }
     BwDispatcher_Withdraw(&role->dispatcher, BwClock_Now(), pending->ref);
     free(pending);
 }
@@ -559,6 +682,7 @@
     BwEvacuationSync_Tick(&role->evacuations, now_us,
                           BwDispatcher_CountUnconfirmed(&role->dispatcher));
     BwRouteConfig_Tick(&role->config, now_us);
+    tick_held(role, now_us);
     BwRouteRecord_Tick(&role->route_record, now_us);
     BwDispatcher_Tick(&role->dispatcher, now_us);
     if (!role->is_accepting && (role->config.routes.revision > 0 ||
@@ -628,6 +752,8 @@
     ADD("brasswing_confined_total", "Routes confined", c->confined);
     ADD("brasswing_given_up_total",
         "Bound jobs given up after two crashes under a task", c->given_up);
+    ADD("brasswing_held_total",
+        "Requests held while no configuration was in force", role->held_total);
 #undef ADD
     n = BwCounters_Add(list, n, capacity, "brasswing_workers_usable",
                        "Workers that take tasks now", BW_GAUGE,
--- a/packages/emulator/labfleet.c
+++ b/packages/emulator/labfleet.c
@@ -130,7 +130,8 @@
     fprintf(file,
             "role: %s\nname: %s\nregion: tunis-nord\ndomain: %s\n"
             "log: {address: '127.0.0.1:%u'}\n%s"
-            "limits: {stop_ms: %llu, session_ms: %llu, "
+            "limits: {startup_hold_permille: 500, "
+            "stop_ms: %llu, session_ms: %llu, "
             "worker_lease_ms: %llu}\npeers:\n",
             role, name, domains[i % DOMAIN_COUNT], fleet->door_ports[door],
             addresses, (unsigned long long)fleet->plan.stop_ms,
@@ -303,6 +304,7 @@
         format_number(numbers[4],
                       i % 2 == 0 ? fleet->plan.clock_permille : 1000),
         format_number(numbers[5], fleet->plan.seed + i),
+        domains[i % DOMAIN_COUNT],
     };
 
     snprintf(name, sizeof(name), "worker-%u", i);
--- a/packages/emulator/store.c
+++ b/packages/emulator/store.c
@@ -15,6 +15,8 @@
         "mode": "ok|down|refuse|silent|lost|swallow", "delay_ms": N,
         "permille": N}
        {"config": {...}}      writes the operators' configuration
+       {"evacuate": DOMAIN}   asks for the evacuation of a failure domain
+       {"take_back": DOMAIN}  ends it
        {"forget": true}       expires all records: reads no longer return them,
                               but the list of the newest records still does
      GET /stats
@@ -46,6 +48,7 @@
 /* The topic and key from which dispatchers read the configuration. */
 #define CONFIG_TOPIC "keyed.op"
 #define CONFIG_KEY "config"
+#define EVACUATION_PREFIX "evacuate/"
 
 typedef enum FaultMode {
     MODE_OK,
@@ -467,21 +470,38 @@
         door->delay_us = (uint64_t)json_integer_value(delay) * 1000;
 }
 
+/* Writes a record of the operators; an empty value deletes the key. */
 static void
-write_config(const json_t *config)
+write_record(const char *key, const char *value)
 {
-    char *text = json_dumps(config, JSON_COMPACT);
-    size_t capacity = sizeof(CONFIG_KEY) + strlen(text) + 1;
+    size_t capacity = strlen(key) + strlen(value) + 2;
     char *bytes = malloc(capacity);
 
-    bytes[0] = (char)strlen(CONFIG_KEY);
-    snprintf(bytes + 1, capacity - 1, "%s%s", CONFIG_KEY, text);
+    bytes[0] = (char)strlen(key);
+    snprintf(bytes + 1, capacity - 1, "%s%s", key, value);
     append_record(find_or_add_topic(CONFIG_TOPIC), bytes,
                   1 + (uint32_t)strlen(bytes + 1));
     free(bytes);
+}
+
+static void
+write_config(const json_t *config)
+{
+    char *text = json_dumps(config, JSON_COMPACT);
+
+    write_record(CONFIG_KEY, text);
     free(text);
 }
 
+static void
+write_evacuation(const char *domain, bool is_asked)
+{
+    char key[256];
+
+    snprintf(key, sizeof(key), "%s%.200s", EVACUATION_PREFIX, domain);
+    write_record(key, is_asked ? "{}" : "");
+}
+
 static void
 serve_control(BwExchange *exchange)
 {
@@ -489,6 +509,10 @@
         json_loadb(exchange->body.base, exchange->body.size_bytes, 0, NULL);
     const json_t *door = json_object_get(root, "door");
     const json_t *config = json_object_get(root, "config");
+    const char *evacuated =
+        json_string_value(json_object_get(root, "evacuate"));
+    const char *taken_back =
+        json_string_value(json_object_get(root, "take_back"));
 
     for (uint32_t i = 0; i < store.door_count; i++) {
         if (door == NULL || (uint32_t)json_integer_value(door) == i)
@@ -496,6 +520,10 @@
     }
     if (config != NULL)
         write_config(config);
+    if (evacuated != NULL)
+        write_evacuation(evacuated, true);
+    if (taken_back != NULL)
+        write_evacuation(taken_back, false);
     if (json_is_true(json_object_get(root, "forget"))) {
         for (uint32_t i = 0; i < store.topic_count; i++)
             store.topics[i].first_offset = store.topics[i].end_offset;
--- a/packages/emulator/worker.c
+++ b/packages/emulator/worker.c
@@ -129,6 +129,7 @@
     const char *name;
     const char *service;
     const char *rack;
+    const char *domain;
     uint64_t cpu, mem;
     uint64_t clock_permille;
     uint64_t clock_start_us;
@@ -905,7 +906,7 @@
     snprintf(address, sizeof(address), "127.0.0.1:%u", worker.http.port);
     root = json_pack(
         "{s:s, s:s, s:s, s:s, s:s, s:{s:I, s:I, s:i}, s:[s,s], s:I, s:I}",
-        "service", worker.service, "address", address, "zone", "charguia-a",
+        "service", worker.service, "address", address, "zone", worker.domain,
         "version", "v1", "state", worker.is_draining ? "draining" : "ready",
         "capacity", "cpu", (json_int_t)worker.cpu, "memMb",
         (json_int_t)worker.mem, "gpu", 0, "labels", "a", worker.rack,
@@ -953,7 +954,7 @@
     if (argc < 7) {
         fprintf(stderr, "usage: brasswing lab worker PORT SUPERVISOR_PORT "
                         "NAME SERVICE CPU MEM RACK [CLOCK_PERMILLE "
-                        "[SEED]]\n");
+                        "[SEED [DOMAIN]]]\n");
         return 2;
     }
     worker.name = argv[2];
@@ -963,6 +964,7 @@
     worker.rack = argv[6];
     worker.clock_permille = argc > 7 ? strtoull(argv[7], NULL, 10) : 1000;
     worker.seed = argc > 8 ? strtoull(argv[8], NULL, 10) : 1;
+    worker.domain = argc > 9 ? argv[9] : "charguia-a";
     worker.slow_permille = 1000;
     worker.heartbeat_interval_us = HEARTBEAT_INTERVAL_US;
     worker.down_us = DOWN_US;
--- a/tests/boundfleet.c
+++ b/tests/boundfleet.c
@@ -237,6 +237,16 @@
     g_free(text);
 }
 
+void
+BoundFleet_Evacuate(BoundFleet *fleet, const char *domain, bool is_asked)
+{
+    char *text = g_strdup_printf("{\"%s\":\"%s\"}",
+                                 is_asked ? "evacuate" : "take_back", domain);
+
+    control(fleet->door_ports[0], text);
+    g_free(text);
+}
+
 void
 BoundFleet_SetDoor(BoundFleet *fleet, int door, const char *mode)
 {
--- a/tests/boundfleet.h
+++ b/tests/boundfleet.h
@@ -66,6 +66,11 @@
 void
 BoundFleet_Configure(BoundFleet *fleet, const char *config);
 
+/* Asks for the evacuation of a failure domain or takes it back, as operators
+   do.  Worker i is in domain i % 3 of charguia-a, charguia-b, ariana-c. */
+void
+BoundFleet_Evacuate(BoundFleet *fleet, const char *domain, bool is_asked);
+
 /* Sets the fault mode of a door, or of all doors with -1. */
 void
 BoundFleet_SetDoor(BoundFleet *fleet, int door, const char *mode);
--- a/tests/soak_bound.c
+++ b/tests/soak_bound.c
@@ -43,7 +43,9 @@
 #define DISTURBANCES 14
 #define DISPATCHERS 3
 #define WORKERS 6
-#define TARGETS (BW_FLEET_DISPATCHERS_MAX + 2 * BW_FLEET_WORKERS_MAX + 1)
+#define STORE_TARGET (BW_FLEET_DISPATCHERS_MAX + 2 * BW_FLEET_WORKERS_MAX)
+#define FIRST_DOMAIN_TARGET (STORE_TARGET + 1)
+#define TARGETS (FIRST_DOMAIN_TARGET + 3)
 
 #define CLASSES 3
 #define CALLERS 6
@@ -186,6 +188,27 @@
     }
 }
 
+/* A failure domain is evacuated and taken back, in half of the plays; another
+   one may overlap. */
+static void
+evacuate(Draw *d)
+{
+    static const char *const texts[][2] = {
+        {"{\"evacuate\": \"charguia-a\"}", "{\"take_back\": \"charguia-a\"}"},
+        {"{\"evacuate\": \"charguia-b\"}", "{\"take_back\": \"charguia-b\"}"},
+        {"{\"evacuate\": \"ariana-c\"}", "{\"take_back\": \"ariana-c\"}"},
+    };
+    uint32_t count = draw(d, 3);
+
+    for (uint32_t i = 0; i < count; i++) {
+        uint32_t domain = draw(d, G_N_ELEMENTS(texts));
+
+        add(d, FIRST_DOMAIN_TARGET + domain, "store", 0, BW_LAB_TELL,
+            texts[domain][0], 500 + draw(d, 3000), BW_LAB_TELL,
+            texts[domain][1]);
+    }
+}
+
 static void
 draw_clock_steps(Draw *d)
 {
@@ -231,7 +254,7 @@
             disturb_worker(&d, d.dispatchers + d.workers + worker, worker);
             break;
         case 4:
-            disturb_store(&d, TARGETS - 1);
+            disturb_store(&d, STORE_TARGET);
             break;
         default:
             change_config(&d);
@@ -241,6 +264,7 @@
     draw_clock_steps(&d);
     if (draw(&d, 3) == 0)
         plan->crash_permille = 1 + draw(&d, CRASH_PERMILLE_MAX);
+    evacuate(&d);
     g_rand_free(d.rand);
 }
 
--- a/tests/test_bound.c
+++ b/tests/test_bound.c
@@ -1155,6 +1155,103 @@
     check_invariants();
 }
 
+/* Callers who have time left are held while no configuration is in force, and
+   served as soon as one is. */
+static void
+test_held_until_configured(void)
+{
+    char *text = BwWording_JobText(2, 20, 1000, 1000, 0, false);
+    BoundCall calls[BOUND_DISPATCHERS], short_call;
+    Job job;
+
+    set_up();
+    BoundFleet_SetDoor(&fleet, -1, "down");
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++)
+        Fleet_Signal(&fleet.dispatchers[i], SIGKILL);
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++)
+        BoundFleet_StartDispatcher(&fleet, i);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    name_job(&job, "checks");
+    BoundCall_Run(&short_call, fleet.http_ports[0], "POST", job.path,
+                  "x-deadline-ms: 200\r\n", text);
+    g_assert_cmpuint(short_call.status, ==, 503);
+    BoundCall_Clear(&short_call);
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++) {
+        name_job(&job, "checks");
+        BoundCall_Start(&calls[i], fleet.http_ports[i], "POST", job.path,
+                        "x-deadline-ms: 60000\r\n", text);
+        while (Fleet_ReadMetric(fleet.ready_ports[i],
+                                "brasswing_held_total") != (i == 0 ? 2 : 1))
+            g_usleep(1000);
+    }
+    BoundFleet_SetDoor(&fleet, -1, "ok");
+    for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++)
+        expect_completed(&calls[i]);
+    g_free(text);
+    check_invariants();
+}
+
+/* --------------------------------------------------------- evacuations */
+
+static uint32_t
+count_started_on(uint32_t worker)
+{
+    return (uint32_t)Fleet_ReadMetric(fleet.supervisor_ports[worker],
+                                      "brasswing_started_total");
+}
+
+/* The store turns one dispatcher away; that one and the supervisors that it
+   starts beside learn of the evacuation all the same. */
+static void
+test_evacuated(void)
+{
+    uint32_t before;
+
+    set_up();
+    restart_supervisors();
+    BoundFleet_SetDoor(&fleet, 2, "refuse");
+    BoundFleet_Evacuate(&fleet, "charguia-a", true);
+    BoundFleet_WaitWorkers(&fleet, 2); /* workers 0 and 3 are there */
+    before = count_started_on(0) + count_started_on(3);
+    for (uint32_t i = 0; i < 4; i++)
+        complete_job(i % BOUND_DISPATCHERS, 8);
+    /* A supervisor and a dispatcher that start know nothing at first. */
+    Fleet_Signal(&fleet.supervisors[3], SIGKILL);
+    BoundFleet_StartSupervisor(&fleet, 3);
+    BoundFleet_WaitOutput(&fleet.supervisors[3], "evacuate instance", 1);
+    Fleet_Signal(&fleet.dispatchers[1], SIGKILL);
+    BoundFleet_StartDispatcher(&fleet, 1);
+    BoundFleet_WaitRevision(&fleet, 1, revision);
+    BoundFleet_WaitWorkers(&fleet, 2);
+    complete_job(1, 8);
+    g_assert_cmpuint(count_started_on(0), ==, before);
+    g_assert_cmpuint(count_started_on(3), ==, 0);
+    BoundFleet_SetDoor(&fleet, -1, "ok");
+    BoundFleet_Evacuate(&fleet, "charguia-a", false);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    complete_job(0, 16);
+    check_invariants();
+}
+
+/* What runs ends by itself and is answered; nobody else gets the room. */
+static void
+test_evacuated_while_running(void)
+{
+    BoundCall running;
+    Job job;
+
+    set_up();
+    start_full(&running, 0, &job);
+    BoundFleet_Evacuate(&fleet, "charguia-b", true);
+    BoundFleet_WaitWorkers(&fleet, 3); /* worker 1 is there */
+    resume_workers();
+    expect_completed(&running);
+    complete_job(1, 8);
+    BoundFleet_Evacuate(&fleet, "charguia-b", false);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    check_invariants();
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1201,6 +1298,9 @@
         {"/bound/store_down_later", test_store_down_later},
         {"/bound/store_down_one_starts", test_store_down_one_starts},
         {"/bound/store_down_all_start", test_store_down_all_start},
+        {"/bound/held_until_configured", test_held_until_configured},
+        {"/bound/evacuated", test_evacuated},
+        {"/bound/evacuated_while_running", test_evacuated_while_running},
     };
     int code;
 
