Reserve room for a queued task that does not fit: EASY backfilling

Operators: small jobs leave gaps that large ones cannot use, and large ones wait long. Whatever fitted was started at a worker, so small tasks took each gap as it opened.

--- a/packages/adapters/settings.c
+++ b/packages/adapters/settings.c
@@ -115,6 +115,9 @@
 
 static const char *const format_names[] = {"key_value", "json", NULL};
 
+/* In the order of BwBackfillPolicy. */
+static const char *const backfill_names[] = {"greedy", "easy", NULL};
+
 static const BwYamlField settings_fields[] = {
     {.key = "role",
      .type = BW_YAML_CHOICE,
@@ -146,6 +149,11 @@
      .offset = offsetof(BwSettings, log_format),
      .choices = format_names,
      .remedy = "choose the format of a log line"},
+    {.key = "backfill",
+     .type = BW_YAML_CHOICE,
+     .offset = offsetof(BwSettings, backfill),
+     .choices = backfill_names,
+     .remedy = "choose which queued tasks of a worker may overtake others"},
     {.key = "peers",
      .type = BW_YAML_LIST,
      .offset = offsetof(BwSettings, peers),
--- a/packages/adapters/settings.h
+++ b/packages/adapters/settings.h
@@ -81,6 +81,7 @@
     char log_stream[BW_NAME_BYTES_MAX];
     uint32_t log_level;       /* BwLogLevel */
     uint32_t log_format;      /* BwLogFormat */
+    uint32_t backfill;        /* BwBackfillPolicy; supervisors */
     uint64_t log_retention_s; /* the log keeps a record at least this long */
     /* Processes from which an agent or entry requests the configuration while
        the log is down; the seeds of dispatchers and supervisors. */
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -29,6 +29,7 @@
 
 #include <uthash.h>
 
+#include "backfill.h"
 #include "control.h"
 #include "crashreports.h"
 #include "driver.h"
@@ -80,6 +81,9 @@
     uint64_t expected_us;
     uint64_t due_us;
     uint64_t wait_until_us; /* declined if still queued by then */
+    /* When it was first expected to fit, if it has had the reservation of
+       backfill.h; 0: it has not. */
+    uint64_t reserved_us;
     uint64_t deadline_us;
     uint64_t started_us;
     /* When its start was found to have no answer; 0: it has one. */
@@ -139,6 +143,7 @@
     /* An answer is overdue after this time, which for a poll is added to the
        time that it waits. */
     uint64_t answer_us;
+    BwBackfillPolicy backfill;
 } BwSupervisorLimits;
 
 typedef struct BwSupervisorCounters {
@@ -150,6 +155,8 @@
     uint64_t declined;
     uint64_t unanswered;
     uint64_t stalled;
+    uint64_t reserved;  /* tasks that got a reservation */
+    uint64_t overtaken; /* starts of tasks that overtook one */
     uint64_t polls;
     uint64_t crashes;
     uint64_t downs; /* how often its address began to refuse connections */
--- a/packages/core/workertasks.c
+++ b/packages/core/workertasks.c
@@ -5,7 +5,9 @@
    order of priority and due time.  Whatever fits is started, so a smaller task
    may overtake a larger one of the same priority, but what a waiting task
    needs is set aside from less urgent ones: else these would take each core
-   that becomes free, and a large urgent task would wait for all of them.
+   that becomes free, and a large urgent task would wait for all of them.  With
+   BW_BACKFILL_EASY the first task that does not fit has a reservation: what
+   overtakes it must not delay it, and may then also be less urgent.
    Orders carry times on the worker's clock, computed from its last reading; no
    task is started when that reading is older than BW_CLOCK_STALE_US.
 
@@ -37,6 +39,8 @@
 #define STUCK_FACTOR 4
 /* Added to the lease besides the clock drift. */
 #define LEASE_MARGIN_US 20000
+/* Progress from which on the end of a task is extrapolated. */
+#define PERCENT_MIN 20
 
 static const char *const decline_reasons[] = {
     [BW_DECLINE_BUSY] = "no free resources in time",
@@ -464,6 +468,77 @@
     return true;
 }
 
+/* The expected run time of a task at the worker's pace, which is not taken for
+   less than usual: the first tasks may have been short ones. */
+static uint64_t
+expected_run_us(const BwSupervisor *s, const BwWorkerTask *task)
+{
+    uint64_t pace_permille = s->outcomes.pace_permille;
+
+    return pace_permille > 1000 ? task->expected_us * pace_permille / 1000
+                                : task->expected_us;
+}
+
+/* When a task on the worker is expected to end: by its progress where that is
+   known, else by its expected run time.  One that takes longer than expected
+   is expected to need half as long again. */
+static uint64_t
+expected_end_us(const BwSupervisor *s, const BwWorkerTask *task,
+                uint64_t now_us)
+{
+    uint64_t ran_us = now_us - task->started_us;
+    uint64_t run_us = task->percent >= PERCENT_MIN
+                          ? ran_us * 100 / task->percent
+                          : expected_run_us(s, task);
+
+    return now_us + (ran_us < run_us ? run_us - ran_us : ran_us / 2);
+}
+
+/* Reserves room for a queued task that does not fit. */
+static BwReservation
+reserve(BwSupervisor *s, uint64_t now_us, BwWorkerTask *waiting,
+        const BwResources *left)
+{
+    static const BwReservation none = {0};
+    uint32_t on_worker = HASH_COUNT(s->tasks_by_key) - s->queued_count;
+    BwExpectedEnd *ends = malloc((on_worker + 1) * sizeof(*ends));
+    BwReservation reservation;
+    uint32_t count = 0;
+
+    if (ends == NULL)
+        return none;
+    for (const BwWorkerTask *task = s->tasks_by_key; task != NULL;
+         task = task->hh.next) {
+        if (!BwWorkerTasks_IsOnWorker(task))
+            continue;
+        ends[count].end_us = expected_end_us(s, task, now_us);
+        ends[count++].resources = task->resources;
+    }
+    reservation =
+        BwBackfill_Reserve(left, ends, count, &waiting->resources, now_us);
+    free(ends);
+    if (waiting->reserved_us == 0) {
+        waiting->reserved_us = reservation.start_us;
+        s->counters.reserved++;
+    }
+    if (now_us >= waiting->reserved_us)
+        return none;
+    return reservation;
+}
+
+/* Starts a queued task. */
+static void
+start_queued(BwSupervisor *s, uint64_t now_us, BwWorkerTask *task,
+             const char *reason)
+{
+    DL_DELETE(s->queue, task);
+    count_unqueued(s, task);
+    BwResources_Add(&s->used, &task->resources);
+    task->state = BW_WORKER_TASK_STARTING;
+    s->port->log(s->ctx, "start", task, 1, reason);
+    BwWorkerTasks_SendStart(s, now_us, task);
+}
+
 void
 BwWorkerTasks_StartQueued(BwSupervisor *s, uint64_t now_us)
 {
@@ -471,6 +546,9 @@
     BwResources set_aside = {0}; /* for more urgent tasks */
     BwResources waiting = {0};   /* needed by tasks of `priority` */
     uint32_t priority = 0;
+    bool is_easy = s->limits.backfill == BW_BACKFILL_EASY;
+    bool is_reserved = false;
+    BwReservation reservation = {0};
 
     if (!BwWorkerTasks_IsUsable(s, now_us) ||
         now_us - s->clock_read_us > BW_CLOCK_STALE_US)
@@ -478,6 +556,7 @@
     DL_FOREACH_SAFE(s->queue, task, next)
     {
         BwResources left = s->capacity;
+        BwResources usable;
 
         if (task->priority != priority) {
             BwResources_Add(&set_aside, &waiting);
@@ -485,7 +564,8 @@
             priority = task->priority;
         }
         BwResources_Subtract(&left, &s->used);
-        BwResources_Subtract(&left, &set_aside);
+        usable = left;
+        BwResources_Subtract(&usable, &set_aside);
         if (!may_start(s, now_us) || !BwWorkerTasks_IsInTime(s, now_us, task))
             continue;
         /* An exclusive task waits until the others have ended, and what is
@@ -495,17 +575,33 @@
                 return;
             continue;
         }
-        if (!BwResources_Fits(&task->resources, &left)) {
+        if (!BwResources_Fits(&task->resources, &usable)) {
+            bool ends_before =
+                is_reserved && BwResources_Fits(&task->resources, &left) &&
+                now_us + expected_run_us(s, task) <= reservation.start_us;
+
+            if (ends_before) {
+                s->counters.overtaken++;
+                start_queued(s, now_us, task, "ends before the reservation");
+                continue;
+            }
+            if (is_easy && !is_reserved) {
+                is_reserved = true;
+                reservation = reserve(s, now_us, task, &left);
+            }
             BwResources_Add(&waiting, &task->resources);
             continue;
         }
-        DL_DELETE(s->queue, task);
-        count_unqueued(s, task);
-        BwResources_Add(&s->used, &task->resources);
-        task->state = BW_WORKER_TASK_STARTING;
-        s->port->log(s->ctx, "start", task, 1,
+        if (is_reserved) {
+            if (!BwBackfill_MayOvertake(&reservation, &task->resources,
+                                        now_us + expected_run_us(s, task))) {
+                BwResources_Add(&waiting, &task->resources);
+                continue;
+            }
+            s->counters.overtaken++;
+        }
+        start_queued(s, now_us, task,
                      task->is_exclusive ? "exclusive" : "room");
-        BwWorkerTasks_SendStart(s, now_us, task);
     }
 }
 
--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -307,6 +307,7 @@
         .stop_us = settings->limits.worker_stop_ms * STOP_PERMILLE,
         .poll_wait_us = lease_us * POLL_WAIT_PERMILLE / 1000,
         .answer_us = lease_us * POLL_ANSWER_PERMILLE / 1000,
+        .backfill = (BwBackfillPolicy)settings->backfill,
     };
     Role *role = calloc(1, sizeof(*role));
 
@@ -401,6 +402,10 @@
     ADD("brasswing_worker_down_total",
         "Times that the worker's address began to refuse connections",
         c->downs);
+    ADD("brasswing_reserved_total", "Queued tasks that got a reservation",
+        c->reserved);
+    ADD("brasswing_overtaken_total",
+        "Starts of tasks that overtook one with a reservation", c->overtaken);
     ADD("brasswing_holds_total", "Looks at the worker", c->polls);
 #undef ADD
     return n;
--- a/tests/bound_load.c
+++ b/tests/bound_load.c
@@ -808,8 +808,11 @@
 open_fleet(Fleet *fleet)
 {
     const LoadPlan *plan = fleet->plan;
-    BwSupervisorLimits limits = {SESSION_US, LEASE_US, STOP_US, POLL_WAIT_US,
-                                 ANSWER_US};
+    BwSupervisorLimits limits = {.session_us = SESSION_US,
+                                 .lease_us = LEASE_US,
+                                 .stop_us = STOP_US,
+                                 .poll_wait_us = POLL_WAIT_US,
+                                 .answer_us = ANSWER_US};
 
     fleet->is_down = false;
     for (uint32_t i = 0; i < plan->workers; i++) {
--- a/tests/measure_bound.c
+++ b/tests/measure_bound.c
@@ -323,7 +323,11 @@
 static void
 measure_supervisor(uint32_t slots, uint32_t depth)
 {
-    BwSupervisorLimits limits = {500000, 400000, 60000, 120000, 120000};
+    BwSupervisorLimits limits = {.session_us = 500000,
+                                 .lease_us = 400000,
+                                 .stop_us = 60000,
+                                 .poll_wait_us = 120000,
+                                 .answer_us = 120000};
     StartOrders *orders = g_new0(StartOrders, 1);
     uint32_t rounds = BATCHES * 16 / depth;
     BwSupervisor supervisor;
@@ -355,7 +359,11 @@
 static void
 measure_renewals(uint32_t peers)
 {
-    BwSupervisorLimits limits = {500000, 400000, 60000, 120000, 120000};
+    BwSupervisorLimits limits = {.session_us = 500000,
+                                 .lease_us = 400000,
+                                 .stop_us = 60000,
+                                 .poll_wait_us = 120000,
+                                 .answer_us = 120000};
     StartOrders *orders = g_new0(StartOrders, 1);
     BwSupervisor supervisor;
     uint64_t now_us = NOW_US;
--- a/tests/supervisor_world.c
+++ b/tests/supervisor_world.c
@@ -752,6 +752,8 @@
         out->route = BwSpan_FromString("route");
         out->requested_us = renewal_clock_us(w, peer);
         out->expected_us = spec.run_us;
+        if (request->declared_permille != 0)
+            out->expected_us = spec.run_us * request->declared_permille / 1000;
         out->due_in_us = request->due_us;
         out->wait_us = request->wait_us != 0 ? request->wait_us : FOREVER_US;
         if (request->must_not_wait)
@@ -906,8 +908,11 @@
     w->now_us = START_US;
     w->latency_us = 50000;
     w->late_order_delay_us = LATE_ORDER_MIN_US;
-    w->limits = (BwSupervisorLimits){SESSION_US, LEASE_US, STOP_US, POLL_US,
-                                     ANSWER_TIMEOUT_US};
+    w->limits = (BwSupervisorLimits){.session_us = SESSION_US,
+                                     .lease_us = LEASE_US,
+                                     .stop_us = STOP_US,
+                                     .poll_wait_us = POLL_US,
+                                     .answer_us = ANSWER_TIMEOUT_US};
     w->calls = g_ptr_array_new_with_free_func(free_call);
     w->heartbeats = g_array_new(FALSE, TRUE, sizeof(Heartbeat));
     w->replies = g_array_new(FALSE, TRUE, sizeof(SessionReply));
--- a/tests/supervisor_world.h
+++ b/tests/supervisor_world.h
@@ -213,6 +213,7 @@
     uint32_t count;
     uint32_t cpu;
     uint64_t run_us;
+    uint32_t declared_permille; /* of it; 0: as long as it runs */
     BwEndKind end;
     uint32_t priority;
     uint32_t spread_max;
--- a/tests/test_status.c
+++ b/tests/test_status.c
@@ -147,7 +147,11 @@
 static void
 test_supervisor(void)
 {
-    BwSupervisorLimits limits = {500000, 400000, 60000, 120000, 120000};
+    BwSupervisorLimits limits = {.session_us = 500000,
+                                 .lease_us = 400000,
+                                 .stop_us = 60000,
+                                 .poll_wait_us = 120000,
+                                 .answer_us = 120000};
     BwWorkerHeartbeat heartbeat = {.has_capacity = true,
                                    .capacity = {1000, 512, 0},
                                    .clock_ms = 900,
