--- a/docs/completion/brasswing.bash
+++ b/docs/completion/brasswing.bash
@@ -6,14 +6,14 @@
     local commands="check publish show history diff rollback status explain losses
 drain submit cancel replay lab"
     local options="--entry --fleet --log --logs --stream --member --base --publish-id
---author --output --timeout --window --authority --tls-name --token --version --help"
+--against --strict --author --output --timeout --window --authority --tls-name --token --version --help"
 
     case $previous in
     -o | --output)
         COMPREPLY=($(compgen -W "text json" -- "$current"))
         return
         ;;
-    check | publish | submit | replay | -f | --fleet | -L | --logs | -a | --authority)
+    check | publish | submit | replay | -f | --fleet | -L | --logs | -a | --authority | -g | --against)
         COMPREPLY=($(compgen -f -- "$current"))
         return
         ;;
--- a/packages/cli/cli.h
+++ b/packages/cli/cli.h
@@ -43,6 +43,8 @@
     const char *base;       /* revision that a publication replaces */
     const char *publish_id; /* of an earlier publication, or NULL */
     const char *author;
+    const char *against;   /* what `check` compares with, or NULL */
+    bool is_strict;        /* warnings of `check` are failures */
     const char *output;    /* "text" or "json" */
     const char *authority; /* PEM file; NULL for plain HTTP */
     const char *tls_name;  /* name in the entry's certificate */
@@ -89,8 +91,16 @@
 void
 BwCli_PrintJson(json_t *value);
 
-/* Returns whether an operators' configuration is valid.  Prints its faults,
-   with `file` as its name, on standard error. */
+struct BwConfig;
+
+/* Reads an operators' configuration.  Prints its faults, with `file` as its
+   name, on standard error, and returns false if there are any.  Call
+   BwConfig_Finish in either case. */
+bool
+BwCli_ReadConfig(const char *file, BwSpan text, struct BwConfig *config);
+
+/* Returns whether an operators' configuration is valid, and prints its faults
+   in the same way. */
 bool
 BwCli_IsValidConfig(const char *file, BwSpan text);
 
--- a/packages/cli/configcmd.c
+++ b/packages/cli/configcmd.c
@@ -1,7 +1,7 @@
-/* configcmd.c -- the commands check, show, history, diff and rollback
+/* configcmd.c -- the commands show, history, diff and rollback
 
-   All of them work on operators' configurations: one in a file, or those on
-   the platform's log (confighistory.h).
+   All of them work on the operators' configurations on the platform's log
+   (confighistory.h).
 */
 
 #include <stdio.h>
@@ -16,16 +16,15 @@
 #define DIFF_LINES_MAX 4000
 
 bool
-BwCli_IsValidConfig(const char *file, BwSpan text)
+BwCli_ReadConfig(const char *file, BwSpan text, BwConfig *config)
 {
     BwYamlFaults *faults = calloc(1, sizeof(BwYamlFaults));
-    BwConfig config;
     bool is_valid;
 
+    memset(config, 0, sizeof(*config));
     if (faults == NULL)
         return false;
-    is_valid = BwConfig_Read(&config, file, text, faults);
-    BwConfig_Finish(&config);
+    is_valid = BwConfig_Read(config, file, text, faults);
     for (uint32_t i = 0; i < faults->count && i < BW_YAML_FAULTS_MAX; i++)
         fprintf(stderr, "%s\n", faults->lines[i]);
     if (faults->count > BW_YAML_FAULTS_MAX)
@@ -37,22 +36,14 @@
     return is_valid;
 }
 
-BwExit
-BwCli_Check(const BwCliOptions *options)
+bool
+BwCli_IsValidConfig(const char *file, BwSpan text)
 {
-    BwSpan text = {NULL, 0};
-    char *content = BwCli_ReadFile(options->argv[0], &text.size_bytes);
-    bool is_valid;
+    BwConfig config;
+    bool is_valid = BwCli_ReadConfig(file, text, &config);
 
-    if (content == NULL)
-        return BW_EXIT_USAGE;
-    text.base = content;
-    is_valid = BwCli_IsValidConfig(options->argv[0], text);
-    free(content);
-    if (!is_valid)
-        return BW_EXIT_INVALID;
-    printf("%s: valid\n", options->argv[0]);
-    return BW_EXIT_OK;
+    BwConfig_Finish(&config);
+    return is_valid;
 }
 
 static bool
--- a/packages/cli/main.c
+++ b/packages/cli/main.c
@@ -17,7 +17,8 @@
 #define DEFAULT_TLS_NAME "localhost"
 
 static const BwCommand commands[] = {
-    {"check", "FILE", "report every fault of an operators' configuration", 1,
+    {"check", "FILE",
+     "report faults and warnings of a configuration (--against, --strict)", 1,
      BwCli_Check},
     {"publish", "FILE", "publish a configuration (--log, --base, --entry)", 1,
      BwCli_Publish},
@@ -67,6 +68,9 @@
         "  -i, --publish-id ID    settle a publication of unknown "
         "outcome\n"
         "  -A, --author NAME      who publishes ($USER)\n"
+        "  -g, --against WHAT     check: a file, a revision or `running`, "
+        "to compare with\n"
+        "  -s, --strict           check: exit with 1 for warnings\n"
         "  -o, --output FORMAT    text or json\n"
         "  -t, --timeout SECONDS  how long to wait (30)\n"
         "  -w, --window SECONDS   length of a window of losses (2)\n"
@@ -130,6 +134,8 @@
     {"output", required_argument, NULL, 'o'},
     {"timeout", required_argument, NULL, 't'},
     {"window", required_argument, NULL, 'w'},
+    {"against", required_argument, NULL, 'g'},
+    {"strict", no_argument, NULL, 's'},
     {"version", no_argument, NULL, 'V'},
     {"help", no_argument, NULL, 'h'},
     {NULL, 0, NULL, 0},
@@ -158,6 +164,8 @@
         return &options->authority;
     case 'n':
         return &options->tls_name;
+    case 'g':
+        return &options->against;
     case 'T':
         return &options->token;
     case 'o':
@@ -182,9 +190,9 @@
     options.author = getenv("USER") != NULL ? getenv("USER") : "unknown";
     options.timeout_us = DEFAULT_TIMEOUT_US;
     options.window_us = DEFAULT_WINDOW_US;
-    while (
-        (option = getopt_long(argc, argv, "e:f:l:L:S:m:b:i:A:a:n:T:o:t:w:Vh",
-                              long_options, NULL)) != -1) {
+    while ((option =
+                getopt_long(argc, argv, "e:f:l:L:S:m:b:i:A:a:n:T:o:t:w:g:sVh",
+                            long_options, NULL)) != -1) {
         const char **value = find_option_value(&options, option);
 
         if (value != NULL) {
@@ -207,6 +215,9 @@
         case 'w':
             options.window_us = strtoull(optarg, NULL, 10) * 1000000;
             break;
+        case 's':
+            options.is_strict = true;
+            break;
         case 'V':
             printf("brasswing %s\n", BW_VERSION);
             return BW_EXIT_OK;
