--- a/tests/test_bound.c
+++ b/tests/test_bound.c
@@ -1173,13 +1173,13 @@
     BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
     name_job(&job, "checks");
     BoundCall_Run(&short_call, fleet.http_ports[0], "POST", job.path,
-                  "x-deadline-ms: 200\r\n", text);
+                  BW_WORDING_DEADLINE_HEADER ": 200\r\n", text);
     g_assert_cmpuint(short_call.status, ==, 503);
     BoundCall_Clear(&short_call);
     for (uint32_t i = 0; i < BOUND_DISPATCHERS; i++) {
         name_job(&job, "checks");
         BoundCall_Start(&calls[i], fleet.http_ports[i], "POST", job.path,
-                        "x-deadline-ms: 60000\r\n", text);
+                        BW_WORDING_DEADLINE_HEADER ": 60000\r\n", text);
         while (Fleet_ReadMetric(fleet.ready_ports[i],
                                 "brasswing_held_total") != (i == 0 ? 2 : 1))
             g_usleep(1000);
