--- a/packages/cli/configadvice.c
+++ b/packages/cli/configadvice.c
@@ -241,6 +241,41 @@
     }
 }
 
+/* 0 stands for the default of the product. */
+static void
+compare_policy(BwFindings *findings, uint32_t line, const char *entry,
+               const BwConfigPolicy *before, const BwConfigPolicy *after)
+{
+    const struct {
+        const char *key;
+        uint64_t before, after;
+        const char *effect;
+    } rows[] = {
+        {"policy.surplus_percent", before->surplus_percent,
+         after->surplus_percent, "reservations beside those needed"},
+        {"policy.waste_permille", before->waste_permille,
+         after->waste_permille, "messages that may be wasted"},
+        {"policy.task_bytes_max", before->task_bytes_max,
+         after->task_bytes_max, "larger tasks are refused"},
+        {"policy.queued_tasks_max", before->queued_tasks_max,
+         after->queued_tasks_max, "further tasks are refused"},
+        {"policy.backlog_ms_max", before->backlog_ms_max,
+         after->backlog_ms_max, "a longer backlog refuses further jobs"},
+        {"policy.retry_percent", before->retry_percent, after->retry_percent,
+         "retries of idempotent requests"},
+    };
+
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+        compare_number(findings, line, entry, rows[i].key, rows[i].before,
+                       rows[i].after, rows[i].effect);
+    if (before->placement != after->placement)
+        add(findings, BW_FINDING_DIFFERENCE, line,
+            "%s: another placement: other workers get its tasks", entry);
+    if (before->order != after->order)
+        add(findings, BW_FINDING_DIFFERENCE, line,
+            "%s: another order: its jobs wait in another order", entry);
+}
+
 static void
 compare_service(BwFindings *findings, const BwConfigService *before,
                 const BwConfigService *after)
@@ -260,9 +295,8 @@
     compare_number(findings, after->line, entry, "job_lifetime_ms",
                    before->job_lifetime_ms, after->job_lifetime_ms,
                    "later deadlines are refused (0: not set)");
-    if (memcmp(&before->policy, &after->policy, sizeof(after->policy)) != 0)
-        add(findings, BW_FINDING_DIFFERENCE, after->line,
-            "%s: another policy for placement, queues or retries", entry);
+    compare_policy(findings, after->line, entry, &before->policy,
+                   &after->policy);
     compare_classes(findings, before, after);
 }
 
