review: a client of another queue sees and cancels a job

Cause: GET and DELETE look a job up by its ID alone, whatever queue the prefix of the path selects.

Nothing is fixed.

--- a/review/1/case.c
+++ b/review/1/case.c
@@ -73,7 +73,7 @@
     if (review->has_trouble)
         stop_dispatcher(review);
     holder = review->has_trouble ? 1 : 0;
-    status = ReviewCase_Call(review, holder, "DELETE", JOB);
+    status = ReviewCase_Call(review, holder, "DELETE", "q", JOB);
     cancelled_us = BwClock_Now();
     if (status != 410 && status / 100 != 2)
         return REVIEW_NOT_RUN;
--- a/review/common/reviewcase.c
+++ b/review/common/reviewcase.c
@@ -142,16 +142,21 @@
 ReviewCase_Configure(ReviewCase *review, const char *service)
 {
     uint64_t give_up_us = BwClock_Now() + READY_TIMEOUT_US;
-    char *route = BwWording_RouteText("q", "127.0.0.1", service, 20000);
-    char *config = BwWording_ConfigText(++review->revision, route);
-    char *text = NULL;
+    char *first = BwWording_RouteText("q", "127.0.0.1", service, 20000);
+    char *second = BwWording_RouteText("p", "127.0.0.1", service, 20000);
+    char *routes = NULL, *config, *text = NULL;
     bool is_accepted;
 
+    if (asprintf(&routes, "%s,%s", first, second) < 0)
+        return false;
+    config = BwWording_ConfigText(++review->revision, routes);
     is_accepted = asprintf(&text, "{\"config\":%s}", config) > 0 &&
                   BwFleet_Control(review->fleet.door_ports[0], text);
     free(text);
     free(config);
-    free(route);
+    free(routes);
+    free(first);
+    free(second);
     while (is_accepted &&
            !(BwFleet_HasWorkers(&review->fleet, review->fleet.plan.workers) &&
              BwFleet_HasConfigRevision(&review->fleet, review->revision))) {
@@ -159,7 +164,7 @@
             is_accepted = false;
         usleep(20000);
     }
-    ReviewCase_Note(review, "configuration %u, queue q of %s: %s",
+    ReviewCase_Note(review, "configuration %u, queues q and p of %s: %s",
                     review->revision, service,
                     is_accepted ? "in force" : "not in force");
     return is_accepted;
@@ -192,13 +197,13 @@
 
 uint32_t
 ReviewCase_Call(ReviewCase *review, uint32_t dispatcher, const char *method,
-                const char *name)
+                const char *queue, const char *name)
 {
     BwBlockingClient client;
     BwBlockingReply reply = {0};
     char path[64];
 
-    snprintf(path, sizeof(path), "/q/%s", name);
+    snprintf(path, sizeof(path), "/%s/%s", queue, name);
     if (BwBlockingClient_Init(
             &client, "127.0.0.1",
             (uint16_t)review->fleet.http_ports[dispatcher])) {
@@ -207,7 +212,7 @@
                                  &reply);
         BwBlockingClient_Finish(&client);
     }
-    ReviewCase_Note(review, "%s %s at dispatcher-%u: %u %s", method, name,
+    ReviewCase_Note(review, "%s %s at dispatcher-%u: %u %s", method, path,
                     dispatcher, reply.status,
                     reply.body != NULL ? reply.body : "");
     free(reply.body);
--- a/review/common/reviewcase.h
+++ b/review/common/reviewcase.h
@@ -71,21 +71,22 @@
 ReviewCase_Note(ReviewCase *review, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
 
-/* Writes a configuration with one queue, "q", and waits until all dispatchers
-   have it and all workers. */
+/* Writes a configuration with two queues, "q" and "p", and waits until all
+   dispatchers have it and all workers. */
 bool
 ReviewCase_Configure(ReviewCase *review, const char *service);
 
-/* Sends a job to the dispatcher without waiting for the answer. */
+/* Sends a job of queue "q" to the dispatcher without waiting for the answer.
+ */
 ReviewJob *
 ReviewCase_Post(ReviewCase *review, uint32_t dispatcher, const char *name,
                 const char *body, uint32_t deadline_ms);
 
-/* Sends GET or DELETE of a job to the dispatcher and returns the status, 0
-   without an answer. */
+/* Sends GET or DELETE of a job of that queue to the dispatcher and returns the
+   status, 0 without an answer. */
 uint32_t
 ReviewCase_Call(ReviewCase *review, uint32_t dispatcher, const char *method,
-                const char *name);
+                const char *queue, const char *name);
 
 /* Lets the clients go on for that time. */
 void
