review: a worker that starts again under its id runs tasks twice

Cause: a supervisor starts tasks on a worker's new life, which has the id of the old one, before it learns of the new life. Then it drops all tasks as lost with the old life, and dispatchers place them elsewhere while they run.

Nothing is fixed.

--- a/review/1/case.c
+++ b/review/1/case.c
@@ -1,93 +1,200 @@
-/* case.c -- a job is cancelled while its dispatcher is stopped gracefully
+/* case.c -- workers crash and start again at once under the id that they had
 
-   A client hands in a job of several steps, and the platform then stops the
-   dispatcher that holds it with SIGTERM, as it does when machines are stopped
-   and started in turn.  The client cancels the job.  Its new connection
-   reaches another dispatcher, since the stopping one is not ready.  Without
-   the disruption the connection reaches the dispatcher that holds the job.
+   Clients hand in small jobs all the time.  Every 4.5 s the process of one
+   worker is killed and started again at once.  The new process has the id of
+   the old one, another start time, and knows nothing of before.  Without the
+   disruption no worker is killed.
 */
 
 #include <signal.h>
 #include <stdlib.h>
-
-#include <jansson.h>
+#include <string.h>
+#include <unistd.h>
 
 #include "clock.h"
 #include "reviewcase.h"
 #include "wording.h"
 
-#define CANCEL_MS 3000 /* bound cancel_ms of the deployment */
-#define JOB "5c0e7a21d94b36f8"
-#define STEPS 32
-#define STEP_MS 200
-/* The platform takes a node out of rotation after two misses of a check that
-   comes once per second. */
-#define ROTATION_MS 2100
-
-/* A chain of steps of one task each: the last step of a job of two is
-   repeated. The caller frees the text. */
-static char *
-make_job(void)
+#define WORKERS 3
+#define CPU 64000
+#define TASK_CPU 1000
+#define MEM 131072
+#define ROUNDS 12
+#define ROUND_MS 4500
+#define JOBS_PER_ROUND 450
+#define RUNS_MAX 200000
+#define LIVES_MAX 1024
+
+typedef struct Life {
+    int pid;
+    uint64_t killed_us; /* 0: it was not */
+} Life;
+
+static Life lives[LIVES_MAX];
+static uint32_t life_count;
+
+/* Starts the process of a worker again, with the operands of the first. */
+static bool
+start_again(ReviewCase *review, uint32_t i)
 {
-    char *text = BwWording_TwoStepJobText(STEP_MS, 1000);
-    json_t *job = json_loads(text, 0, NULL);
-    json_t *steps = json_object_get(job, "steps");
+    BwFleet *fleet = &review->fleet;
+    char name[16], port[16], control[16], cpu[16], mem[16], seed[16];
+    char *argv[] = {(char *)fleet->plan.lab,
+                    "lab",
+                    "worker",
+                    port,
+                    control,
+                    name,
+                    REVIEW_SERVICE,
+                    cpu,
+                    mem,
+                    "r1-0",
+                    "1000",
+                    seed,
+                    "charguia-a",
+                    NULL};
 
-    free(text);
-    for (int i = 2; i < STEPS; i++) {
-        json_t *step = json_deep_copy(json_array_get(steps, 1));
+    snprintf(name, sizeof(name), "worker-%u", i);
+    snprintf(port, sizeof(port), "%u", fleet->worker_ports[i]);
+    snprintf(control, sizeof(control), "%u", fleet->supervisor_ports[i]);
+    snprintf(cpu, sizeof(cpu), "%d", CPU);
+    snprintf(mem, sizeof(mem), "%d", MEM);
+    snprintf(seed, sizeof(seed), "%u", i + 1);
+    return BwProcess_Start(&fleet->workers[i], fleet->dir, name, argv);
+}
+
+static bool
+crash(ReviewCase *review, uint32_t i)
+{
+    Life *life = &lives[life_count++];
 
-        json_object_set_new(step, "after", json_pack("[i]", i - 1));
-        json_array_append_new(steps, step);
+    life->pid = review->fleet.workers[i].pid;
+    life->killed_us = BwClock_Now();
+    BwProcess_Signal(&review->fleet.workers[i], SIGKILL);
+    ReviewCase_Note(review, "worker-%u killed (process %d) and started again",
+                    i, life->pid);
+    return start_again(review, i);
+}
+
+static uint64_t
+killed_us(int pid)
+{
+    for (uint32_t i = 0; i < life_count; i++) {
+        if (lives[i].pid == pid)
+            return lives[i].killed_us;
     }
-    text = json_dumps(job, JSON_COMPACT);
-    json_decref(job);
-    return text;
+    return 0;
+}
+
+/* Reads the file in which the workers note their runs.  A run that has no end
+   there ended when its process was killed. */
+static bool
+read_runs(ReviewCase *review, const char *path)
+{
+    FILE *file = fopen(path, "r");
+    char line[256], worker[32], event[32], task[128], how[24];
+    unsigned long long at_us;
+    unsigned number;
+    int pid;
+
+    if (file == NULL)
+        return false;
+    review->runs = calloc(RUNS_MAX, sizeof(*review->runs));
+    while (fgets(line, sizeof(line), file) != NULL) {
+        ReviewRun *run;
+
+        if (sscanf(line, "%llu %31s %d %31s %127s %u %23s", &at_us, worker,
+                   &pid, event, task, &number, how) != 7)
+            continue;
+        if (strcmp(event, "running") == 0 && review->run_count < RUNS_MAX) {
+            run = &review->runs[review->run_count++];
+            snprintf(run->task, sizeof(run->task), "%s", task);
+            run->worker = (uint32_t)strtoul(worker + 7, NULL, 10);
+            run->process = pid;
+            run->run = number;
+            run->started_us = at_us;
+            run->ended_us = killed_us(pid);
+            snprintf(run->how, sizeof(run->how), "killed");
+            continue;
+        }
+        for (uint32_t i = review->run_count; i-- > 0;) {
+            run = &review->runs[i];
+            if (run->process != pid || run->run != number ||
+                strcmp(run->task, task) != 0)
+                continue;
+            run->ended_us = at_us;
+            snprintf(run->how, sizeof(run->how), "%s", how);
+            break;
+        }
+    }
+    fclose(file);
+    return review->run_count > 0;
 }
 
-/* Stops the dispatcher and waits until new connections go elsewhere. */
 static void
-stop_dispatcher(ReviewCase *review)
+note_run(ReviewCase *review, const ReviewRun *run)
 {
-    ReviewCase_Note(review, "SIGTERM to dispatcher-0");
-    BwProcess_Signal(&review->fleet.dispatchers[0], SIGTERM);
-    ReviewCase_Wait(review, ROTATION_MS);
+    ReviewCase_Note(review, "  worker-%u process %d run %u: %ld to %ld ms, %s",
+                    run->worker, run->process, run->run,
+                    ReviewCase_Ms(review, run->started_us),
+                    ReviewCase_Ms(review, run->ended_us), run->how);
+}
+
+/* Counts pairs of runs of one task that overlap. */
+static uint32_t
+count_overlaps(ReviewCase *review)
+{
+    uint32_t count = 0;
+
+    for (uint32_t i = 0; i < review->run_count; i++) {
+        const ReviewRun *a = &review->runs[i];
+
+        for (uint32_t j = i + 1; j < review->run_count; j++) {
+            const ReviewRun *b = &review->runs[j];
+
+            if (b->started_us >= a->ended_us || strcmp(a->task, b->task) != 0)
+                continue;
+            count++;
+            ReviewCase_Note(review,
+                            "%s has two runs at the same time:", a->task);
+            note_run(review, a);
+            note_run(review, b);
+        }
+    }
+    return count;
 }
 
 static int
-run_case(ReviewCase *review)
+run_case(ReviewCase *review, const char *path)
 {
-    char *text;
-    ReviewJob *job;
-    uint64_t cancelled_us;
-    uint32_t late = 0, status, holder;
+    uint32_t overlaps;
+    uint64_t seed = 1;
+    char *text = BwWording_JobText(3, 250, TASK_CPU, 64, 0, false);
 
     if (!ReviewCase_Configure(review, REVIEW_SERVICE))
         return REVIEW_NOT_RUN;
-    text = make_job();
-    job = ReviewCase_Post(review, 0, JOB, text, 20000);
+    for (uint32_t round = 0; round < ROUNDS; round++) {
+        for (uint32_t i = 0; i < JOBS_PER_ROUND; i++) {
+            char name[40];
+
+            seed = seed * 6364136223846793005u + 1442695040888963407u;
+            snprintf(name, sizeof(name), "%016llx", (unsigned long long)seed);
+            if (ReviewCase_Post(review, i % 2, name, text, 3000) == NULL)
+                return REVIEW_NOT_RUN;
+            if (review->has_trouble && i == JOBS_PER_ROUND / 2 &&
+                !crash(review, round % WORKERS))
+                return REVIEW_NOT_RUN;
+            ReviewCase_Wait(review, ROUND_MS / JOBS_PER_ROUND);
+        }
+    }
     free(text);
-    if (job == NULL)
+    ReviewCase_Wait(review, 2500);
+    if (!read_runs(review, path))
         return REVIEW_NOT_RUN;
-    ReviewCase_Wait(review, 500);
-    if (review->has_trouble)
-        stop_dispatcher(review);
-    holder = review->has_trouble ? 1 : 0;
-    status = ReviewCase_Call(review, holder, "DELETE", "q", JOB);
-    cancelled_us = BwClock_Now();
-    if (status != 410 && status / 100 != 2)
-        return REVIEW_NOT_RUN;
-    ReviewCase_Wait(review, 8000);
-    if (!ReviewCase_ReadRuns(review) || review->run_count == 0)
-        return REVIEW_NOT_RUN;
-    for (uint32_t i = 0; i < review->run_count; i++)
-        late +=
-            review->runs[i].started_us > cancelled_us + CANCEL_MS * 1000ull;
-    ReviewCase_Note(review,
-                    "%u starts later than %d ms after the cancelling was "
-                    "acknowledged with %u",
-                    late, CANCEL_MS, status);
-    return late > 0 ? REVIEW_BROKEN : REVIEW_HELD;
+    overlaps = count_overlaps(review);
+    ReviewCase_Note(review, "%u jobs, %u runs, %u pairs of runs overlap",
+                    review->job_count, review->run_count, overlaps);
+    return overlaps > 0 ? REVIEW_BROKEN : REVIEW_HELD;
 }
 
 int
@@ -95,8 +202,15 @@
 {
     static ReviewCase review;
     int code = REVIEW_NOT_RUN;
+    char path[] = "/tmp/brasswing-runs-XXXXXX";
+    int fd = mkstemp(path);
 
-    if (ReviewCase_Init(&review, argc, argv, 2, 3, 8000, 16000))
-        code = run_case(&review);
+    if (fd < 0)
+        return REVIEW_NOT_RUN;
+    close(fd);
+    setenv("RUNS_FILE", path, 1);
+    if (ReviewCase_Init(&review, argc, argv, 2, WORKERS, CPU, MEM))
+        code = run_case(&review, path);
+    unlink(path);
     return ReviewCase_Finish(&review, code);
 }
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -7,5 +7,5 @@
 daemon=$(dirname "$review")/target/packages/daemon/brasswingd
 case=$review/out/case-$(basename "$PWD")
 [ -x "$case" ] && [ -x "$daemon" ] || exit 2
-exec "$case" "$daemon" "$review/out/project/packages/cli/brasswing" \
+exec "$case" "$daemon" "$review/out/bornworker" \
     "$PWD/record.txt"
--- a/review/common/reviewcase.c
+++ b/review/common/reviewcase.c
@@ -12,7 +12,7 @@
 
 #define READY_TIMEOUT_US 30000000
 #define CALL_TIMEOUT_US 3000000
-#define POLL_MS 5
+#define POLL_MS 1
 /* The bounds that the deploy file's settings lead to. */
 #define SESSION_MS 500
 #define WORKER_LEASE_MS 400
--- a/review/common/reviewcase.h
+++ b/review/common/reviewcase.h
@@ -18,7 +18,7 @@
 #include "clientrequests.h"
 #include "labfleet.h"
 
-#define REVIEW_JOBS_MAX 4096
+#define REVIEW_JOBS_MAX 16384
 #define REVIEW_SERVICE "tarif-engine"
 
 /* Exit codes of a script. */
@@ -38,6 +38,7 @@
 typedef struct ReviewRun {
     char task[128];
     uint32_t worker;
+    int process;
     uint32_t run;
     uint64_t started_us;
     uint64_t ended_us; /* 0: it runs */
