--- a/review/1/case.c
+++ b/review/1/case.c
@@ -15,7 +15,7 @@
 #include "reviewcase.h"
 #include "wording.h"
 
-#define WORKERS 3
+#define WORKERS 8
 #define CPU 64000
 #define TASK_CPU 1000
 #define MEM 131072
@@ -140,7 +140,8 @@
                     ReviewCase_Ms(review, run->ended_us), run->how);
 }
 
-/* Counts pairs of runs of one task that overlap. */
+/* Counts pairs of runs of one task that overlap.  Runs are in the order of
+   their starts. */
 static uint32_t
 count_overlaps(ReviewCase *review)
 {
@@ -152,7 +153,9 @@
         for (uint32_t j = i + 1; j < review->run_count; j++) {
             const ReviewRun *b = &review->runs[j];
 
-            if (b->started_us >= a->ended_us || strcmp(a->task, b->task) != 0)
+            if (b->started_us >= a->ended_us)
+                break;
+            if (strcmp(a->task, b->task) != 0)
                 continue;
             count++;
             ReviewCase_Note(review,
@@ -169,7 +172,7 @@
 {
     uint32_t overlaps;
     uint64_t seed = 1;
-    char *text = BwWording_JobText(3, 250, TASK_CPU, 64, 0, false);
+    char *text = BwWording_JobText(6, 250, TASK_CPU, 64, 0, false);
 
     if (!ReviewCase_Configure(review, REVIEW_SERVICE))
         return REVIEW_NOT_RUN;
