Raise a refused fence in steps that double

What callers saw: a worker that takes no tasks for minutes. When a worker starts again under its name its clock starts anew, and its supervisor takes a fence above that of the life before, which is far ahead of the new clock. A supervisor that is started later begins with the worker's clock, is refused with the worker's clock as the only hint, and raised its fence by one with each call, 20 ms apart: behind by 20,000 it would have used the worker after 400 s.

/lives/fence-of-earlier-supervisor failed before (still CLEARING after five heartbeats). The step doubles now with each refusal, so any fence is reached in a few calls.

--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -203,7 +203,8 @@
     /* No task runs on the worker after it; 0: no lease. */
     uint64_t lease_end_us;
     uint64_t fence;
-    uint64_t last_end; /* number of the last end that was processed */
+    uint64_t fence_step; /* by which it was last raised; 0: it was accepted */
+    uint64_t last_end;   /* number of the last end that was processed */
     uint64_t poll_number;
     uint64_t poll_sent_us;
     uint32_t polls_in_flight;
--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -41,6 +41,9 @@
 #define START_ATTEMPTS_MAX 4
 #define RUN_STEP 16
 
+/* Orders carry the fence as a signed number of 64 bits. */
+#define FENCE_MAX ((uint64_t)INT64_MAX - 1)
+
 #define BORN_BYTES_MAX 22 /* '@', a time in milliseconds and the final 0 */
 
 #define STALL_MIN_US 100000
@@ -309,6 +312,21 @@
     }
 }
 
+/* The worker has had a call with a higher fence.  That of an earlier
+   supervisor is at most the worker's clock, unless the worker has started
+   again since and its clock with it.  Steps that double reach any fence in a
+   few calls. */
+static void
+raise_fence(BwSupervisor *s)
+{
+    s->fence_step = s->fence_step > 0 ? s->fence_step * 2 : 1;
+    if (s->fence_step > FENCE_MAX - s->fence)
+        s->fence_step = FENCE_MAX - s->fence;
+    s->fence += s->fence_step;
+    if (s->clock_ms > s->fence)
+        s->fence = s->clock_ms;
+}
+
 static void
 record_clock(BwSupervisor *s, uint64_t now_us, const BwWorkerAnswer *answer)
 {
@@ -319,8 +337,9 @@
     s->clock_ms = answer->clock_ms;
     s->clock_read_us = now_us;
     if (answer->verdict == BW_WORKER_FENCED)
-        s->fence =
-            answer->clock_ms > s->fence ? answer->clock_ms : s->fence + 1;
+        raise_fence(s);
+    else if (answer->verdict == BW_WORKER_OK)
+        s->fence_step = 0;
 }
 
 /* The worker at the address is not the expected instance; the next heartbeat
--- a/tests/test_lives.c
+++ b/tests/test_lives.c
@@ -108,6 +108,28 @@
     World_Finish(&w);
 }
 
+/* The worker has had the fence of an earlier supervisor, which is far above
+   the clock of its new life.  The next supervisor raised its own by one with
+   each call and used the worker only minutes later. */
+static void
+test_fence_of_earlier_supervisor(void)
+{
+    World w;
+    uint32_t peer = open_world(&w);
+
+    World_Run(&w, LONG_RUN_US);
+    World_RebornWorker(&w);
+    w.worker.clock_base_ms = 1;
+    World_Run(&w, 3 * HEARTBEAT_US);
+    run_one(&w, peer, "before");
+    World_RestartSupervisor(&w);
+    peer = World_OpenPeer(&w);
+    World_Run(&w, 5 * HEARTBEAT_US);
+    g_assert_cmpint(w.supervisor.phase, ==, BW_WORKER_READY);
+    run_one(&w, peer, "after");
+    World_Finish(&w);
+}
+
 /* A second crash under the same name is reported too. */
 static void
 test_crashes_are_reported(void)
@@ -136,6 +158,8 @@
                     test_tasks_are_lost_at_once);
     g_test_add_func("/lives/idle-worker", test_idle_worker);
     g_test_add_func("/lives/fence-rises", test_fence_rises);
+    g_test_add_func("/lives/fence-of-earlier-supervisor",
+                    test_fence_of_earlier_supervisor);
     g_test_add_func("/lives/crashes-are-reported", test_crashes_are_reported);
     return g_test_run();
 }
