Clear a worker that restarted under its name before its tasks count as lost

Cause: orders name the worker's instance, which a restart does not change, so starts that are sent between the restart and the first poll that tells the new start (`born`) run on the new life. That poll made the supervisor report all tasks as lost with the old life, and their dispatcher placed them elsewhere at once.

Change: the supervisor takes the new life over at once, with a higher fence, and keeps its records until a poll with that fence does not list the task and was sent after the start had been settled; what the new life lists is stopped first, what it has done counts as done. It refuses late orders from that call on. New log line worker_restarted. A poll whose connection broke is followed by one that does not wait.

The same cause on related paths: the end of the worker's lease was computed by the clock of the life before. An order that meets a new life gets the longest lease that the worker grants (worker_lease_max_ms), so tasks that no poll has listed are reported as lost only after that; and the first answered poll of a life counts as a renewal of that length. Crash reports leave out tasks that the new life runs.

--- a/packages/core/crashreports.c
+++ b/packages/core/crashreports.c
@@ -118,6 +118,13 @@
     return at + span->size_bytes;
 }
 
+/* Whether the task may have run on the life of the worker that has ended. */
+static bool
+is_suspect(const BwWorkerTask *task)
+{
+    return BwWorkerTasks_IsOnWorker(task) && !task->is_on_next_life;
+}
+
 /* Fills the report with the tasks on the worker.  Returns false without
    memory. */
 static bool
@@ -142,7 +149,7 @@
          task = task->hh.next) {
         BwCrashedTask *crashed = &report->tasks[report->task_count];
 
-        if (!BwWorkerTasks_IsOnWorker(task) || report->task_count == listed)
+        if (!is_suspect(task) || report->task_count == listed)
             continue;
         at = copy_text(at, &crashed->job, task->key.job);
         at = copy_text(at, &crashed->route, task->text->route);
@@ -194,9 +201,12 @@
 BwCrashReports_Report(BwSupervisor *s, uint64_t now_us)
 {
     BwCrashReports *reports = &s->crash_reports;
-    uint32_t count = HASH_COUNT(s->tasks_by_key) - s->queued_count;
+    uint32_t count = 0;
     BwCrashReport *report;
 
+    for (const BwWorkerTask *task = s->tasks_by_key; task != NULL;
+         task = task->hh.next)
+        count += is_suspect(task);
     if (count == 0 || find_report(s) != NULL)
         return;
     report = &reports->reports[reports->count++ % BW_CRASH_REPORTS_MAX];
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -399,7 +399,7 @@
     {
         if (task->state == BW_WORKER_TASK_STOPPING) {
             if (!task->is_stop_in_flight && task->stopped_us == 0 &&
-                s->down_since_us == 0)
+                s->down_since_us == 0 && s->phase == BW_WORKER_READY)
                 BwWorkerTasks_SendStop(s, task);
         }
         else if (task->state == BW_WORKER_TASK_STARTING &&
@@ -427,13 +427,13 @@
 BwSupervisor_Tick(BwSupervisor *s, uint64_t now_us)
 {
     if (now_us >= s->lease_end_us && s->lease_end_us != 0) {
-        s->lease_end_us = 0;
         if (s->down_since_us != 0 && !s->is_worker_leaving)
-            BwWorkerTasks_LoseAll(s, now_us, BW_OUTCOME_CRASHED,
-                                  "the worker crashed, and its lease ran out");
+            BwWorkerTasks_EndLease(s, now_us, BW_OUTCOME_CRASHED,
+                                   "the worker crashed, and its lease ran "
+                                   "out");
         else
-            BwWorkerTasks_LoseAll(s, now_us, BW_OUTCOME_LOST,
-                                  "the lease of the worker ran out");
+            BwWorkerTasks_EndLease(s, now_us, BW_OUTCOME_LOST,
+                                   "the lease of the worker ran out");
         if (!BwWorkerTasks_IsResponsive(s, now_us))
             BwWorkerTasks_DeclineQueue(s, now_us, BW_DECLINE_LEAVING);
     }
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -41,7 +41,8 @@
     BW_WORKER_TASK_QUEUED,   /* waits for resources; not known to the worker */
     BW_WORKER_TASK_STARTING, /* a start was sent, and is not confirmed */
     BW_WORKER_TASK_RUNNING,
-    /* May still run or start: its resources stay reserved. */
+    /* May still run or start: its resources stay reserved.  After a restart
+       of the worker, all tasks are in this state until it is cleared. */
     BW_WORKER_TASK_STOPPING,
 } BwWorkerTaskState;
 
@@ -88,6 +89,8 @@
     uint64_t started_us;
     /* When its start was found to have no answer; 0: it has one. */
     uint64_t unanswered_us;
+    /* When its start was answered or its answer timed out; 0: not yet. */
+    uint64_t start_settled_us;
     uint64_t stopped_us; /* when its stop was acknowledged; 0: not yet */
     uint64_t listed_us;  /* when the last poll that listed it was sent */
     /* End of the lease that its start carries; the worker refuses the start
@@ -97,6 +100,8 @@
     uint32_t reason;
     bool is_confirmed; /* the worker has listed it or accepted its start */
     bool is_stop_in_flight;
+    /* While a crash is reported: the worker that has started again runs it. */
+    bool is_on_next_life;
     bool is_exclusive; /* runs only while no other job is on the worker */
     struct BwWorkerTask *prev, *next; /* in the queue */
     UT_hash_handle hh;                /* by key */
@@ -137,7 +142,10 @@
 typedef struct BwSupervisorLimits {
     uint64_t session_us;
     uint64_t lease_us; /* of the worker, from one renewal */
-    uint64_t stop_us;  /* the worker ends a stopped task within this time */
+    /* The worker grants no longer lease, however late the end that an order
+       names. */
+    uint64_t lease_max_us;
+    uint64_t stop_us; /* the worker ends a stopped task within this time */
     /* Longest time that a poll waits for the end of a task. */
     uint64_t poll_wait_us;
     /* An answer is overdue after this time, which for a poll is added to the
@@ -163,8 +171,10 @@
 } BwSupervisorCounters;
 
 typedef enum BwWorkerPhase {
-    BW_WORKER_NONE,     /* no heartbeat yet, or another worker answered */
-    BW_WORKER_CLEARING, /* tasks of an earlier supervisor are being stopped */
+    BW_WORKER_NONE, /* no heartbeat yet, or another worker answered */
+    /* Tasks of an earlier supervisor, or of before the worker's restart, are
+       being stopped. */
+    BW_WORKER_CLEARING,
     BW_WORKER_READY,
 } BwWorkerPhase;
 
@@ -197,11 +207,15 @@
        yet. */
     bool is_recalled;
     uint64_t heartbeat_sequence;
+    /* The worker has started again and has sent no heartbeat since. */
+    bool is_undescribed;
 
     uint64_t clock_ms; /* clock of the worker at clock_read_us */
     uint64_t clock_read_us;
     /* No task runs on the worker after it; 0: no lease. */
     uint64_t lease_end_us;
+    /* It is over, but for tasks that a later life may have started. */
+    bool is_lease_over;
     uint64_t fence;
     uint64_t fence_step; /* by which it was last raised; 0: it was accepted */
     uint64_t last_end;   /* number of the last end that was processed */
--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -71,7 +71,7 @@
     if (renews) {
         order.lease_ms =
             BwWorkerTasks_WorkerClock(s, now_us) + s->limits.lease_us / 1000;
-        BwWorkerTasks_ExtendLease(s, now_us);
+        BwWorkerTasks_ExtendLease(s, now_us, s->limits.lease_us);
     }
     if (s->answer_due_us == 0 || due_us < s->answer_due_us)
         s->answer_due_us = due_us;
@@ -159,11 +159,13 @@
         BwSpan_ToString(heartbeat->labels[i], s->labels[i], BW_NAME_BYTES_MAX);
 }
 
+/* Begins a life under the name that is in s->instance. */
 static void
-adopt_name(BwSupervisor *s, const BwWorkerHeartbeat *heartbeat)
+begin_life(BwSupervisor *s, uint64_t born_ms)
 {
-    BwSpan_ToString(heartbeat->instance, s->instance, sizeof(s->instance));
-    s->born_ms = heartbeat->born_ms;
+    memset(&s->outcomes, 0, sizeof(s->outcomes));
+    s->previous_born_ms = s->born_ms;
+    s->born_ms = born_ms;
     if (s->born_ms == 0)
         strcpy(s->life, s->instance);
     else
@@ -175,11 +177,13 @@
 /* The clock of a new life starts anew.  Its fence must not be lower than those
    of the lives before: their late orders would pass it. */
 static void
-adopt_fence(BwSupervisor *s, const BwWorkerHeartbeat *heartbeat)
+adopt_clock(BwSupervisor *s, uint64_t now_us, uint64_t clock_ms)
 {
     uint64_t least = s->born_ms != 0 ? s->fence + 1 : 1;
 
-    s->fence = heartbeat->clock_ms > least ? heartbeat->clock_ms : least;
+    s->clock_ms = clock_ms;
+    s->clock_read_us = now_us;
+    s->fence = clock_ms > least ? clock_ms : least;
 }
 
 /* The worker that is in use describes itself differently.  Tasks that run go
@@ -244,6 +248,7 @@
 
         s->is_worker_leaving = heartbeat->is_leaving;
         adopt_description(s, heartbeat);
+        s->is_undescribed = false;
         if (is_same && is_changed && s->phase == BW_WORKER_READY)
             on_description_changed(s, now_us);
         if (!is_same || s->phase == BW_WORKER_NONE) {
@@ -251,13 +256,11 @@
                 if (s->down_since_us != 0)
                     record_up(s, "another instance has registered");
                 strcpy(s->previous_instance, s->instance);
-                s->previous_born_ms = s->born_ms;
-                memset(&s->outcomes, 0, sizeof(s->outcomes));
-                adopt_name(s, heartbeat);
+                BwSpan_ToString(heartbeat->instance, s->instance,
+                                sizeof(s->instance));
+                begin_life(s, heartbeat->born_ms);
             }
-            s->clock_ms = heartbeat->clock_ms;
-            s->clock_read_us = now_us;
-            adopt_fence(s, heartbeat);
+            adopt_clock(s, now_us, heartbeat->clock_ms);
             s->is_recalled = heartbeat->is_recalled;
             clear_worker(s, now_us);
         }
@@ -342,19 +345,37 @@
         s->fence_step = 0;
 }
 
-/* The worker at the address is not the expected instance; the next heartbeat
-   names the one that is there now. */
+static BwWorkerTask *
+find_listed(BwSupervisor *s, const BwListedTask *listed)
+{
+    BwWorkerTaskKey key;
+    BwWorkerTask *task;
+
+    memset(&key, 0, sizeof(key));
+    BwSpan_ToString(listed->job, key.job, sizeof(key.job));
+    key.step = listed->step;
+    key.index = listed->index;
+    HASH_FIND(hh, s->tasks_by_key, &key, sizeof(key), task);
+    if (task != NULL &&
+        (!BwWorkerTasks_IsOnWorker(task) || task->run != listed->run))
+        return NULL;
+    return task;
+}
+
+/* The worker at the address has another name; the next heartbeat names the
+   one that is there now.  Orders for the old name were refused, so all tasks
+   ended with the instance before. */
 static void
-on_other_instance(BwSupervisor *s, uint64_t now_us)
+on_other_name(BwSupervisor *s, uint64_t now_us)
 {
     bool was_ready = s->phase == BW_WORKER_READY;
 
     s->phase = BW_WORKER_NONE;
     s->is_recalled = false;
     s->previous_instance[0] = '\0';
-    if (!was_ready)
+    if (HASH_COUNT(s->tasks_by_key) == 0 && !was_ready)
         return;
-    if (!s->is_worker_leaving)
+    if (was_ready && !s->is_worker_leaving)
         BwCrashReports_Report(s, now_us);
     BwWorkerTasks_LoseAll(
         s, now_us, s->is_worker_leaving ? BW_OUTCOME_LOST : BW_OUTCOME_CRASHED,
@@ -363,6 +384,74 @@
     BwSupervisor_BroadcastState(s, now_us);
 }
 
+/* Keeps the records of the tasks until the new life is cleared.  Those that it
+   lists were started by it; the others are reported with the crash of the life
+   before. */
+static void
+hold_tasks(BwSupervisor *s, uint64_t now_us, const BwWorkerAnswer *answer)
+{
+    BwWorkerTask *task, *next;
+    bool is_on_next_life;
+
+    for (uint32_t i = 0; i < answer->running_count; i++) {
+        task = find_listed(s, &answer->running[i]);
+        if (task != NULL)
+            task->is_on_next_life = true;
+    }
+    if (s->phase == BW_WORKER_READY && !s->is_worker_leaving)
+        BwCrashReports_Report(s, now_us);
+    HASH_ITER(hh, s->tasks_by_key, task, next)
+    {
+        if (!BwWorkerTasks_IsOnWorker(task))
+            continue;
+        is_on_next_life = task->is_on_next_life;
+        task->is_on_next_life = false;
+        task->listed_us = 0;
+        if (task->state == BW_WORKER_TASK_STOPPING)
+            continue;
+        task->state = BW_WORKER_TASK_STOPPING;
+        task->outcome = s->is_worker_leaving || is_on_next_life
+                            ? BW_OUTCOME_LOST
+                            : BW_OUTCOME_CRASHED;
+        task->reason = 0;
+    }
+}
+
+/* The worker has started again under its name.  Orders carry the name alone,
+   so each life may have carried out those that were sent around the restart,
+   and may yet carry out late ones.  The new life refuses these once it has had
+   a call with the new fence.  What it lists then is stopped; tasks that it
+   does not list are gone. */
+static void
+on_next_life(BwSupervisor *s, uint64_t now_us, const BwWorkerAnswer *answer)
+{
+    s->port->log_worker(s->ctx, "worker_restarted",
+                        HASH_COUNT(s->tasks_by_key) - s->queued_count,
+                        "another life answers under its name");
+    hold_tasks(s, now_us, answer);
+    strcpy(s->previous_instance, s->instance);
+    begin_life(s, answer->born_ms);
+    adopt_clock(s, now_us, answer->clock_ms);
+    s->heartbeat_sequence = 0;
+    s->is_worker_leaving = false;
+    s->is_recalled = false;
+    s->is_undescribed = true;
+    s->lease_end_us = 0;
+    clear_worker(s, now_us);
+    BwWorkerTasks_DeclineQueue(s, now_us, BW_DECLINE_LEAVING);
+    BwSupervisor_BroadcastState(s, now_us);
+}
+
+static void
+on_other_instance(BwSupervisor *s, uint64_t now_us,
+                  const BwWorkerAnswer *answer)
+{
+    if (answer->verdict == BW_WORKER_WRONG_INSTANCE)
+        on_other_name(s, now_us);
+    else
+        on_next_life(s, now_us, answer);
+}
+
 static void
 record_lost_answer(BwSupervisor *s, uint64_t now_us)
 {
@@ -379,23 +468,6 @@
     return task;
 }
 
-static BwWorkerTask *
-find_listed(BwSupervisor *s, const BwListedTask *listed)
-{
-    BwWorkerTaskKey key;
-    BwWorkerTask *task;
-
-    memset(&key, 0, sizeof(key));
-    BwSpan_ToString(listed->job, key.job, sizeof(key.job));
-    key.step = listed->step;
-    key.index = listed->index;
-    HASH_FIND(hh, s->tasks_by_key, &key, sizeof(key), task);
-    if (task != NULL &&
-        (!BwWorkerTasks_IsOnWorker(task) || task->run != listed->run))
-        return NULL;
-    return task;
-}
-
 /* Raises the run number of a task after the worker refused it as an old one.
    Task numbers only grow, so the first raise is above every run number of the
    task that this process has sent.  One of an earlier supervisor may be higher
@@ -458,7 +530,7 @@
     record_reach(s, now_us, answer);
     record_clock(s, now_us, answer);
     if (is_of_other(s, answer)) {
-        on_other_instance(s, now_us);
+        on_other_instance(s, now_us, answer);
         return NULL;
     }
     return find_by_number(s, number);
@@ -487,8 +559,10 @@
 BwSupervisor_OnStarted(BwSupervisor *s, uint64_t now_us, uint64_t number,
                        const BwWorkerAnswer *answer)
 {
-    BwWorkerTask *task;
+    BwWorkerTask *task = find_by_number(s, number);
 
+    if (task != NULL)
+        task->start_settled_us = now_us;
     if (answer->verdict == BW_WORKER_UNREACHABLE)
         remove_unsent(s, now_us, number);
     task = find_answered_task(s, now_us, number, answer);
@@ -695,11 +769,49 @@
     }
 }
 
-/* Stops what is listed and skips all ends, until both lists are empty. */
+/* Ends the held tasks that the new life of the worker does not list.  One that
+   it has done is not run again.  A start that was on its way when the poll was
+   sent may meet a further life.  Returns whether none is left. */
+static bool
+settle_held_tasks(BwSupervisor *s, uint64_t now_us, uint64_t sent_us,
+                  const BwWorkerAnswer *answer)
+{
+    bool is_none_left = true;
+    BwWorkerTask *task, *next;
+
+    for (uint32_t i = 0; i < answer->ended_count; i++) {
+        task = find_listed(s, &answer->ended[i]);
+        if (task != NULL && answer->ended[i].end == BW_END_DONE)
+            BwWorkerTasks_Remove(s, now_us, task, BW_OUTCOME_DONE, 0);
+    }
+    for (uint32_t i = 0; i < answer->running_count; i++) {
+        task = find_listed(s, &answer->running[i]);
+        if (task != NULL)
+            task->listed_us = sent_us;
+    }
+    HASH_ITER(hh, s->tasks_by_key, task, next)
+    {
+        if (!BwWorkerTasks_IsOnWorker(task))
+            continue;
+        if (task->listed_us == sent_us || task->start_settled_us == 0 ||
+            task->start_settled_us > sent_us) {
+            is_none_left = false;
+            continue;
+        }
+        s->port->log(s->ctx, "lost", task, 1, "the worker has started again");
+        BwWorkerTasks_Remove(s, now_us, task, task->outcome, task->reason);
+    }
+    return is_none_left;
+}
+
+/* Stops what is listed and skips all ends, until both lists are empty.  A
+   worker that has not described itself yet is used from its heartbeat on. */
 static void
-continue_clearing(BwSupervisor *s, uint64_t now_us,
+continue_clearing(BwSupervisor *s, uint64_t now_us, uint64_t sent_us,
                   const BwWorkerAnswer *answer)
 {
+    bool is_settled;
+
     if (s->is_recalled) {
         /* The fence of a recalled heartbeat is that of the supervisor before.
            The worker's clock is above it. */
@@ -709,6 +821,11 @@
         send_poll(s, now_us, 0);
         return;
     }
+    is_settled = settle_held_tasks(s, now_us, sent_us, answer);
+    /* An order for the life before named the end of its lease on that one's
+       clock.  None passes the fence from now on. */
+    if (s->born_ms != 0)
+        BwWorkerTasks_ExtendLease(s, now_us, s->limits.lease_max_us);
     for (uint32_t i = 0; i < answer->running_count; i++)
         stop_unknown_task(s, &answer->running[i]);
     for (uint32_t i = 0; i < answer->ended_count; i++) {
@@ -717,9 +834,9 @@
     }
     if (answer->running_count == 0 && answer->ended_count > 0)
         send_poll(s, now_us, 0);
-    if (answer->running_count > 0 || answer->ended_count > 0)
+    if (answer->running_count > 0 || answer->ended_count > 0 || !is_settled)
         return;
-    s->phase = BW_WORKER_READY;
+    s->phase = s->is_undescribed ? BW_WORKER_NONE : BW_WORKER_READY;
     BwSupervisor_BroadcastState(s, now_us);
 }
 
@@ -736,6 +853,18 @@
     return due_us > s->last_answer_due_us ? due_us : s->last_answer_due_us;
 }
 
+/* The poll's connection may have broken with the worker's process, which may
+   have started again: the next poll tells at once. */
+static void
+on_unanswered_poll(BwSupervisor *s, uint64_t now_us)
+{
+    if (s->phase == BW_WORKER_READY && s->polls_in_flight == 0 &&
+        s->down_since_us == 0)
+        send_poll(s, now_us, 0);
+    else
+        BwWorkerLink_Tick(s, now_us);
+}
+
 void
 BwSupervisor_OnPolled(BwSupervisor *s, uint64_t now_us, uint64_t number,
                       uint64_t sent_us, const BwWorkerAnswer *polled)
@@ -755,17 +884,17 @@
     if (is_answered(answer) && answer->verdict != BW_WORKER_UNHEALTHY)
         s->answer_due_us = next_answer_due_us(s, now_us);
     if (is_of_other(s, answer)) {
-        on_other_instance(s, now_us);
+        on_other_instance(s, now_us, answer);
         return;
     }
     if (!is_answered(answer)) {
         s->lossy_until_us = now_us + LOSSY_US;
-        BwWorkerLink_Tick(s, now_us);
+        on_unanswered_poll(s, now_us);
     }
     if (answer->verdict != BW_WORKER_OK)
         return;
     if (s->phase == BW_WORKER_CLEARING) {
-        continue_clearing(s, now_us, answer);
+        continue_clearing(s, now_us, sent_us, answer);
         return;
     }
     process_running(s, now_us, sent_us, answer);
--- a/packages/core/workertasks.c
+++ b/packages/core/workertasks.c
@@ -301,14 +301,15 @@
 }
 
 void
-BwWorkerTasks_ExtendLease(BwSupervisor *s, uint64_t now_us)
+BwWorkerTasks_ExtendLease(BwSupervisor *s, uint64_t now_us, uint64_t length_us)
 {
-    uint64_t end_us = now_us +
-                      s->limits.lease_us * BW_LEASE_DRIFT_PERMILLE / 1000 +
-                      LEASE_MARGIN_US;
+    uint64_t end_us =
+        now_us + length_us * BW_LEASE_DRIFT_PERMILLE / 1000 + LEASE_MARGIN_US;
 
-    if (end_us > s->lease_end_us)
-        s->lease_end_us = end_us;
+    if (end_us <= s->lease_end_us)
+        return;
+    s->lease_end_us = end_us;
+    s->is_lease_over = false;
 }
 
 void
@@ -318,12 +319,14 @@
 
     order.lease_ms =
         BwWorkerTasks_WorkerClock(s, now_us) + s->limits.lease_us / 1000;
-    BwWorkerTasks_ExtendLease(s, now_us);
+    BwWorkerTasks_ExtendLease(s, now_us, s->limits.lease_us);
     task->lease_end_ms = order.lease_ms;
     task->started_us = now_us;
     s->counters.started++;
+    task->start_settled_us = 0;
     if (s->port->start(s->ctx, task->number, &order))
         return;
+    task->start_settled_us = now_us;
     s->counters.unanswered++;
     s->port->log(s->ctx, "unanswered", task, 1, "the start could not be sent");
     task->unanswered_us = now_us;
@@ -605,6 +608,41 @@
     }
 }
 
+/* Whether an order for the task may have met a later life of the worker: that
+   one's clock is another, so its lease may be as long as the worker grants. */
+static bool
+is_life_unknown(const BwSupervisor *s, const BwWorkerTask *task)
+{
+    return s->born_ms != 0 && s->down_since_us == 0 && task->listed_us == 0;
+}
+
+void
+BwWorkerTasks_EndLease(BwSupervisor *s, uint64_t now_us, uint32_t kind,
+                       const char *reason)
+{
+    uint64_t rest_us = s->limits.lease_max_us > s->limits.lease_us
+                           ? s->limits.lease_max_us - s->limits.lease_us
+                           : 0;
+    bool is_over = s->is_lease_over || rest_us == 0;
+    BwWorkerTask *task, *next;
+
+    s->lease_end_us = 0;
+    s->is_lease_over = false;
+    HASH_ITER(hh, s->tasks_by_key, task, next)
+    {
+        if (!BwWorkerTasks_IsOnWorker(task))
+            continue;
+        if (!is_over && is_life_unknown(s, task)) {
+            s->lease_end_us =
+                now_us + rest_us * BW_LEASE_DRIFT_PERMILLE / 1000;
+            s->is_lease_over = true;
+            continue;
+        }
+        s->port->log(s->ctx, "lost", task, 1, reason);
+        BwWorkerTasks_Remove(s, now_us, task, kind, 0);
+    }
+}
+
 void
 BwWorkerTasks_LoseAll(BwSupervisor *s, uint64_t now_us, uint32_t kind,
                       const char *reason)
--- a/packages/core/workertasks.h
+++ b/packages/core/workertasks.h
@@ -70,10 +70,11 @@
 uint64_t
 BwWorkerTasks_WorkerClock(const BwSupervisor *supervisor, uint64_t now_us);
 
-/* Records that an order which renews the worker's lease is sent now.  The end
-   of the lease allows for a slow clock of the worker. */
+/* Records that the worker's lease may last for `length_us` from now on, since
+   an order renews it.  Its end allows for a slow clock of the worker. */
 void
-BwWorkerTasks_ExtendLease(BwSupervisor *supervisor, uint64_t now_us);
+BwWorkerTasks_ExtendLease(BwSupervisor *supervisor, uint64_t now_us,
+                          uint64_t length_us);
 
 /* Sends the start of a task whose resources are reserved.  One that can't be
    sent counts as unanswered. */
@@ -113,6 +114,13 @@
 BwWorkerTasks_LoseAll(BwSupervisor *supervisor, uint64_t now_us, uint32_t kind,
                       const char *reason);
 
+/* Reports the tasks as lost that ended with the worker's lease, which is over.
+   Those that a later life of the worker may have started are reported when its
+   longest lease must be over, by another call. */
+void
+BwWorkerTasks_EndLease(BwSupervisor *supervisor, uint64_t now_us,
+                       uint32_t kind, const char *reason);
+
 /* Declines the queued tasks that need more than the worker's capacity. */
 void
 BwWorkerTasks_DeclineUnsuited(BwSupervisor *supervisor, uint64_t now_us);
--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -304,6 +304,7 @@
     BwSupervisorLimits limits = {
         .session_us = settings->limits.session_ms * 1000,
         .lease_us = lease_us,
+        .lease_max_us = settings->limits.worker_lease_max_ms * 1000,
         .stop_us = settings->limits.worker_stop_ms * STOP_PERMILLE,
         .poll_wait_us = lease_us * POLL_WAIT_PERMILLE / 1000,
         .answer_us = lease_us * POLL_ANSWER_PERMILLE / 1000,
--- a/tests/supervisor_world.h
+++ b/tests/supervisor_world.h
@@ -19,6 +19,7 @@
 #define STEP_US 5000
 #define SESSION_US 500000
 #define LEASE_US 400000
+#define LEASE_MAX_US 1000000 /* that the worker grants */
 #define STOP_US 60000
 #define LONG_LEASE_US 4000000 /* valid when a delayed order arrives */
 #define POLL_US 120000
@@ -120,6 +121,7 @@
     uint64_t timeout_us; /* when the supervisor counts it as unanswered */
     bool is_settled;     /* the supervisor got an answer or a timeout */
     bool is_answer_lost;
+    bool is_put_off; /* the worker has it and carries it out late */
     Spec spec;
     BwWorkerAnswer answer;
     GArray *running; /* tasks that the answer lists */
--- a/tests/test_lives.c
+++ b/tests/test_lives.c
@@ -61,6 +61,35 @@
     World_Finish(&w);
 }
 
+/* The poll breaks with the process, and starts go to the name, so the new life
+   carries them out before its start is known.  They were reported as lost with
+   the old one while they ran. */
+static void
+test_started_on_new_life(void)
+{
+    World w;
+    uint32_t peer = open_world(&w), before, after;
+
+    before = World_Place(&w, peer, &(PlaceRequest){.job = "a"});
+    World_Run(&w, 100000);
+    w.sends_heartbeats = false;
+    World_RebornWorker(&w);
+    after = World_Place(&w, peer, &(PlaceRequest){.job = "b", .first = 7});
+    World_Run(&w, 2 * STEP_US);
+    g_assert_cmpuint(w.worker.running->len, ==, 1);
+    World_Run(&w, 200000);
+    g_assert_cmpuint(w.worker.running->len, ==, 0);
+    World_AssertKind(&w, before, BW_OUTCOME_CRASHED);
+    World_AssertKind(&w, after, BW_OUTCOME_LOST);
+    g_assert_cmpuint(w.crash_reports, ==, 1);
+    g_assert_cmpuint(w.reported_tasks, ==, 1);
+    World_AssertEmpty(&w);
+    w.sends_heartbeats = true;
+    World_Run(&w, 3 * HEARTBEAT_US);
+    run_one(&w, peer, "after");
+    World_Finish(&w);
+}
+
 /* Between two tasks only the heartbeat tells. */
 static void
 test_idle_worker(void)
@@ -156,6 +185,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/lives/tasks-are-lost-at-once",
                     test_tasks_are_lost_at_once);
+    g_test_add_func("/lives/started-on-new-life", test_started_on_new_life);
     g_test_add_func("/lives/idle-worker", test_idle_worker);
     g_test_add_func("/lives/fence-rises", test_fence_rises);
     g_test_add_func("/lives/fence-of-earlier-supervisor",
