Core: lives of a worker in a file of their own

workerlink.c had grown to 900 lines with two jobs. workerlife.c has which worker is at the address: heartbeats, what answers show of it, and clearing.

--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -23,6 +23,7 @@
 
 #include "brasswing.h"
 #include "resources.h"
+#include "workerlink.h"
 #include "workertasks.h"
 
 /* Renewals per session length of a dispatcher with tasks. */
--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -1,4 +1,4 @@
-/* workerlink.c -- heartbeats of the worker, and its answers to calls
+/* workerlink.c -- polls of the worker, and its answers to calls
 
    A task has left the worker, and its resources are free, only when one of
    these shows it: the worker lists its end; an answer proves that it never
@@ -12,14 +12,15 @@
    end is known as soon as one of their answers arrives; the price is more
    calls during that time.
 
-   Tasks that an earlier supervisor left on the worker are stopped before
-   anything is started.  The daemon passes in what the worker sends.
+   Which worker is at the address is the part of workerlife.c.  The daemon
+   passes in what the worker answers.
 */
 
-#include <stdio.h>
 #include <string.h>
 
 #include "brasswing.h"
+#include "workerlife.h"
+#include "workerlink.h"
 #include "workertasks.h"
 
 /* Longest wait of a poll while the worker has no task that could end. */
@@ -28,9 +29,8 @@
 /* The same while the worker refuses connections.  Its next instance makes
    itself known by a heartbeat. */
 #define DOWN_POLL_INTERVAL_US 100000
-/* Most polls that are in flight at once. */
-#define POLLS_MAX 3
-/* The same, including polls that an unanswered start or a stop causes. */
+/* Most polls in flight, including those that an unanswered start or a stop
+   causes. */
 #define URGENT_POLLS_MAX 6
 #define LOSSY_US 1000000 /* how long polls overlap after a lost answer */
 #define OVERLAP_INTERVAL_US 30000 /* interval of overlapping polls */
@@ -44,18 +44,14 @@
 /* Orders carry the fence as a signed number of 64 bits. */
 #define FENCE_MAX ((uint64_t)INT64_MAX - 1)
 
-#define BORN_BYTES_MAX 22 /* '@', a time in milliseconds and the final 0 */
-
 #define STALL_MIN_US 100000
 /* A task is stalled after this many times its mean time per percent. */
 #define STALL_FACTOR 4
 #define QUARANTINE_MIN_US 250000
 #define QUARANTINE_MAX_US 1000000
 
-/* Sends a poll that waits for an end for up to `wait_us`.  It renews the lease
-   only when there are tasks to keep and the worker answers in time. */
-static void
-send_poll(BwSupervisor *s, uint64_t now_us, uint64_t wait_us)
+void
+BwWorkerLink_Poll(BwSupervisor *s, uint64_t now_us, uint64_t wait_us)
 {
     BwPollOrder order = {0};
     uint64_t due_us = now_us + wait_us + s->limits.answer_us;
@@ -83,194 +79,6 @@
         s->polls_in_flight++;
 }
 
-/* --------------------------------------------------------- heartbeats */
-
-static void
-record_up(BwSupervisor *s, const char *reason)
-{
-    s->down_since_us = 0;
-    s->port->log_worker(s->ctx, "worker_up",
-                        HASH_COUNT(s->tasks_by_key) - s->queued_count, reason);
-}
-
-/* Whether a heartbeat is of the instance of that name and start.  Two lives
-   under one name differ in their start, and one that says nothing of its start
-   is not a life of a worker that does. */
-static bool
-is_of(const BwWorkerHeartbeat *heartbeat, const char *instance,
-      uint64_t born_ms)
-{
-    return BwSpan_Equal(heartbeat->instance, BwSpan_FromString(instance)) &&
-           heartbeat->born_ms == born_ms;
-}
-
-/* Whether a heartbeat cannot be of the worker that is there: it is of the
-   instance before, of an earlier life under the same name, or lacks the start
-   that this worker gives. */
-static bool
-is_outdated(const BwSupervisor *s, const BwWorkerHeartbeat *heartbeat)
-{
-    bool is_known_name =
-        BwSpan_Equal(heartbeat->instance, BwSpan_FromString(s->instance));
-
-    if (s->previous_instance[0] != '\0' &&
-        is_of(heartbeat, s->previous_instance, s->previous_born_ms))
-        return true;
-    return is_known_name && heartbeat->born_ms < s->born_ms;
-}
-
-/* The message that a worker ends does not tell its start, and a late one may
-   be of an earlier life.  A worker that tells its start announces first that
-   it leaves. */
-static bool
-is_end_of_this(const BwSupervisor *s, const BwWorkerHeartbeat *heartbeat)
-{
-    return BwSpan_Equal(heartbeat->instance, BwSpan_FromString(s->instance)) &&
-           (s->born_ms == 0 || s->is_worker_leaving);
-}
-
-/* Returns whether the heartbeat describes the worker as it is known. */
-static bool
-is_as_known(const BwSupervisor *s, const BwWorkerHeartbeat *heartbeat)
-{
-    if ((heartbeat->has_capacity && memcmp(&s->capacity, &heartbeat->capacity,
-                                           sizeof(s->capacity)) != 0) ||
-        !BwSpan_Equal(heartbeat->service, BwSpan_FromString(s->service)) ||
-        !BwSpan_Equal(heartbeat->domain, BwSpan_FromString(s->domain)) ||
-        heartbeat->label_count != s->label_count)
-        return false;
-    for (uint32_t i = 0; i < s->label_count; i++) {
-        if (!BwSpan_Equal(heartbeat->labels[i],
-                          BwSpan_FromString(s->labels[i])))
-            return false;
-    }
-    return true;
-}
-
-static void
-adopt_description(BwSupervisor *s, const BwWorkerHeartbeat *heartbeat)
-{
-    BwSpan_ToString(heartbeat->service, s->service, sizeof(s->service));
-    BwSpan_ToString(heartbeat->domain, s->domain, sizeof(s->domain));
-    if (heartbeat->has_capacity)
-        s->capacity = heartbeat->capacity;
-    s->label_count = heartbeat->label_count;
-    for (uint32_t i = 0; i < heartbeat->label_count; i++)
-        BwSpan_ToString(heartbeat->labels[i], s->labels[i], BW_NAME_BYTES_MAX);
-}
-
-/* Begins a life under the name that is in s->instance. */
-static void
-begin_life(BwSupervisor *s, uint64_t born_ms)
-{
-    memset(&s->outcomes, 0, sizeof(s->outcomes));
-    s->previous_born_ms = s->born_ms;
-    s->born_ms = born_ms;
-    if (s->born_ms == 0)
-        strcpy(s->life, s->instance);
-    else
-        snprintf(s->life, sizeof(s->life), "%.*s@%llu",
-                 BW_NAME_BYTES_MAX - BORN_BYTES_MAX, s->instance,
-                 (unsigned long long)s->born_ms);
-}
-
-/* The clock of a new life starts anew.  Its fence must not be lower than those
-   of the lives before: their late orders would pass it. */
-static void
-adopt_clock(BwSupervisor *s, uint64_t now_us, uint64_t clock_ms)
-{
-    uint64_t least = s->born_ms != 0 ? s->fence + 1 : 1;
-
-    s->clock_ms = clock_ms;
-    s->clock_read_us = now_us;
-    s->fence = clock_ms > least ? clock_ms : least;
-}
-
-/* The worker that is in use describes itself differently.  Tasks that run go
-   on; queued ones that can never fit are declined. */
-static void
-on_description_changed(BwSupervisor *s, uint64_t now_us)
-{
-    s->port->log_worker(s->ctx, "worker_changed",
-                        HASH_COUNT(s->tasks_by_key) - s->queued_count,
-                        "it announced another capacity, service or labels");
-    BwWorkerTasks_DeclineUnsuited(s, now_us);
-    BwWorkerTasks_StartQueued(s, now_us);
-    BwSupervisor_BroadcastState(s, now_us);
-}
-
-/* Resets the state for an instance: whatever runs there is stopped first, and
-   answers to calls made before are ignored. */
-static void
-clear_worker(BwSupervisor *s, uint64_t now_us)
-{
-    s->phase = BW_WORKER_CLEARING;
-    s->last_end = 0;
-    s->polls_in_flight = 0;
-    s->answer_due_us = 0;
-    s->first_poll = s->poll_number + 1;
-    s->first_order_number = s->next_number + 1;
-    send_poll(s, now_us, 0);
-}
-
-void
-BwSupervisor_OnHeartbeat(BwSupervisor *s, uint64_t now_us,
-                         const BwWorkerHeartbeat *heartbeat)
-{
-    bool was_leaving = s->is_worker_leaving;
-    bool is_same = is_of(heartbeat, s->instance, s->born_ms);
-
-    if (heartbeat->is_recalled && s->phase != BW_WORKER_NONE)
-        return;
-    if (heartbeat->is_gone)
-        is_same = is_end_of_this(s, heartbeat);
-    else if (is_outdated(s, heartbeat))
-        return;
-    if (heartbeat->is_gone && !is_same)
-        return;
-    if (is_same && heartbeat->sequence < s->heartbeat_sequence &&
-        !heartbeat->is_gone)
-        return;
-    if (!is_same && HASH_COUNT(s->tasks_by_key) > 0) {
-        if (s->polls_in_flight < POLLS_MAX)
-            send_poll(s, now_us, 0);
-        return;
-    }
-    s->heartbeat_us = now_us;
-    s->heartbeat_sequence = heartbeat->sequence;
-    if (heartbeat->is_gone) {
-        s->is_worker_leaving = true;
-        /* Heartbeats sent before may arrive later and are ignored. */
-        s->heartbeat_sequence = UINT64_MAX;
-    }
-    else {
-        bool is_changed = !is_as_known(s, heartbeat);
-
-        s->is_worker_leaving = heartbeat->is_leaving;
-        adopt_description(s, heartbeat);
-        s->is_undescribed = false;
-        if (is_same && is_changed && s->phase == BW_WORKER_READY)
-            on_description_changed(s, now_us);
-        if (!is_same || s->phase == BW_WORKER_NONE) {
-            if (!is_same) {
-                if (s->down_since_us != 0)
-                    record_up(s, "another instance has registered");
-                strcpy(s->previous_instance, s->instance);
-                BwSpan_ToString(heartbeat->instance, s->instance,
-                                sizeof(s->instance));
-                begin_life(s, heartbeat->born_ms);
-            }
-            adopt_clock(s, now_us, heartbeat->clock_ms);
-            s->is_recalled = heartbeat->is_recalled;
-            clear_worker(s, now_us);
-        }
-    }
-    if (s->is_worker_leaving && !was_leaving)
-        BwWorkerTasks_DeclineQueue(s, now_us, BW_DECLINE_LEAVING);
-    if (s->was_usable != BwWorkerTasks_IsUsable(s, now_us))
-        BwSupervisor_BroadcastState(s, now_us);
-}
-
 /* ------------------------------------------------------------ answers */
 
 static bool
@@ -280,15 +88,6 @@
            answer->verdict != BW_WORKER_UNREACHABLE;
 }
 
-/* Whether another instance answered, or another life under the same name. */
-static bool
-is_of_other(const BwSupervisor *s, const BwWorkerAnswer *answer)
-{
-    return answer->verdict == BW_WORKER_WRONG_INSTANCE ||
-           (answer->born_ms != 0 && s->born_ms != 0 &&
-            answer->born_ms != s->born_ms);
-}
-
 /* Records whether the worker's process can be reached.  A refused connection
    on the worker's own host means that the process has ended. */
 static void
@@ -306,10 +105,10 @@
         BwSupervisor_BroadcastState(s, now_us);
     }
     else if (is_answered(answer) && s->down_since_us != 0) {
-        bool is_same = !is_of_other(s, answer);
+        bool is_same = !BwWorkerLife_IsOther(s, answer);
 
-        record_up(s, is_same ? "the same instance answers"
-                             : "another instance answers");
+        BwWorkerLife_RecordUp(s, is_same ? "the same instance answers"
+                                         : "another instance answers");
         if (is_same)
             BwCrashReports_Withdraw(s, now_us);
     }
@@ -333,7 +132,7 @@
 static void
 record_clock(BwSupervisor *s, uint64_t now_us, const BwWorkerAnswer *answer)
 {
-    if (!is_answered(answer) || is_of_other(s, answer))
+    if (!is_answered(answer) || BwWorkerLife_IsOther(s, answer))
         return;
     if (answer->clock_ms == 0)
         return;
@@ -345,8 +144,24 @@
         s->fence_step = 0;
 }
 
+static void
+record_lost_answer(BwSupervisor *s, uint64_t now_us)
+{
+    s->counters.unanswered++;
+    s->lossy_until_us = now_us + LOSSY_US;
+}
+
 static BwWorkerTask *
-find_listed(BwSupervisor *s, const BwListedTask *listed)
+find_by_number(BwSupervisor *s, uint64_t number)
+{
+    BwWorkerTask *task;
+
+    HASH_FIND(by_number, s->tasks_by_number, &number, sizeof(number), task);
+    return task;
+}
+
+BwWorkerTask *
+BwWorkerLink_FindListed(BwSupervisor *s, const BwListedTask *listed)
 {
     BwWorkerTaskKey key;
     BwWorkerTask *task;
@@ -362,110 +177,18 @@
     return task;
 }
 
-/* The worker at the address has another name; the next heartbeat names the
-   one that is there now.  Orders for the old name were refused, so all tasks
-   ended with the instance before. */
-static void
-on_other_name(BwSupervisor *s, uint64_t now_us)
-{
-    bool was_ready = s->phase == BW_WORKER_READY;
-
-    s->phase = BW_WORKER_NONE;
-    s->is_recalled = false;
-    s->previous_instance[0] = '\0';
-    if (HASH_COUNT(s->tasks_by_key) == 0 && !was_ready)
-        return;
-    if (was_ready && !s->is_worker_leaving)
-        BwCrashReports_Report(s, now_us);
-    BwWorkerTasks_LoseAll(
-        s, now_us, s->is_worker_leaving ? BW_OUTCOME_LOST : BW_OUTCOME_CRASHED,
-        "the worker was replaced");
-    BwWorkerTasks_DeclineQueue(s, now_us, BW_DECLINE_LEAVING);
-    BwSupervisor_BroadcastState(s, now_us);
-}
-
-/* Keeps the records of the tasks until the new life is cleared.  Those that it
-   lists were started by it; the others are reported with the crash of the life
-   before. */
-static void
-hold_tasks(BwSupervisor *s, uint64_t now_us, const BwWorkerAnswer *answer)
-{
-    BwWorkerTask *task, *next;
-    bool is_on_next_life;
-
-    for (uint32_t i = 0; i < answer->running_count; i++) {
-        task = find_listed(s, &answer->running[i]);
-        if (task != NULL)
-            task->is_on_next_life = true;
-    }
-    if (s->phase == BW_WORKER_READY && !s->is_worker_leaving)
-        BwCrashReports_Report(s, now_us);
-    HASH_ITER(hh, s->tasks_by_key, task, next)
-    {
-        if (!BwWorkerTasks_IsOnWorker(task))
-            continue;
-        is_on_next_life = task->is_on_next_life;
-        task->is_on_next_life = false;
-        task->listed_us = 0;
-        if (task->state == BW_WORKER_TASK_STOPPING)
-            continue;
-        task->state = BW_WORKER_TASK_STOPPING;
-        task->outcome = s->is_worker_leaving || is_on_next_life
-                            ? BW_OUTCOME_LOST
-                            : BW_OUTCOME_CRASHED;
-        task->reason = 0;
-    }
-}
-
-/* The worker has started again under its name.  Orders carry the name alone,
-   so each life may have carried out those that were sent around the restart,
-   and may yet carry out late ones.  The new life refuses these once it has had
-   a call with the new fence.  What it lists then is stopped; tasks that it
-   does not list are gone. */
-static void
-on_next_life(BwSupervisor *s, uint64_t now_us, const BwWorkerAnswer *answer)
-{
-    s->port->log_worker(s->ctx, "worker_restarted",
-                        HASH_COUNT(s->tasks_by_key) - s->queued_count,
-                        "another life answers under its name");
-    hold_tasks(s, now_us, answer);
-    strcpy(s->previous_instance, s->instance);
-    begin_life(s, answer->born_ms);
-    adopt_clock(s, now_us, answer->clock_ms);
-    s->heartbeat_sequence = 0;
-    s->is_worker_leaving = false;
-    s->is_recalled = false;
-    s->is_undescribed = true;
-    s->lease_end_us = 0;
-    clear_worker(s, now_us);
-    BwWorkerTasks_DeclineQueue(s, now_us, BW_DECLINE_LEAVING);
-    BwSupervisor_BroadcastState(s, now_us);
-}
-
-static void
-on_other_instance(BwSupervisor *s, uint64_t now_us,
-                  const BwWorkerAnswer *answer)
-{
-    if (answer->verdict == BW_WORKER_WRONG_INSTANCE)
-        on_other_name(s, now_us);
-    else
-        on_next_life(s, now_us, answer);
-}
-
-static void
-record_lost_answer(BwSupervisor *s, uint64_t now_us)
-{
-    s->counters.unanswered++;
-    s->lossy_until_us = now_us + LOSSY_US;
-}
-
-static BwWorkerTask *
-find_by_number(BwSupervisor *s, uint64_t number)
+void
+BwWorkerLink_StopListed(BwSupervisor *s, const BwListedTask *listed)
 {
-    BwWorkerTask *task;
+    BwTaskOrder order = {0};
 
-    HASH_FIND(by_number, s->tasks_by_number, &number, sizeof(number), task);
-    return task;
+    order.instance = BwSpan_FromString(s->instance);
+    order.job = listed->job;
+    order.step = listed->step;
+    order.index = listed->index;
+    order.run = listed->run;
+    order.fence = s->fence;
+    s->port->stop(s->ctx, ++s->next_number, &order);
 }
 
 /* Raises the run number of a task after the worker refused it as an old one.
@@ -515,7 +238,7 @@
     s->port->log(s->ctx, "unanswered", task, 1, "start");
     task->unanswered_us = now_us;
     if (s->polls_in_flight < URGENT_POLLS_MAX)
-        send_poll(s, now_us, 0);
+        BwWorkerLink_Poll(s, now_us, 0);
 }
 
 /* Applies what every answer to an order says of the worker.  Returns the task
@@ -529,8 +252,8 @@
         return NULL;
     record_reach(s, now_us, answer);
     record_clock(s, now_us, answer);
-    if (is_of_other(s, answer)) {
-        on_other_instance(s, now_us, answer);
+    if (BwWorkerLife_IsOther(s, answer)) {
+        BwWorkerLife_OnOther(s, now_us, answer);
         return NULL;
     }
     return find_by_number(s, number);
@@ -603,7 +326,7 @@
     }
     task->stopped_us = now_us;
     if (!task->is_confirmed && s->polls_in_flight < URGENT_POLLS_MAX)
-        send_poll(s, now_us, 0);
+        BwWorkerLink_Poll(s, now_us, 0);
 }
 
 /* -------------------------------------------------------------- polls */
@@ -631,7 +354,7 @@
         if (listed->number <= s->last_end)
             continue;
         s->last_end = listed->number;
-        task = find_listed(s, listed);
+        task = BwWorkerLink_FindListed(s, listed);
         if (task == NULL)
             continue;
         if (listed->end == BW_END_DONE) {
@@ -647,21 +370,6 @@
     }
 }
 
-/* Stops a task that the worker lists and that has no record here. */
-static void
-stop_unknown_task(BwSupervisor *s, const BwListedTask *listed)
-{
-    BwTaskOrder order = {0};
-
-    order.instance = BwSpan_FromString(s->instance);
-    order.job = listed->job;
-    order.step = listed->step;
-    order.index = listed->index;
-    order.run = listed->run;
-    order.fence = s->fence;
-    s->port->stop(s->ctx, ++s->next_number, &order);
-}
-
 /* Whether a poll sent at `sent_us` should have shown progress: half of the
    expected run time has passed without any, and STALL_FACTOR times as long as
    one percent has taken so far, and STALL_MIN_US. */
@@ -714,10 +422,10 @@
 {
     for (uint32_t i = 0; i < answer->running_count; i++) {
         const BwListedTask *listed = &answer->running[i];
-        BwWorkerTask *task = find_listed(s, listed);
+        BwWorkerTask *task = BwWorkerLink_FindListed(s, listed);
 
         if (task == NULL) {
-            stop_unknown_task(s, listed);
+            BwWorkerLink_StopListed(s, listed);
             continue;
         }
         if (listed->percent > task->percent)
@@ -769,77 +477,6 @@
     }
 }
 
-/* Ends the held tasks that the new life of the worker does not list.  One that
-   it has done is not run again.  A start that was on its way when the poll was
-   sent may meet a further life.  Returns whether none is left. */
-static bool
-settle_held_tasks(BwSupervisor *s, uint64_t now_us, uint64_t sent_us,
-                  const BwWorkerAnswer *answer)
-{
-    bool is_none_left = true;
-    BwWorkerTask *task, *next;
-
-    for (uint32_t i = 0; i < answer->ended_count; i++) {
-        task = find_listed(s, &answer->ended[i]);
-        if (task != NULL && answer->ended[i].end == BW_END_DONE)
-            BwWorkerTasks_Remove(s, now_us, task, BW_OUTCOME_DONE, 0);
-    }
-    for (uint32_t i = 0; i < answer->running_count; i++) {
-        task = find_listed(s, &answer->running[i]);
-        if (task != NULL)
-            task->listed_us = sent_us;
-    }
-    HASH_ITER(hh, s->tasks_by_key, task, next)
-    {
-        if (!BwWorkerTasks_IsOnWorker(task))
-            continue;
-        if (task->listed_us == sent_us || task->start_settled_us == 0 ||
-            task->start_settled_us > sent_us) {
-            is_none_left = false;
-            continue;
-        }
-        s->port->log(s->ctx, "lost", task, 1, "the worker has started again");
-        BwWorkerTasks_Remove(s, now_us, task, task->outcome, task->reason);
-    }
-    return is_none_left;
-}
-
-/* Stops what is listed and skips all ends, until both lists are empty.  A
-   worker that has not described itself yet is used from its heartbeat on. */
-static void
-continue_clearing(BwSupervisor *s, uint64_t now_us, uint64_t sent_us,
-                  const BwWorkerAnswer *answer)
-{
-    bool is_settled;
-
-    if (s->is_recalled) {
-        /* The fence of a recalled heartbeat is that of the supervisor before.
-           The worker's clock is above it. */
-        s->is_recalled = false;
-        if (answer->clock_ms > s->fence)
-            s->fence = answer->clock_ms;
-        send_poll(s, now_us, 0);
-        return;
-    }
-    is_settled = settle_held_tasks(s, now_us, sent_us, answer);
-    /* An order for the life before named the end of its lease on that one's
-       clock.  None passes the fence from now on. */
-    if (s->born_ms != 0)
-        BwWorkerTasks_ExtendLease(s, now_us, s->limits.lease_max_us);
-    for (uint32_t i = 0; i < answer->running_count; i++)
-        stop_unknown_task(s, &answer->running[i]);
-    for (uint32_t i = 0; i < answer->ended_count; i++) {
-        if (answer->ended[i].number > s->last_end)
-            s->last_end = answer->ended[i].number;
-    }
-    if (answer->running_count == 0 && answer->ended_count > 0)
-        send_poll(s, now_us, 0);
-    if (answer->running_count > 0 || answer->ended_count > 0 || !is_settled)
-        return;
-    s->phase = s->is_undescribed ? BW_WORKER_NONE : BW_WORKER_READY;
-    BwSupervisor_BroadcastState(s, now_us);
-}
-
 /* Returns when the answers of the polls in flight are overdue, 0 without any.
    One that was sent while the worker had no tasks waits longer than the
    others. */
@@ -860,7 +497,7 @@
 {
     if (s->phase == BW_WORKER_READY && s->polls_in_flight == 0 &&
         s->down_since_us == 0)
-        send_poll(s, now_us, 0);
+        BwWorkerLink_Poll(s, now_us, 0);
     else
         BwWorkerLink_Tick(s, now_us);
 }
@@ -883,8 +520,8 @@
     record_clock(s, now_us, answer);
     if (is_answered(answer) && answer->verdict != BW_WORKER_UNHEALTHY)
         s->answer_due_us = next_answer_due_us(s, now_us);
-    if (is_of_other(s, answer)) {
-        on_other_instance(s, now_us, answer);
+    if (BwWorkerLife_IsOther(s, answer)) {
+        BwWorkerLife_OnOther(s, now_us, answer);
         return;
     }
     if (!is_answered(answer)) {
@@ -894,7 +531,7 @@
     if (answer->verdict != BW_WORKER_OK)
         return;
     if (s->phase == BW_WORKER_CLEARING) {
-        continue_clearing(s, now_us, sent_us, answer);
+        BwWorkerLife_Clear(s, now_us, sent_us, answer);
         return;
     }
     process_running(s, now_us, sent_us, answer);
@@ -919,7 +556,7 @@
         if (age_us >= (s->down_since_us != 0 ? DOWN_POLL_INTERVAL_US
                                              : POLL_INTERVAL_US) &&
             (s->polls_in_flight == 0 || age_us > s->limits.answer_us))
-            send_poll(s, now_us, 0);
+            BwWorkerLink_Poll(s, now_us, 0);
         return;
     }
     if (!BwWorkerTasks_IsResponsive(s, now_us) || s->down_since_us != 0)
@@ -928,8 +565,9 @@
         if (age_us >= (s->down_since_us != 0 ? DOWN_POLL_INTERVAL_US
                                              : POLL_INTERVAL_US) ||
             (s->answer_due_us == 0 && s->down_since_us == 0))
-            send_poll(s, now_us, wait_us);
+            BwWorkerLink_Poll(s, now_us, wait_us);
     }
-    else if (!is_idle && s->polls_in_flight < POLLS_MAX && age_us > next_us)
-        send_poll(s, now_us, s->limits.poll_wait_us);
+    else if (!is_idle && s->polls_in_flight < BW_WORKER_POLLS_MAX &&
+             age_us > next_us)
+        BwWorkerLink_Poll(s, now_us, s->limits.poll_wait_us);
 }
--- a/packages/core/workertasks.h
+++ b/packages/core/workertasks.h
@@ -1,6 +1,7 @@
 /* workertasks.h -- tasks of one worker: queue, resources, outcomes, orders
 
-   Functions that supervisor.c, workertasks.c and workerlink.c share.  All of
+   Functions that supervisor.c, workertasks.c, workerlink.c and workerlife.c
+   share.  All of
    them work on the state in BwSupervisor.
 */
 
@@ -130,11 +131,6 @@
 BwWorkerTasks_DeclineQueue(BwSupervisor *supervisor, uint64_t now_us,
                            uint32_t reason);
 
-/* In workerlink.c: polls the worker when no poll is in flight, or when the
-   last one is overdue. */
-void
-BwWorkerLink_Tick(BwSupervisor *supervisor, uint64_t now_us);
-
 /* In supervisor.c: sends the state of the worker to all dispatchers. */
 void
 BwSupervisor_BroadcastState(BwSupervisor *supervisor, uint64_t now_us);
