Believe a heartbeat of another life once an answer has shown it

What callers saw: tasks declined, jobs refused with 503 while workers had room. A supervisor whose worker had no tasks took any heartbeat of another instance for its worker, told its dispatchers that the one before was gone, polled the new name, got 421 and waited for the next true heartbeat; and the store was told of the wrong one, which the next process recalled.

Change: a heartbeat of another life than the one in use is kept, and a poll asks who is at the address. If the known life answers, the heartbeat is ignored, logged once a name (heartbeat_ignored) and counted (brasswing_heartbeats_ignored_total); if another answers, the kept heartbeat describes it at once. Only heartbeats of the life in use are recorded on the store. A list that tells a start shows another life also when the heartbeat that is in use told none.

--- a/packages/core/crashreports.h
+++ b/packages/core/crashreports.h
@@ -9,7 +9,7 @@
    A report also says how many tasks of each route the worker usually has, so
    that all dispatchers compare by the same figures and decide alike.
 
-   supervisor.c and workerlink.c call these functions.
+   supervisor.c, workerlink.c and workerlife.c call these functions.
 */
 
 #ifndef BW_CRASHREPORTS_H
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -167,9 +167,20 @@
     uint64_t overtaken; /* starts of tasks that overtook one */
     uint64_t polls;
     uint64_t crashes;
+    uint64_t heartbeats_ignored; /* of lives that are not at the address */
     uint64_t downs; /* how often its address began to refuse connections */
 } BwSupervisorCounters;
 
+/* The last heartbeat of another life than the one in use, with its texts. */
+typedef struct BwAnnouncement {
+    uint64_t received_us; /* 0: none */
+    BwWorkerHeartbeat heartbeat;
+    char instance[BW_NAME_BYTES_MAX];
+    char service[BW_NAME_BYTES_MAX];
+    char domain[BW_NAME_BYTES_MAX];
+    char labels[BW_LABELS_MAX][BW_NAME_BYTES_MAX];
+} BwAnnouncement;
+
 typedef enum BwWorkerPhase {
     BW_WORKER_NONE, /* no heartbeat yet, or another worker answered */
     /* Tasks of an earlier supervisor, or of before the worker's restart, are
@@ -207,6 +218,9 @@
        yet. */
     bool is_recalled;
     uint64_t heartbeat_sequence;
+    BwAnnouncement announced;
+    /* The instance whose heartbeat was last found not to be the worker's. */
+    char ignored_instance[BW_NAME_BYTES_MAX];
     /* The worker has started again and has sent no heartbeat since. */
     bool is_undescribed;
 
@@ -257,12 +271,13 @@
 void
 BwSupervisor_Finish(BwSupervisor *supervisor);
 
-/* Processes a heartbeat of the worker, or its message that it ends.  A new
-   instance is accepted only when no task is left of the one before; until
-   then a poll finds out which one answers.  A recalled heartbeat is used only
-   before the first one of the worker, and only once the worker has answered
-   as that instance. */
-void
+/* Processes a heartbeat of the worker, or its message that it ends.  One of
+   another life than the one in use may be of another writer: that life is used
+   only when an answer has shown that the one in use is not at the address.  A
+   recalled heartbeat is used only before the first one of the worker, and only
+   once the worker has answered as that instance.  Returns whether it is of the
+   worker in use. */
+bool
 BwSupervisor_OnHeartbeat(BwSupervisor *supervisor, uint64_t now_us,
                          const BwWorkerHeartbeat *heartbeat);
 
--- a/packages/core/workerlife.c
+++ b/packages/core/workerlife.c
@@ -153,58 +153,78 @@
     BwWorkerLink_Poll(s, now_us, 0);
 }
 
-void
-BwSupervisor_OnHeartbeat(BwSupervisor *s, uint64_t now_us,
-                         const BwWorkerHeartbeat *heartbeat)
+/* ------------------------------------------------------- announcements */
+
+/* Copies the heartbeat, so that its life can be adopted once an answer has
+   shown that it is at the address. */
+static void
+keep_announcement(BwSupervisor *s, uint64_t now_us,
+                  const BwWorkerHeartbeat *heartbeat)
+{
+    BwAnnouncement *kept = &s->announced;
+    uint32_t count = heartbeat->label_count;
+
+    kept->heartbeat = *heartbeat;
+    kept->heartbeat.memory = NULL;
+    kept->received_us = now_us;
+    BwSpan_ToString(heartbeat->instance, kept->instance,
+                    sizeof(kept->instance));
+    BwSpan_ToString(heartbeat->service, kept->service, sizeof(kept->service));
+    BwSpan_ToString(heartbeat->domain, kept->domain, sizeof(kept->domain));
+    kept->heartbeat.instance = BwSpan_FromString(kept->instance);
+    kept->heartbeat.service = BwSpan_FromString(kept->service);
+    kept->heartbeat.domain = BwSpan_FromString(kept->domain);
+    for (uint32_t i = 0; i < count; i++) {
+        BwSpan_ToString(heartbeat->labels[i], kept->labels[i],
+                        BW_NAME_BYTES_MAX);
+        kept->heartbeat.labels[i] = BwSpan_FromString(kept->labels[i]);
+    }
+}
+
+/* The heartbeat is of another life than the one in use.  Another writer may
+   have sent it, so a poll has to show which one is at the address. */
+static void
+on_announced(BwSupervisor *s, uint64_t now_us,
+             const BwWorkerHeartbeat *heartbeat)
+{
+    keep_announcement(s, now_us, heartbeat);
+    if (s->polls_in_flight < BW_WORKER_POLLS_MAX)
+        BwWorkerLink_Poll(s, now_us, 0);
+}
+
+static void
+adopt_life(BwSupervisor *s, const BwWorkerHeartbeat *heartbeat)
+{
+    if (s->down_since_us != 0)
+        BwWorkerLife_RecordUp(s, "another instance has registered");
+    strcpy(s->previous_instance, s->instance);
+    BwSpan_ToString(heartbeat->instance, s->instance, sizeof(s->instance));
+    begin_life(s, heartbeat->born_ms);
+}
+
+/* Takes what the heartbeat says of the worker that is in use, or that is going
+   to be. */
+static void
+apply_heartbeat(BwSupervisor *s, uint64_t now_us, uint64_t received_us,
+                const BwWorkerHeartbeat *heartbeat)
 {
-    bool was_leaving = s->is_worker_leaving;
     bool is_same = is_of(heartbeat, s->instance, s->born_ms);
+    bool is_changed = !is_as_known(s, heartbeat);
+    bool was_leaving = s->is_worker_leaving;
 
-    if (heartbeat->is_recalled && s->phase != BW_WORKER_NONE)
-        return;
-    if (heartbeat->is_gone)
-        is_same = is_end_of_this(s, heartbeat);
-    else if (is_outdated(s, heartbeat))
-        return;
-    if (heartbeat->is_gone && !is_same)
-        return;
-    if (is_same && heartbeat->sequence < s->heartbeat_sequence &&
-        !heartbeat->is_gone)
-        return;
-    if (!is_same && HASH_COUNT(s->tasks_by_key) > 0) {
-        if (s->polls_in_flight < BW_WORKER_POLLS_MAX)
-            BwWorkerLink_Poll(s, now_us, 0);
-        return;
-    }
-    s->heartbeat_us = now_us;
+    s->heartbeat_us = received_us;
     s->heartbeat_sequence = heartbeat->sequence;
-    if (heartbeat->is_gone) {
-        s->is_worker_leaving = true;
-        /* Heartbeats sent before may arrive later and are ignored. */
-        s->heartbeat_sequence = UINT64_MAX;
-    }
-    else {
-        bool is_changed = !is_as_known(s, heartbeat);
-
-        s->is_worker_leaving = heartbeat->is_leaving;
-        adopt_description(s, heartbeat);
-        s->is_undescribed = false;
-        if (is_same && is_changed && s->phase == BW_WORKER_READY)
-            on_description_changed(s, now_us);
-        if (!is_same || s->phase == BW_WORKER_NONE) {
-            if (!is_same) {
-                if (s->down_since_us != 0)
-                    BwWorkerLife_RecordUp(s,
-                                          "another instance has registered");
-                strcpy(s->previous_instance, s->instance);
-                BwSpan_ToString(heartbeat->instance, s->instance,
-                                sizeof(s->instance));
-                begin_life(s, heartbeat->born_ms);
-            }
-            adopt_clock(s, now_us, heartbeat->clock_ms);
-            s->is_recalled = heartbeat->is_recalled;
-            clear_worker(s, now_us);
-        }
+    s->is_worker_leaving = heartbeat->is_leaving;
+    s->is_undescribed = false;
+    adopt_description(s, heartbeat);
+    if (is_same && is_changed && s->phase == BW_WORKER_READY)
+        on_description_changed(s, now_us);
+    if (!is_same || s->phase == BW_WORKER_NONE) {
+        if (!is_same)
+            adopt_life(s, heartbeat);
+        adopt_clock(s, received_us, heartbeat->clock_ms);
+        s->is_recalled = heartbeat->is_recalled;
+        clear_worker(s, now_us);
     }
     if (s->is_worker_leaving && !was_leaving)
         BwWorkerTasks_DeclineQueue(s, now_us, BW_DECLINE_LEAVING);
@@ -212,12 +232,95 @@
         BwSupervisor_BroadcastState(s, now_us);
 }
 
+/* The instance that was in use is not at the address.  Adopts the one that was
+   announced, if it has another name. */
+static void
+adopt_announced(BwSupervisor *s, uint64_t now_us)
+{
+    BwAnnouncement *kept = &s->announced;
+    uint64_t received_us = kept->received_us;
+
+    kept->received_us = 0;
+    if (received_us != 0 && strcmp(kept->instance, s->instance) != 0)
+        apply_heartbeat(s, now_us, received_us, &kept->heartbeat);
+}
+
+/* Takes the description of the life that has begun, if it was announced. */
+static void
+describe_life(BwSupervisor *s, uint64_t now_us)
+{
+    BwAnnouncement *kept = &s->announced;
+    uint64_t received_us = kept->received_us;
+
+    kept->received_us = 0;
+    if (received_us != 0 && is_of(&kept->heartbeat, s->instance, s->born_ms))
+        apply_heartbeat(s, now_us, received_us, &kept->heartbeat);
+}
+
+void
+BwWorkerLife_OnKnown(BwSupervisor *s, uint64_t sent_us)
+{
+    BwAnnouncement *kept = &s->announced;
+
+    if (kept->received_us == 0 || sent_us < kept->received_us)
+        return;
+    kept->received_us = 0;
+    s->counters.heartbeats_ignored++;
+    if (strcmp(kept->instance, s->ignored_instance) == 0)
+        return;
+    strcpy(s->ignored_instance, kept->instance);
+    s->port->log_worker(s->ctx, "heartbeat_ignored",
+                        HASH_COUNT(s->tasks_by_key) - s->queued_count,
+                        "it names another life, and the one in use answers");
+}
+
+/* The worker ends now.  Heartbeats sent before may arrive later and are
+   ignored. */
+static void
+on_gone(BwSupervisor *s, uint64_t now_us)
+{
+    bool was_leaving = s->is_worker_leaving;
+
+    s->heartbeat_us = now_us;
+    s->heartbeat_sequence = UINT64_MAX;
+    s->is_worker_leaving = true;
+    if (!was_leaving)
+        BwWorkerTasks_DeclineQueue(s, now_us, BW_DECLINE_LEAVING);
+    if (s->was_usable != BwWorkerTasks_IsUsable(s, now_us))
+        BwSupervisor_BroadcastState(s, now_us);
+}
+
+bool
+BwSupervisor_OnHeartbeat(BwSupervisor *s, uint64_t now_us,
+                         const BwWorkerHeartbeat *heartbeat)
+{
+    bool is_same = is_of(heartbeat, s->instance, s->born_ms);
+
+    if (heartbeat->is_gone) {
+        is_same = is_end_of_this(s, heartbeat);
+        if (is_same)
+            on_gone(s, now_us);
+        return is_same;
+    }
+    if ((heartbeat->is_recalled && s->phase != BW_WORKER_NONE) ||
+        is_outdated(s, heartbeat) ||
+        (is_same && heartbeat->sequence < s->heartbeat_sequence))
+        return false;
+    if (!is_same && s->phase != BW_WORKER_NONE) {
+        on_announced(s, now_us, heartbeat);
+        return false;
+    }
+    apply_heartbeat(s, now_us, now_us, heartbeat);
+    return true;
+}
+
+/* ------------------------------------------------------------- answers */
+
 bool
 BwWorkerLife_IsOther(const BwSupervisor *s, const BwWorkerAnswer *answer)
 {
     return answer->verdict == BW_WORKER_WRONG_INSTANCE ||
-           (answer->born_ms != 0 && s->born_ms != 0 &&
-            answer->born_ms != s->born_ms);
+           (answer->born_ms != 0 && answer->born_ms != s->born_ms);
 }
 
 /* The worker at the address has another name; the next heartbeat names the
@@ -304,10 +407,14 @@
 BwWorkerLife_OnOther(BwSupervisor *s, uint64_t now_us,
                      const BwWorkerAnswer *answer)
 {
-    if (answer->verdict == BW_WORKER_WRONG_INSTANCE)
+    if (answer->verdict == BW_WORKER_WRONG_INSTANCE) {
         on_other_name(s, now_us);
-    else
+        adopt_announced(s, now_us);
+    }
+    else {
         on_next_life(s, now_us, answer);
+        describe_life(s, now_us);
+    }
 }
 
 /* Ends the held tasks that the new life of the worker does not list.  One that
--- a/packages/core/workerlife.h
+++ b/packages/core/workerlife.h
@@ -13,6 +13,11 @@
 BwWorkerLife_IsOther(const BwSupervisor *supervisor,
                      const BwWorkerAnswer *answer);
 
+/* The known worker answered a poll that was sent at `sent_us`: a heartbeat of
+   another life that came before is not of the worker at the address. */
+void
+BwWorkerLife_OnKnown(BwSupervisor *supervisor, uint64_t sent_us);
+
 /* Another worker than the known one has answered, or another life of it. */
 void
 BwWorkerLife_OnOther(BwSupervisor *supervisor, uint64_t now_us,
--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -530,6 +530,7 @@
     }
     if (answer->verdict != BW_WORKER_OK)
         return;
+    BwWorkerLife_OnKnown(s, sent_us);
     if (s->phase == BW_WORKER_CLEARING) {
         BwWorkerLife_Clear(s, now_us, sent_us, answer);
         return;
--- a/packages/core/workertasks.c
+++ b/packages/core/workertasks.c
@@ -15,7 +15,7 @@
    answer to a dispatcher, is a walk over all tasks, since it includes their
    progress.
 
-   supervisor.c and workerlink.c call these functions.
+   supervisor.c, workerlink.c and workerlife.c call these functions.
 */
 
 #include <stdlib.h>
--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -221,9 +221,9 @@
         BwDaemon_ReplyError(exchange, BW_ERR_BAD_REQUEST, fault);
         return;
     }
-    BwSupervisor_OnHeartbeat(&role->supervisor, BwClock_Now(), &heartbeat);
-    BwWorkerRecord_OnHeartbeat(&role->record, exchange->path, exchange->body,
-                               &heartbeat);
+    if (BwSupervisor_OnHeartbeat(&role->supervisor, BwClock_Now(), &heartbeat))
+        BwWorkerRecord_OnHeartbeat(&role->record, exchange->path,
+                                   exchange->body, &heartbeat);
     driver->release(heartbeat.memory);
     BwExchange_Reply(exchange, 200, "application/json",
                      BwSpan_FromString("{}"), 0);
@@ -403,6 +403,9 @@
     ADD("brasswing_worker_down_total",
         "Times that the worker's address began to refuse connections",
         c->downs);
+    ADD("brasswing_heartbeats_ignored_total",
+        "Heartbeats of lives that are not at the worker's address",
+        c->heartbeats_ignored);
     ADD("brasswing_reserved_total", "Queued tasks that got a reservation",
         c->reserved);
     ADD("brasswing_overtaken_total",
