Free the heartbeats that a supervisor refuses

What callers saw: their tasks lost with a supervisor that its host ended. A heartbeat with a missing field, as another writer may send it, was answered 400 and kept in memory for good; likewise a kept record of the worker that can't be used.

Cause: the driver's readers leave what they have allocated to the caller also when they refuse the text; two of their five callers returned without freeing it. The header said so only for accepted texts.

Change: both free it, and driver.h says it. Refused heartbeats are logged when their fault changes (heartbeat_refused) and counted (brasswing_heartbeats_refused_total).

The callers of the readers of requests, routes and pages were looked at: they free.

--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -46,6 +46,8 @@
     BwKeptRecord dispatchers; /* their addresses; only read */
     uint64_t started_us;
     uint64_t slowest_us; /* decaying maximum of order answer times */
+    uint64_t heartbeats_refused;
+    const char *refused_fault; /* of the last one that was logged */
 } Role;
 
 typedef void (*AnswerHandler)(BwSupervisor *supervisor, uint64_t now_us,
@@ -200,6 +202,19 @@
 
 /* --------------------------------------------------------- heartbeats */
 
+/* A writer that sends odd heartbeats sends many: only a change of the fault is
+   logged. */
+static void
+refuse_heartbeat(Role *role, BwExchange *exchange, const char *fault)
+{
+    role->heartbeats_refused++;
+    if (role->refused_fault == NULL || strcmp(fault, role->refused_fault) != 0)
+        BW_LOG(&role->node->logger, BW_LOG_INFO, "heartbeat_refused",
+               BW_LOG_TEXT("reason", fault));
+    role->refused_fault = fault;
+    BwDaemon_ReplyError(exchange, BW_ERR_BAD_REQUEST, fault);
+}
+
 static void
 on_request(void *ctx, BwExchange *exchange)
 {
@@ -218,7 +233,8 @@
     }
     if (!driver->read_heartbeat(exchange->path, exchange->body, &heartbeat,
                                 &fault)) {
-        BwDaemon_ReplyError(exchange, BW_ERR_BAD_REQUEST, fault);
+        refuse_heartbeat(role, exchange, fault);
+        driver->release(heartbeat.memory);
         return;
     }
     if (BwSupervisor_OnHeartbeat(&role->supervisor, BwClock_Now(), &heartbeat))
@@ -406,6 +422,9 @@
     ADD("brasswing_heartbeats_ignored_total",
         "Heartbeats of lives that are not at the worker's address",
         c->heartbeats_ignored);
+    ADD("brasswing_heartbeats_refused_total",
+        "Heartbeats that could not be read or name no worker",
+        role->heartbeats_refused);
     ADD("brasswing_reserved_total", "Queued tasks that got a reservation",
         c->reserved);
     ADD("brasswing_overtaken_total",
--- a/packages/daemon/workerrecord.c
+++ b/packages/daemon/workerrecord.c
@@ -61,8 +61,10 @@
     path.size_bytes = (uint32_t)(end - text.base);
     body.base = end + 1;
     body.size_bytes = text.size_bytes - path.size_bytes - 1;
-    if (!driver->read_heartbeat(path, body, &heartbeat, &fault))
+    if (!driver->read_heartbeat(path, body, &heartbeat, &fault)) {
+        driver->release(heartbeat.memory);
         return;
+    }
     heartbeat.is_recalled = true;
     record->digest = digest_heartbeat(&heartbeat);
     record->on_recalled(record->ctx, &heartbeat);
--- a/packages/emulator/wording.c
+++ b/packages/emulator/wording.c
@@ -3,6 +3,7 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "wording.h"
 
@@ -21,6 +22,25 @@
     return text;
 }
 
+char *
+BwWording_InvalidHeartbeat(uint32_t numbers)
+{
+    static const char begin[] = "{\"service\":\"s\",\"odd\":[0";
+    size_t size = sizeof(begin) + 2 * (size_t)numbers + 2;
+    char *text = malloc(size);
+    char *at = text;
+
+    if (text == NULL)
+        return NULL;
+    at += sprintf(at, "%s", begin);
+    for (uint32_t i = 0; i < numbers; i++) {
+        *at++ = ',';
+        *at++ = '1';
+    }
+    strcpy(at, "]}");
+    return text;
+}
+
 const char *const *
 BwWording_InvalidJobs(void)
 {
--- a/packages/emulator/wording.h
+++ b/packages/emulator/wording.h
@@ -24,6 +24,13 @@
 /* A job that isn't bound: it would outlive its connection. */
 #define BW_WORDING_UNBOUND_JOB "{\"spec\":\"\",\"steps\":[{\"count\":1}]}"
 
+/* The path of a heartbeat of a worker that is not there. */
+#define BW_WORDING_STRANGER_PATH "/api/Instances.Heartbeat/stranger"
+
+/* Returns a heartbeat that lacks a field and has `numbers` numbers besides. */
+char *
+BwWording_InvalidHeartbeat(uint32_t numbers);
+
 /* Returns bodies that are not a valid job, ended by NULL. */
 const char *const *
 BwWording_InvalidJobs(void);
--- a/packages/ports/driver.h
+++ b/packages/ports/driver.h
@@ -5,8 +5,8 @@
    connections, sets the deadlines and repeats calls.
 
    Readers fill structs whose spans point into `memory`, which the caller frees
-   with driver->release.  They return false when the text is malformed, with
-   *fault naming the part.
+   with driver->release, also when they return false.  That is when the text is
+   malformed; *fault names the part.
 
    The roles of the daemon call the driver.
 */
--- a/tests/test_bound.c
+++ b/tests/test_bound.c
@@ -10,6 +10,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "boundfleet.h"
 #include "clock.h"
@@ -18,7 +19,11 @@
 #define WAIT_US 30000000
 #define LONG_TARGET_MS 20000
 #define CALLS 24
-#define CLOSED_PORT 1 /* nobody listens there */
+/* Heartbeats of 1 MB, whose numbers take 16 MB when they are read. */
+#define ODD_NUMBERS 500000
+#define ODD_HEARTBEATS 12
+#define ODD_GROWTH_MAX_KB 32768 /* what a host gives a process */
+#define CLOSED_PORT 1           /* nobody listens there */
 
 static BoundFleet fleet;
 static bool is_up;
@@ -1008,6 +1013,48 @@
     g_assert_cmpuint(after.starts, ==, before.starts);
 }
 
+static uint64_t
+resident_kb(int pid)
+{
+    char *path = g_strdup_printf("/proc/%d/statm", pid);
+    char *text = NULL;
+    uint64_t pages;
+
+    g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+    pages = g_ascii_strtoull(strchr(text, ' '), NULL, 10);
+    g_free(text);
+    g_free(path);
+    return pages * (uint64_t)sysconf(_SC_PAGESIZE) / 1024;
+}
+
+/* Another writer's heartbeats were kept in memory, each with all its numbers,
+   so that its host ended the supervisor sooner or later. */
+static void
+test_odd_heartbeats(void)
+{
+    char *body = BwWording_InvalidHeartbeat(ODD_NUMBERS);
+    uint64_t before_kb = 0;
+
+    set_up();
+    for (uint32_t i = 0; i <= ODD_HEARTBEATS; i++) {
+        BoundCall call;
+
+        BoundCall_Run(&call, fleet.supervisor_ports[0], "POST",
+                      BW_WORDING_STRANGER_PATH, "", body);
+        g_assert_cmpuint(call.status, ==, 400);
+        BoundCall_Clear(&call);
+        /* The first one may have made the process larger for good. */
+        if (i == 0)
+            before_kb = resident_kb(fleet.supervisors[0].pid);
+    }
+    g_assert_cmpuint(resident_kb(fleet.supervisors[0].pid), <,
+                     before_kb + ODD_GROWTH_MAX_KB);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    complete_job(0, 12);
+    check_invariants();
+    free(body);
+}
+
 /* A worker keeps orders without an answer, as the control text says, and
    executes them after the job has ended. */
 static void
@@ -1308,6 +1355,7 @@
         {"/bound/settings_changed", test_settings_changed},
         {"/bound/refused", test_refused},
         {"/bound/bad_requests", test_bad_requests},
+        {"/bound/odd_heartbeats", test_odd_heartbeats},
         {"/bound/late_orders", test_late_orders},
         {"/bound/late_orders_and_stops", test_late_orders_and_stops},
         {"/bound/late_orders_meanwhile", test_late_orders_meanwhile},
