Refuse heartbeats with values that no worker has

What callers saw: jobs refused with 503. Heartbeats of other writers with a port out of range, a capacity of 1e308, labels of 100 kB, or a start, sequence or clock of 2^63 - 1 were answered 200 and taken for the worker's; a sequence of that size made the supervisor ignore the true heartbeats after it, among them that the worker leaves.

--- a/tests/test_driver.c
+++ b/tests/test_driver.c
@@ -440,7 +440,18 @@
     return is_valid;
 }
 
-/* Other writers leave fields out, or give them another type. */
+static json_t *
+make_long_text(size_t length)
+{
+    char *text = g_strnfill(length, 'x');
+    json_t *value = json_string(text);
+
+    g_free(text);
+    return value;
+}
+
+/* Other writers leave fields out, or give them another type or a value that
+   no worker has.  Such a heartbeat was taken for the worker's. */
 static void
 test_beat_of_other_writer(void)
 {
@@ -451,14 +462,37 @@
         const char *field;
         json_t *value;
     } wrong[] = {
-        {"service", json_integer(5)},   {"service", json_string("")},
-        {"zone", json_null()},          {"state", json_string("resting")},
-        {"state", json_true()},         {"sequence", json_string("9")},
-        {"sequence", json_integer(-1)}, {"clockMs", json_array()},
-        {"born", json_real(1.5)},       {"born", json_string("1700000000123")},
-        {"born", json_integer(0)},      {"born", json_null()},
-        {"labels", json_integer(5)},    {"capacity", json_array()},
+        {"service", json_integer(5)},
+        {"service", json_string("")},
+        {"zone", json_null()},
+        {"state", json_string("resting")},
+        {"state", json_true()},
+        {"sequence", json_string("9")},
+        {"sequence", json_integer(-1)},
+        {"clockMs", json_array()},
+        {"born", json_real(1.5)},
+        {"born", json_string("1700000000123")},
+        {"born", json_integer(0)},
+        {"born", json_null()},
+        {"labels", json_integer(5)},
+        {"capacity", json_array()},
         {"capacity", json_object()},
+        {"sequence", json_integer(INT64_MAX)},
+        {"clockMs", json_integer(INT64_MAX)},
+        {"clockMs", json_real(1e300)},
+        {"born", json_integer(INT64_MAX)},
+        {"capacity", json_pack("{s:f, s:i}", "cpu", 1e308, "memMb", 8192)},
+        {"capacity",
+         json_pack("{s:i, s:i, s:f}", "cpu", 1, "memMb", 1, "gpu", 1e308)},
+        {"capacity", json_pack("{s:i, s:i}", "cpu", 1, "memMb", -1)},
+        {"service", make_long_text(BW_NAME_BYTES_MAX)},
+        {"zone", make_long_text(BW_NAME_BYTES_MAX)},
+        {"labels", json_pack("[o]", make_long_text(100000))},
+        {"address", json_string("10.0.0.1:99999")},
+        {"address", json_string("10.0.0.1:0")},
+        {"address", json_string("10.0.0.1:-1")},
+        {"address", json_string("10.0.0.1")},
+        {"address", json_integer(5)},
     };
     json_t *document = make_heartbeat();
 
@@ -480,6 +514,67 @@
     }
 }
 
+/* Its name cannot be put into an order's header. */
+static void
+test_beat_name_refused(void)
+{
+    static const char *const names[] = {"w 17", "w\x01", "w\xc3\xa4",
+                                        "w\r\nx"};
+    json_t *document = make_heartbeat();
+    char *text = json_dumps(document, JSON_COMPACT);
+    char *name = g_strnfill(BW_NAME_BYTES_MAX, 'w');
+    char *path = g_strconcat("/api/Instances.Heartbeat/", name, NULL);
+    BwWorkerHeartbeat heartbeat;
+
+    g_assert_false(read_heartbeat(path, text, &heartbeat));
+    g_free(path);
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        path = g_strconcat("/api/Instances.Heartbeat/", names[i], NULL);
+        g_assert_false(read_heartbeat(path, text, &heartbeat));
+        g_free(path);
+    }
+    json_decref(document);
+    g_free(name);
+    free(text);
+}
+
+/* Texts that are nested deeply or have numbers that no type holds, in
+   everything that is read from outside. */
+static void
+test_odd_texts(void)
+{
+    GString *nested = g_string_new(NULL);
+    const char *texts[] = {NULL,
+                           "{\"items\":[{\"key\":\"k\",\"value\":\"eA==\","
+                           "\"offset\":18446744073709551616}]}",
+                           "{\"running\":[],\"ended\":[],\"clockMs\":1e999}",
+                           "{\"clockMs\":18446744073709551616}",
+                           "{\"version\":1e999,\"routes\":[]}"};
+
+    for (uint32_t i = 0; i < 200000; i++)
+        g_string_append(nested, i % 2 == 0 ? "{\"a\":" : "[");
+    texts[0] = nested->str;
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        BwSpan text = copy_exact_size(texts[i], strlen(texts[i]));
+        const char *fault = NULL;
+        BwWorkerHeartbeat heartbeat;
+        BwWorkerAnswer answer;
+        BwStorePage page;
+        BwRouteRows rows;
+        BwBoundRequest request;
+
+        g_assert_false(read_heartbeat("/api/Instances.Heartbeat/w17", texts[i],
+                                      &heartbeat));
+        driver->read_answer(200, text, &answer);
+        g_assert_cmpint(answer.verdict, ==, BW_WORKER_NO_ANSWER);
+        g_assert_false(driver->read_newest(text, &page));
+        g_assert_false(driver->read_routes(text, &rows, &fault));
+        g_assert_false(driver->read_request(text, &request, &fault));
+        free_copy(text);
+    }
+    g_string_free(nested, TRUE);
+}
+
 static void
 test_beat_labels(void)
 {
@@ -1302,6 +1397,8 @@
     ADD(beat);
     ADD(beat_refused);
     ADD(beat_of_other_writer);
+    ADD(beat_name_refused);
+    ADD(odd_texts);
     ADD(beat_labels);
     ADD(calls);
     ADD(calls_too_long);
