Tests: odd records of another writer in all topics

Nested 70,000 deep, numbers that no type holds, ports out of range, bytes that are no record, under the keys of other processes and of their own: real dispatchers and supervisors go on, start with them and serve.

--- a/packages/emulator/store.c
+++ b/packages/emulator/store.c
@@ -47,6 +47,7 @@
 #define PAGE_RECORDS_MAX 500
 /* The topic and key from which dispatchers read the configuration. */
 #define CONFIG_TOPIC "keyed.op"
+#define ODD_VALUE_BYTES 70000
 #define CONFIG_KEY "config"
 #define EVACUATION_PREFIX "evacuate/"
 
@@ -470,16 +471,16 @@
         door->delay_us = (uint64_t)json_integer_value(delay) * 1000;
 }
 
-/* Writes a record of the operators; an empty value deletes the key. */
+/* Appends a keyed record; an empty value deletes the key. */
 static void
-write_record(const char *key, const char *value)
+write_record(const char *topic, const char *key, const char *value)
 {
     size_t capacity = strlen(key) + strlen(value) + 2;
     char *bytes = malloc(capacity);
 
     bytes[0] = (char)strlen(key);
     snprintf(bytes + 1, capacity - 1, "%s%s", key, value);
-    append_record(find_or_add_topic(CONFIG_TOPIC), bytes,
+    append_record(find_or_add_topic(topic), bytes,
                   1 + (uint32_t)strlen(bytes + 1));
     free(bytes);
 }
@@ -489,7 +490,7 @@
 {
     char *text = json_dumps(config, JSON_COMPACT);
 
-    write_record(CONFIG_KEY, text);
+    write_record(CONFIG_TOPIC, CONFIG_KEY, text);
     free(text);
 }
 
@@ -499,7 +500,44 @@
     char key[256];
 
     snprintf(key, sizeof(key), "%s%.200s", EVACUATION_PREFIX, domain);
-    write_record(key, is_asked ? "{}" : "");
+    write_record(CONFIG_TOPIC, key, is_asked ? "{}" : "");
+}
+
+/* Appends what another writer may leave under the key: texts that are nested
+   deeply, numbers too large, ports out of range, long texts, bytes that are no
+   record. */
+static void
+write_odd_records(const char *key)
+{
+    static const char *const topics[] = {"keyed.members", "keyed.workers",
+                                         "keyed.routes"};
+    static const char *const values[] = {
+        "10.0.0.1:99999",
+        "10.0.0.1:0",
+        "10.0.0.1:-1",
+        "{\"checks\":[1e999,18446744073709551616]}",
+        "{\"checks\":[9223372036854775807,-1]}",
+        "/api/Instances.Heartbeat/stranger\n{\"service\":\"s\",\"zone\":\"z\","
+        "\"state\":\"ready\",\"sequence\":9223372036854775807,"
+        "\"clockMs\":9223372036854775807,\"labels\":[],"
+        "\"capacity\":{\"cpu\":1e308,\"memMb\":1}}",
+        "/api/Instances.Heartbeat/stranger\n{\"service\":\"s\",\"zone\":\"z\","
+        "\"state\":\"ready\",\"sequence\":9007199254740991,"
+        "\"clockMs\":9007199254740991,\"labels\":[],"
+        "\"capacity\":{\"cpu\":1,\"memMb\":1}}",
+    };
+    char *nested = malloc(ODD_VALUE_BYTES + 1);
+
+    memset(nested, '[', ODD_VALUE_BYTES);
+    nested[ODD_VALUE_BYTES] = '\0';
+    for (size_t i = 0; i < sizeof(topics) / sizeof(topics[0]); i++) {
+        append_record(find_or_add_topic(topics[i]), "", 0);
+        append_record(find_or_add_topic(topics[i]), "\xff", 1);
+        write_record(topics[i], key, nested);
+        for (size_t j = 0; j < sizeof(values) / sizeof(values[0]); j++)
+            write_record(topics[i], key, values[j]);
+    }
+    free(nested);
 }
 
 static void
@@ -511,6 +549,7 @@
     const json_t *config = json_object_get(root, "config");
     const char *evacuated =
         json_string_value(json_object_get(root, "evacuate"));
+    const char *odd_key = json_string_value(json_object_get(root, "odd"));
     const char *taken_back =
         json_string_value(json_object_get(root, "take_back"));
 
@@ -524,6 +563,8 @@
         write_evacuation(evacuated, true);
     if (taken_back != NULL)
         write_evacuation(taken_back, false);
+    if (odd_key != NULL)
+        write_odd_records(odd_key);
     if (json_is_true(json_object_get(root, "forget"))) {
         for (uint32_t i = 0; i < store.topic_count; i++)
             store.topics[i].first_offset = store.topics[i].end_offset;
--- a/tests/boundfleet.c
+++ b/tests/boundfleet.c
@@ -248,6 +248,15 @@
     g_free(text);
 }
 
+void
+BoundFleet_WriteOddRecords(BoundFleet *fleet, const char *key)
+{
+    char *text = g_strdup_printf("{\"odd\":\"%s\"}", key);
+
+    control(fleet->door_ports[0], text);
+    g_free(text);
+}
+
 void
 BoundFleet_SetDoor(BoundFleet *fleet, int door, const char *mode)
 {
--- a/tests/boundfleet.h
+++ b/tests/boundfleet.h
@@ -71,6 +71,11 @@
 void
 BoundFleet_Evacuate(BoundFleet *fleet, const char *domain, bool is_asked);
 
+/* Leaves odd records of another writer under the key in all topics of the
+   dispatchers and supervisors. */
+void
+BoundFleet_WriteOddRecords(BoundFleet *fleet, const char *key);
+
 /* Sets the fault mode of a door, or of all doors with -1. */
 void
 BoundFleet_SetDoor(BoundFleet *fleet, int door, const char *mode);
--- a/tests/test_bound.c
+++ b/tests/test_bound.c
@@ -1055,6 +1055,29 @@
     free(body);
 }
 
+/* Odd records of another writer, also under the keys of a supervisor and a
+   dispatcher, must not end or stop a process that reads them at its start or
+   while it runs. */
+static void
+test_odd_records(void)
+{
+    static const char *const keys[] = {"stranger", "supervisor-0",
+                                       "supervisor-1", "dispatcher-0"};
+
+    set_up();
+    for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
+        BoundFleet_WriteOddRecords(&fleet, keys[i]);
+    complete_job(0, 12);
+    restart_supervisors();
+    Fleet_Signal(&fleet.dispatchers[0], SIGKILL);
+    BoundFleet_StartDispatcher(&fleet, 0);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    BoundFleet_WaitRevision(&fleet, 0, revision);
+    complete_job(0, 12);
+    complete_job(1, 12);
+    check_invariants();
+}
+
 /* A worker keeps orders without an answer, as the control text says, and
    executes them after the job has ended. */
 static void
@@ -1356,6 +1379,7 @@
         {"/bound/refused", test_refused},
         {"/bound/bad_requests", test_bad_requests},
         {"/bound/odd_heartbeats", test_odd_heartbeats},
+        {"/bound/odd_records", test_odd_records},
         {"/bound/late_orders", test_late_orders},
         {"/bound/late_orders_and_stops", test_late_orders_and_stops},
         {"/bound/late_orders_meanwhile", test_late_orders_meanwhile},
