Believe the worker's heartbeats over the sequence of a recalled one

What callers saw: nothing yet; tasks on a worker that is leaving. The sequence of a record on the store became the least that a heartbeat needs, so after a record of another writer, or of an earlier life under the same name, a supervisor that had just started ignored the worker's own, among them that it leaves.

/heartbeats/recalled-sequence failed before. A recalled heartbeat sets no least sequence now.

--- a/packages/core/workerlife.c
+++ b/packages/core/workerlife.c
@@ -213,7 +213,8 @@
     bool was_leaving = s->is_worker_leaving;
 
     s->heartbeat_us = received_us;
-    s->heartbeat_sequence = heartbeat->sequence;
+    /* A record may be of another writer, or of another life. */
+    s->heartbeat_sequence = heartbeat->is_recalled ? 0 : heartbeat->sequence;
     s->is_worker_leaving = heartbeat->is_leaving;
     s->is_undescribed = false;
     adopt_description(s, heartbeat);
--- a/tests/test_heartbeats.c
+++ b/tests/test_heartbeats.c
@@ -128,6 +128,29 @@
     World_Finish(&w);
 }
 
+/* A record on the store was another writer's, or of a life whose numbers were
+   higher: the worker's own heartbeats were ignored as older, also that it
+   leaves. */
+static void
+test_recalled_sequence(void)
+{
+    World w;
+    Heartbeat recalled, own;
+
+    open_world(&w);
+    World_RestartSupervisor(&w);
+    World_OpenPeer(&w);
+    recalled = World_MakeHeartbeat(&w);
+    recalled.is_recalled = true;
+    recalled.sequence = 1ull << 52;
+    World_DeliverHeartbeat(&w, &recalled);
+    w.worker.is_leaving = true;
+    own = World_MakeHeartbeat(&w);
+    World_DeliverHeartbeat(&w, &own);
+    g_assert_true(w.supervisor.is_worker_leaving);
+    World_Finish(&w);
+}
+
 /* A heartbeat of another instance, or of another life of the known one. */
 static Heartbeat
 make_random_strange(World *w)
@@ -209,6 +232,7 @@
     g_test_add_func("/heartbeats/strange-start",
                     test_strange_start_is_ignored);
     g_test_add_func("/heartbeats/stranger-first", test_stranger_comes_first);
+    g_test_add_func("/heartbeats/recalled-sequence", test_recalled_sequence);
     g_test_add_func("/heartbeats/random-strangers", test_random_strangers);
     return g_test_run();
 }
