Look a job up by its queue and name for GET and DELETE

Cause: both calls looked the job up by its name alone. Change: the job's route must be the request's. Names stay unique among the jobs of a dispatcher, whatever their queue, since workers know a task by the name alone: a second job under a name in use is refused as before.

/bound/other_queue failed before (GET 200).

--- a/packages/core/dispatcher.h
+++ b/packages/core/dispatcher.h
@@ -301,7 +301,8 @@
 void
 BwDispatcher_Withdraw(BwDispatcher *dispatcher, uint64_t now_us, uint64_t ref);
 
-/* Returns the job of that name, or NULL. */
+/* Returns the job of that name, whatever its route, or NULL.  Workers know
+   tasks by the name alone, so it is used by one job at a time. */
 BwBoundJob *
 BwDispatcher_FindName(BwDispatcher *dispatcher, BwSpan name);
 
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -258,6 +258,15 @@
     driver->release(request.memory);
 }
 
+/* Returns the job of that name that came by the route, or NULL. */
+static BwBoundJob *
+find_job(Role *role, const BwRoute *route, BwSpan name)
+{
+    BwBoundJob *job = BwDispatcher_FindName(&role->dispatcher, name);
+
+    return job != NULL && strcmp(job->route, route->name) == 0 ? job : NULL;
+}
+
 static void
 serve_get(Role *role, BwExchange *exchange, const BwRoute *route, BwSpan name)
 {
@@ -273,7 +282,7 @@
                    driver->write_waiting(count, text, sizeof(text)));
         return;
     }
-    job = BwDispatcher_FindName(&role->dispatcher, name);
+    job = find_job(role, route, name);
     if (job == NULL)
         reply_unknown_job(exchange);
     else
@@ -283,9 +292,10 @@
 }
 
 static void
-serve_delete(Role *role, BwExchange *exchange, BwSpan name)
+serve_delete(Role *role, BwExchange *exchange, const BwRoute *route,
+             BwSpan name)
 {
-    BwBoundJob *job = BwDispatcher_FindName(&role->dispatcher, name);
+    BwBoundJob *job = find_job(role, route, name);
     PendingRequest *pending;
 
     if (job == NULL) {
@@ -334,7 +344,7 @@
     else if (is_method(exchange, "GET"))
         serve_get(role, exchange, route, name);
     else if (is_method(exchange, "DELETE") && name.size_bytes > 0)
-        serve_delete(role, exchange, name);
+        serve_delete(role, exchange, route, name);
     else
         BwDaemon_ReplyError(
             exchange, BW_ERR_NO_SUCH_PATH,
--- a/tests/test_bound.c
+++ b/tests/test_bound.c
@@ -733,6 +733,27 @@
     check_invariants();
 }
 
+/* Callers of another queue were shown the job under its ID, and their DELETE
+   cancelled it. */
+static void
+test_other_queue(void)
+{
+    char *path;
+    BoundCall call;
+    Job job;
+
+    set_up();
+    start_paused(&call, 1, &job, 8);
+    path = g_strdup_printf("/tight/%s", job.name);
+    expect_status(1, "GET", path, 410);
+    expect_status(1, "DELETE", path, 410);
+    expect_status(1, "GET", job.path, 200);
+    resume_workers();
+    expect_completed(&call);
+    g_free(path);
+    check_invariants();
+}
+
 static void
 test_deadline(void)
 {
@@ -1368,6 +1389,7 @@
         {"/bound/same_connection", test_same_connection},
         {"/bound/twin", test_twin},
         {"/bound/cancelled", test_cancelled},
+        {"/bound/other_queue", test_other_queue},
         {"/bound/deadline", test_deadline},
         {"/bound/deadline_too_far", test_deadline_too_far},
         {"/bound/dispatcher_stopped", test_dispatcher_stopped},
