Cancel a job wherever it runs, and keep it cancelled

Cause: what is known of a job lived in the table of one dispatcher and ended with the job.

Change: a dispatcher asks the others about a DELETE of a job that it does not know, within a budget, and tells the supervisors when one does not answer. Cancelled jobs are announced to all dispatchers.

/bound/cancelled_elsewhere, cancelled_stays, done_stays (24 starts instead of 8), cancel_while_leaving and cancel_while_frozen (13 starts after the answer) failed before; cancel_unknown and cancel_while_killed passed. Messages and processor time at 4, 15 and 40 dispatchers were not measured.

--- a/packages/adapters/wire.c
+++ b/packages/adapters/wire.c
@@ -441,6 +441,16 @@
     U32(BwEvacuate, is_evacuated),
 };
 
+static const Field job_cancel_fields[] = {
+    U64(BwJobCancel, number),
+    SPAN(BwJobCancel, queue),
+    SPAN(BwJobCancel, name),
+};
+static const Field job_cancel_answer_fields[] = {
+    U64(BwJobCancelAnswer, number),
+    U32(BwJobCancelAnswer, is_cancelled),
+};
+
 static const Layout layouts[BW_MSG_COUNT] = {
     [BW_MSG_HELLO] = LAYOUT(BwHello, hello_fields),
     [BW_MSG_SUBMIT] = LAYOUT(BwSubmit, submit_fields),
@@ -478,6 +488,9 @@
     [BW_MSG_EVACUATIONS] =
         LAYOUT_SINCE(4, BwEvacuationList, evacuation_list_fields),
     [BW_MSG_EVACUATE] = LAYOUT_SINCE(4, BwEvacuate, evacuate_fields),
+    [BW_MSG_JOB_CANCEL] = LAYOUT_SINCE(5, BwJobCancel, job_cancel_fields),
+    [BW_MSG_JOB_CANCEL_ANSWER] =
+        LAYOUT_SINCE(5, BwJobCancelAnswer, job_cancel_answer_fields),
 };
 
 bool
--- a/packages/core/supervisor.c
+++ b/packages/core/supervisor.c
@@ -204,6 +204,9 @@
 {
     if (s->is_evacuated)
         return BW_DECLINE_EVACUATED;
+    if (BwJobMemory_Find(&s->cancelled, now_us, place->route, place->job) !=
+        NULL)
+        return BW_DECLINE_CANCELLED;
     if (!BwWorkerTasks_IsUsable(s, now_us))
         return BW_DECLINE_LEAVING;
     if (now_us >= peer->valid_until_us)
@@ -305,6 +308,27 @@
     BwSupervisor_BroadcastState(s, now_us);
 }
 
+/* The job's dispatcher may be out of the sender's reach. */
+static void
+on_job_cancel(BwSupervisor *s, uint64_t now_us, const BwJobCancel *cancel)
+{
+    BwWorkerTask *task, *next;
+
+    BwJobMemory_Add(&s->cancelled, now_us, cancel->queue, cancel->name,
+                    BW_STATE_CANCELLED);
+    HASH_ITER(hh, s->tasks_by_key, task, next)
+    {
+        if (!BwSpan_Equal(cancel->name, BwSpan_FromString(task->key.job)) ||
+            !BwSpan_Equal(cancel->queue, BwSpan_FromString(task->text->route)))
+            continue;
+        BwWorkerTasks_End(s, now_us, task,
+                          BwWorkerTasks_IsOnWorker(task) ? BW_OUTCOME_LOST
+                                                         : BW_OUTCOME_NOT_RUN,
+                          BW_DECLINE_CANCELLED, "the job was cancelled");
+    }
+    BwWorkerTasks_StartQueued(s, now_us);
+}
+
 void
 BwSupervisor_OnMessage(BwSupervisor *s, uint64_t now_us, uint32_t peer_id,
                        const BwMessage *message)
@@ -327,6 +351,9 @@
     case BW_MSG_EVACUATE:
         on_evacuate(s, now_us, &message->u.evacuate);
         break;
+    case BW_MSG_JOB_CANCEL:
+        on_job_cancel(s, now_us, &message->u.job_cancel);
+        break;
     default:
         break;
     }
@@ -490,4 +517,5 @@
         free(peer);
     }
     BwCrashReports_Finish(&s->crash_reports);
+    BwJobMemory_Finish(&s->cancelled);
 }
--- a/packages/core/supervisor.h
+++ b/packages/core/supervisor.h
@@ -33,6 +33,7 @@
 #include "control.h"
 #include "crashreports.h"
 #include "driver.h"
+#include "jobmemory.h"
 
 #define BW_SUPERVISOR_TASKS_MAX 4096
 #define BW_SUPERVISOR_JOB_BYTES 64
@@ -253,6 +254,7 @@
     uint32_t queued_urgent;   /* of priority 0 */
     uint32_t exclusive_count; /* exclusive tasks, queued or on it */
     BwCrashReports crash_reports;
+    BwJobMemory cancelled;     /* jobs that no task is started of any more */
     BwOutcomes outcomes;       /* of this instance */
     uint64_t last_progress_us; /* a poll last showed progress or a task done */
     /* Length of the last quarantine; 0 after a probation that ended well. */
@@ -290,8 +292,8 @@
 BwSupervisor_PeerDown(BwSupervisor *supervisor, uint64_t now_us,
                       uint32_t peer);
 
-/* Processes a PLACE, STOP, SESSION or EVACUATE of a dispatcher; other messages
-   and those of unknown peers are ignored. */
+/* Processes a PLACE, STOP, SESSION, EVACUATE or JOB_CANCEL of a dispatcher;
+   other messages and those of unknown peers are ignored. */
 void
 BwSupervisor_OnMessage(BwSupervisor *supervisor, uint64_t now_us,
                        uint32_t peer, const BwMessage *message);
--- a/packages/core/workertasks.c
+++ b/packages/core/workertasks.c
@@ -52,6 +52,7 @@
     [BW_DECLINE_UNSUITED] = "label, spread limit or capacity does not suit",
     [BW_DECLINE_REFUSED] = "refused by the worker",
     [BW_DECLINE_EVACUATED] = "the failure domain is evacuated",
+    [BW_DECLINE_CANCELLED] = "the job is cancelled",
 };
 
 bool
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -15,6 +15,8 @@
 #include "daemon.h"
 #include "dispatcher.h"
 #include "evacuationsync.h"
+#include "jobcancels.h"
+#include "jobmemory.h"
 #include "node.h"
 #include "nodestatus.h"
 #include "routeconfig.h"
@@ -40,6 +42,7 @@
 #define DEFAULT_DEADLINE_US 30000000
 #define DEADLINE_MAX_US 600000000
 #define STATE_BYTES 64
+#define CANCEL_RETRY_MS 1000
 /* Refused requests are logged as counts, since many may come at once. */
 #define REFUSAL_LOG_INTERVAL_US 200000
 
@@ -64,6 +67,9 @@
 typedef struct PendingRequest {
     BwExchange *exchange;
     uint64_t ref;
+    char queue[BW_NAME_BYTES_MAX]; /* of a job */
+    char name[BW_NAME_BYTES_MAX];
+    bool is_cancel; /* a DELETE that other dispatchers are asked about */
     /* While it is held since no configuration is in force: */
     bool is_held;
     uint64_t held_until_us;
@@ -79,6 +85,9 @@
     BwEvacuationSync evacuations;
     BwRouteRecord route_record;
     BwDispatcher dispatcher;
+    BwJobMemory ended; /* jobs whose requests may come again */
+    BwJobCancels cancels;
+    uint64_t repeated; /* requests answered from it */
     uint64_t refusals[REFUSAL_COUNT];
     uint64_t refusals_logged[REFUSAL_COUNT];
     uint64_t refusals_logged_us;
@@ -141,6 +150,11 @@
     PendingRequest *pending = data;
     BwExchange *exchange = pending->exchange;
 
+    if (end == BW_BOUND_COMPLETED || end == BW_BOUND_FAILED)
+        BwJobMemory_Add(
+            &role->ended, BwClock_Now(), BwSpan_FromString(pending->queue),
+            BwSpan_FromString(pending->name),
+            end == BW_BOUND_COMPLETED ? BW_STATE_COMPLETED : BW_STATE_FAILED);
     exchange->data = NULL;
     free(pending);
     switch (end) {
@@ -217,6 +231,21 @@
     return min_us(deadline_us, last_answer_us(role->node));
 }
 
+/* Answers a request whose job has ended with the job's end. */
+static bool
+answer_repeated(Role *role, BwExchange *exchange, const BwRoute *route,
+                BwSpan name)
+{
+    const BwEndedJob *ended = BwJobMemory_Find(
+        &role->ended, BwClock_Now(), BwSpan_FromString(route->name), name);
+
+    if (ended == NULL)
+        return false;
+    role->repeated++;
+    reply_state(role, exchange, ended->state);
+    return true;
+}
+
 /* `held_us` is how long the request was held before. */
 static void
 submit(Role *role, BwExchange *exchange, const BwRoute *route, BwSpan name,
@@ -230,6 +259,8 @@
     PendingRequest *pending;
     uint64_t ref;
 
+    if (answer_repeated(role, exchange, route, name))
+        return;
     allowed_us -= min_us(allowed_us, held_us);
     if (name.size_bytes >= BW_NAME_BYTES_MAX ||
         !driver->read_request(exchange->body, &request, &fault)) {
@@ -248,6 +279,8 @@
     }
     else {
         pending->exchange = exchange;
+        strcpy(pending->queue, route->name);
+        BwSpan_ToString(name, pending->name, sizeof(pending->name));
         exchange->data = pending;
         ref = BwDispatcher_Submit(
             &role->dispatcher, now_us, name, &request, route,
@@ -258,13 +291,15 @@
     driver->release(request.memory);
 }
 
-/* Returns the job of that name that came by the route, or NULL. */
+/* Returns the job of that queue and name, or NULL. */
 static BwBoundJob *
-find_job(Role *role, const BwRoute *route, BwSpan name)
+find_job(Role *role, BwSpan queue, BwSpan name)
 {
     BwBoundJob *job = BwDispatcher_FindName(&role->dispatcher, name);
 
-    return job != NULL && strcmp(job->route, route->name) == 0 ? job : NULL;
+    return job != NULL && BwSpan_Equal(queue, BwSpan_FromString(job->route))
+               ? job
+               : NULL;
 }
 
 static void
@@ -282,7 +317,7 @@
                    driver->write_waiting(count, text, sizeof(text)));
         return;
     }
-    job = find_job(role, route, name);
+    job = find_job(role, BwSpan_FromString(route->name), name);
     if (job == NULL)
         reply_unknown_job(exchange);
     else
@@ -291,23 +326,110 @@
                                               : BW_STATE_QUEUED);
 }
 
+/* ------------------------------------------------------------ cancels */
+
+/* Ends a job that its caller, or another one of its queue, has cancelled, and
+   answers its request. */
 static void
-serve_delete(Role *role, BwExchange *exchange, const BwRoute *route,
-             BwSpan name)
+cancel_job(Role *role, BwBoundJob *job)
 {
-    BwBoundJob *job = find_job(role, route, name);
-    PendingRequest *pending;
+    PendingRequest *pending = job->data;
+    uint64_t now_us = BwClock_Now();
 
-    if (job == NULL) {
-        reply_unknown_job(exchange);
-        return;
-    }
-    pending = job->data;
-    BwDispatcher_Withdraw(&role->dispatcher, BwClock_Now(), job->ref);
+    BwJobMemory_Add(&role->ended, now_us, BwSpan_FromString(job->route),
+                    BwSpan_FromString(job->name), BW_STATE_CANCELLED);
+    BwJobCancels_Announce(&role->cancels, BwSpan_FromString(job->route),
+                          BwSpan_FromString(job->name));
+    BwDispatcher_Withdraw(&role->dispatcher, now_us, job->ref);
     pending->exchange->data = NULL;
     reply_state(role, pending->exchange, BW_STATE_CANCELLED);
     free(pending);
-    reply_state(role, exchange, BW_STATE_CANCELLED);
+}
+
+static bool
+on_cancel(void *ctx, BwSpan queue, BwSpan name)
+{
+    Role *role = ctx;
+    BwBoundJob *job = find_job(role, queue, name);
+    const BwEndedJob *ended =
+        BwJobMemory_Find(&role->ended, BwClock_Now(), queue, name);
+
+    if (job != NULL)
+        cancel_job(role, job);
+    return job != NULL ||
+           (ended != NULL && ended->state == BW_STATE_CANCELLED);
+}
+
+/* A job of the same queue and name here is the same job. */
+static void
+on_cancelled_elsewhere(void *ctx, BwSpan queue, BwSpan name)
+{
+    Role *role = ctx;
+    BwBoundJob *job = find_job(role, queue, name);
+
+    if (job != NULL)
+        cancel_job(role, job);
+    else
+        BwJobMemory_Add(&role->ended, BwClock_Now(), queue, name,
+                        BW_STATE_CANCELLED);
+}
+
+static void
+on_cancel_answered(void *ctx, void *data, BwCancelResult result)
+{
+    Role *role = ctx;
+    PendingRequest *pending = data;
+    BwExchange *exchange = pending->exchange;
+
+    exchange->data = NULL;
+    free(pending);
+    if (result == BW_CANCEL_DONE)
+        reply_state(role, exchange, BW_STATE_CANCELLED);
+    else
+        reply_unknown_job(exchange);
+}
+
+static const BwJobCancelEvents cancel_events = {
+    on_cancel, on_cancelled_elsewhere, on_cancel_answered};
+
+/* The job may be another dispatcher's. */
+static void
+ask_others(Role *role, BwExchange *exchange, const BwRoute *route, BwSpan name)
+{
+    PendingRequest *pending = calloc(1, sizeof(*pending));
+
+    if (pending != NULL) {
+        pending->exchange = exchange;
+        pending->is_cancel = true;
+        exchange->data = pending;
+        if (BwJobCancels_Ask(&role->cancels, BwClock_Now(),
+                             BwSpan_FromString(route->name), name, pending))
+            return;
+        exchange->data = NULL;
+        free(pending);
+    }
+    BwDaemon_ReplyRetryAfter(exchange, BW_ERR_OVERLOADED,
+                             "too many jobs that are unknown here are "
+                             "cancelled; retry later",
+                             CANCEL_RETRY_MS);
+}
+
+static void
+serve_delete(Role *role, BwExchange *exchange, const BwRoute *route,
+             BwSpan name)
+{
+    BwBoundJob *job = find_job(role, BwSpan_FromString(route->name), name);
+
+    if (job != NULL) {
+        cancel_job(role, job);
+        reply_state(role, exchange, BW_STATE_CANCELLED);
+    }
+    else if (name.size_bytes >= BW_NAME_BYTES_MAX ||
+             BwJobMemory_Find(&role->ended, BwClock_Now(),
+                              BwSpan_FromString(route->name), name) != NULL)
+        reply_unknown_job(exchange);
+    else
+        ask_others(role, exchange, route, name);
 }
 
 static bool
@@ -475,7 +597,10 @@
         unhold(role, pending);
         return;
     }
-    BwDispatcher_Withdraw(&role->dispatcher, BwClock_Now(), pending->ref);
+    if (pending->is_cancel)
+        BwJobCancels_Drop(&role->cancels, pending);
+    else
+        BwDispatcher_Withdraw(&role->dispatcher, BwClock_Now(), pending->ref);
     free(pending);
 }
 
@@ -536,6 +661,8 @@
 
     if (link->role == BW_ROLE_SUPERVISOR)
         BwDispatcher_PeerDown(&role->dispatcher, BwClock_Now(), link->id);
+    else
+        BwJobCancels_OnDown(&role->cancels, BwClock_Now());
 }
 
 static void
@@ -544,7 +671,9 @@
     Role *role = ctx;
 
     if (!BwRouteConfig_OnMessage(&role->config, link->id, message) &&
-        !BwEvacuationSync_OnMessage(&role->evacuations, link->id, message))
+        !BwEvacuationSync_OnMessage(&role->evacuations, link->id, message) &&
+        !BwJobCancels_OnMessage(&role->cancels, BwClock_Now(), link->id,
+                                message))
         BwDispatcher_OnMessage(&role->dispatcher, BwClock_Now(), link->id,
                                message);
 }
@@ -635,6 +764,7 @@
     BwDispatcher_Init(&role->dispatcher, &limits, &dispatcher_port, role);
     BwEvacuationSync_Init(&role->evacuations, node, on_evacuations_changed,
                           role);
+    BwJobCancels_Init(&role->cancels, node, &cancel_events, role);
     if (!(BwMesh_Init(&node->mesh, node->event_loop.loop, settings,
                       &node->logger, node->incarnation, &mesh_events, role) &&
           BwRouteConfig_Init(&role->config, node, &role->evacuations,
@@ -696,6 +826,7 @@
             &role->evacuations, now_us,
             BwDispatcher_CountUnconfirmed(&role->dispatcher));
     BwRouteConfig_Tick(&role->config, now_us);
+    BwJobCancels_Tick(&role->cancels, now_us);
     tick_held(role, now_us);
     BwRouteRecord_Tick(&role->route_record, now_us);
     BwDispatcher_Tick(&role->dispatcher, now_us);
@@ -739,6 +870,8 @@
     BwRouteConfig_Finish(&role->config);
     BwRouteRecord_Finish(&role->route_record);
     BwDispatcher_Finish(&role->dispatcher);
+    BwJobCancels_Finish(&role->cancels);
+    BwJobMemory_Finish(&role->ended);
 }
 
 static uint32_t
@@ -769,6 +902,19 @@
     ADD("brasswing_confined_total", "Routes confined", c->confined);
     ADD("brasswing_given_up_total",
         "Bound jobs given up after two crashes under a task", c->given_up);
+    ADD("brasswing_repeated_total",
+        "Requests answered with the end of their job", role->repeated);
+    ADD("brasswing_ended_forgotten_total",
+        "Ended jobs that made room for others before their time",
+        role->ended.forgotten);
+    ADD("brasswing_cancels_asked_total",
+        "Cancels of unknown jobs that other dispatchers were asked about",
+        role->cancels.asked);
+    ADD("brasswing_cancels_refused_total",
+        "Cancels of unknown jobs that were refused for their number",
+        role->cancels.refused);
+    ADD("brasswing_cancels_escalated_total",
+        "Cancels that supervisors were told of", role->cancels.escalated);
     ADD("brasswing_held_total",
         "Requests held while no configuration was in force", role->held_total);
 #undef ADD
--- a/packages/daemon/node.c
+++ b/packages/daemon/node.c
@@ -14,7 +14,7 @@
 #include "node.h"
 
 #define INCARNATION_MASK ((UINT64_C(1) << 62) - 1)
-#define COUNTERS_MAX 48
+#define COUNTERS_MAX 64
 #define SETTINGS_POLL_US 1000000
 
 typedef struct NodeProcess {
--- a/packages/ports/messages.h
+++ b/packages/ports/messages.h
@@ -20,7 +20,7 @@
 
 /* Versions of the layouts of messages: the newest and the oldest that this
    build speaks. */
-#define BW_WIRE_VERSION 4
+#define BW_WIRE_VERSION 5
 #define BW_WIRE_VERSION_MIN 3
 #define BW_NAME_BYTES_MAX 64
 #define BW_JOB_TASKS_MAX 1700
@@ -72,6 +72,8 @@
     BW_MSG_DISPATCHER_LIST,
     BW_MSG_EVACUATIONS,
     BW_MSG_EVACUATE,
+    BW_MSG_JOB_CANCEL,
+    BW_MSG_JOB_CANCEL_ANSWER,
     BW_MSG_COUNT
 } BwMessageKind;
 
@@ -212,6 +214,7 @@
     BW_DECLINE_UNSUITED,  /* label, spread or capacity */
     BW_DECLINE_REFUSED,   /* by the worker */
     BW_DECLINE_EVACUATED, /* the failure domain is */
+    BW_DECLINE_CANCELLED, /* the job is */
 } BwDeclineReason;
 
 typedef struct BwTaskIndex {
@@ -652,6 +655,20 @@
     uint32_t usual_count;
 } BwCrash;
 
+/* Dispatcher to dispatcher: cancel the job if it is yours, and answer with the
+   same number; with the number 0: the job has been cancelled.  Dispatcher to
+   supervisor: end the job's tasks and decline further ones. */
+typedef struct BwJobCancel {
+    uint64_t number;
+    BwSpan queue; /* name of its route */
+    BwSpan name;
+} BwJobCancel;
+
+typedef struct BwJobCancelAnswer {
+    uint64_t number;
+    uint32_t is_cancelled; /* 0: the sender does not know the job */
+} BwJobCancelAnswer;
+
 /* Address of a dispatcher that the sender is connected to. */
 typedef struct BwDispatcherAddress {
     BwSpan name;
@@ -699,6 +716,8 @@
         BwDispatcherList dispatcher_list;
         BwEvacuationList evacuations;
         BwEvacuate evacuate;
+        BwJobCancel job_cancel;
+        BwJobCancelAnswer job_cancel_answer;
     } u;
 } BwMessage;
 
--- a/tests/test_bound.c
+++ b/tests/test_bound.c
@@ -23,7 +23,8 @@
 #define ODD_NUMBERS 500000
 #define ODD_HEARTBEATS 12
 #define ODD_GROWTH_MAX_KB 32768 /* what a host gives a process */
-#define CLOSED_PORT 1           /* nobody listens there */
+#define UNKNOWN_CANCELS 3000
+#define CLOSED_PORT 1 /* nobody listens there */
 
 static BoundFleet fleet;
 static bool is_up;
@@ -754,6 +755,181 @@
     check_invariants();
 }
 
+static void
+expect_exit(FleetProcess *process)
+{
+    int code = -1;
+
+    g_assert_true(Fleet_WaitEnd(process, WAIT_US, &code));
+    g_assert_cmpint(code, ==, 0);
+}
+
+/* ------------------------------------- cancels, and requests that come again
+ */
+
+static void
+expect_cancelled(BoundCall *call)
+{
+    BoundCall_Wait(call);
+    g_assert_cmpuint(call->status, ==, 200);
+    g_assert_nonnull(strstr(call->body, BW_WORDING_CANCELLED));
+    BoundCall_Clear(call);
+}
+
+/* A DELETE at another dispatcher than the job's was answered 410, and the job
+   went on. */
+static void
+test_cancelled_elsewhere(void)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+
+    set_up();
+    start_paused(&call, 0, &job, 8);
+    expect_status(1, "DELETE", job.path, 200);
+    expect_cancelled(&call);
+    BoundFleet_WaitRunning(&fleet, job.name, 0);
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.stopped, ==, 8);
+    check_invariants();
+}
+
+/* A request that came again after its job was cancelled started the job anew,
+   at either dispatcher. */
+static void
+test_cancelled_stays(void)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+
+    set_up();
+    start_paused(&call, 0, &job, 8);
+    expect_status(0, "DELETE", job.path, 200);
+    expect_cancelled(&call);
+    resume_workers();
+    for (uint32_t i = 0; i < 4; i++) {
+        start_job(&call, i % 2, &job, 8, 20);
+        expect_cancelled(&call);
+    }
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.starts, ==, 8);
+    check_invariants();
+}
+
+/* A request that came again after its job was done ran the job twice. */
+static void
+test_done_stays(void)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+
+    set_up();
+    name_job(&job, "checks");
+    for (uint32_t i = 0; i < 3; i++) {
+        start_job(&call, 0, &job, 8, 20);
+        expect_completed(&call);
+    }
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.starts, ==, 8);
+    check_invariants();
+}
+
+/* Nobody has the job.  Too many such calls are refused for a while, and then
+   answered again. */
+static void
+test_cancel_unknown(void)
+{
+    uint32_t refused = 0;
+    Job job;
+
+    set_up();
+    for (uint32_t i = 0; i < UNKNOWN_CANCELS; i++) {
+        BoundCall call;
+
+        name_job(&job, "checks");
+        BoundCall_Run(&call, fleet.http_ports[0], "DELETE", job.path, "", "");
+        if (call.status == 429)
+            refused++;
+        else
+            g_assert_cmpuint(call.status, ==, 410);
+        BoundCall_Clear(&call);
+    }
+    g_assert_cmpuint(refused, <, UNKNOWN_CANCELS);
+    complete_job(0, 8);
+}
+
+/* The job's dispatcher leaves, and DELETE reaches another one. */
+static void
+test_cancel_while_leaving(void)
+{
+    BoundCall call;
+    Job job;
+
+    set_up();
+    start_paused(&call, 0, &job, 8);
+    Fleet_Signal(&fleet.dispatchers[0], SIGTERM);
+    expect_status(1, "DELETE", job.path, 200);
+    expect_cancelled(&call);
+    BoundFleet_WaitRunning(&fleet, job.name, 0);
+    expect_exit(&fleet.dispatchers[0]);
+    BoundFleet_StartDispatcher(&fleet, 0);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    BoundFleet_WaitRevision(&fleet, 0, revision);
+    check_invariants();
+}
+
+/* The job's dispatcher is frozen.  DELETE is answered all the same, and when
+   it goes on none of the job's tasks starts. */
+static void
+test_cancel_while_frozen(void)
+{
+    BoundCall call;
+    BoundCount before, after;
+    Job job;
+
+    set_up();
+    start_paused(&call, 0, &job, 8);
+    Fleet_Signal(&fleet.dispatchers[0], SIGSTOP);
+    expect_status(1, "DELETE", job.path, 410);
+    BoundFleet_Count(&fleet, job.name, &before);
+    BoundFleet_WaitRunning(&fleet, job.name, 0);
+    Fleet_Signal(&fleet.dispatchers[0], SIGCONT);
+    BoundCall_Wait(&call);
+    BoundCall_Clear(&call);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    BoundFleet_Count(&fleet, job.name, &after);
+    g_assert_cmpuint(after.starts, ==, before.starts);
+    resume_workers();
+    complete_job(0, 8);
+    check_invariants();
+}
+
+/* The job's dispatcher is killed with its tasks running. */
+static void
+test_cancel_while_killed(void)
+{
+    BoundCall call;
+    BoundCount count;
+    Job job;
+
+    set_up();
+    start_paused(&call, 0, &job, 8);
+    Fleet_Signal(&fleet.dispatchers[0], SIGKILL);
+    expect_status(1, "DELETE", job.path, 410);
+    BoundCall_Wait(&call);
+    BoundCall_Clear(&call);
+    BoundFleet_WaitRunning(&fleet, job.name, 0);
+    BoundFleet_Count(&fleet, job.name, &count);
+    g_assert_cmpuint(count.starts, ==, 8);
+    BoundFleet_StartDispatcher(&fleet, 0);
+    BoundFleet_WaitWorkers(&fleet, BOUND_WORKERS);
+    BoundFleet_WaitRevision(&fleet, 0, revision);
+    check_invariants();
+}
+
 static void
 test_deadline(void)
 {
@@ -793,15 +969,6 @@
 
 /* ------------------------------------------------------- planned stops */
 
-static void
-expect_exit(FleetProcess *process)
-{
-    int code = -1;
-
-    g_assert_true(Fleet_WaitEnd(process, WAIT_US, &code));
-    g_assert_cmpint(code, ==, 0);
-}
-
 static void
 test_dispatcher_stopped(void)
 {
@@ -1390,6 +1557,13 @@
         {"/bound/twin", test_twin},
         {"/bound/cancelled", test_cancelled},
         {"/bound/other_queue", test_other_queue},
+        {"/bound/cancelled_elsewhere", test_cancelled_elsewhere},
+        {"/bound/cancelled_stays", test_cancelled_stays},
+        {"/bound/done_stays", test_done_stays},
+        {"/bound/cancel_unknown", test_cancel_unknown},
+        {"/bound/cancel_while_leaving", test_cancel_while_leaving},
+        {"/bound/cancel_while_frozen", test_cancel_while_frozen},
+        {"/bound/cancel_while_killed", test_cancel_while_killed},
         {"/bound/deadline", test_deadline},
         {"/bound/deadline_too_far", test_deadline_too_far},
         {"/bound/dispatcher_stopped", test_dispatcher_stopped},
