Lab: workers that restart at once under their names

The emulated worker's control "restart" ends its tasks, breaks its connections, drops the orders that it had put off and begins another life under its name, which tells its start; its heartbeat comes one interval later.

--- a/packages/emulator/worker.c
+++ b/packages/emulator/worker.c
@@ -36,6 +36,9 @@
                    {"crash": true}       ends all tasks; no answers and no
                                          heartbeats until it is revived
                    {"revive": true}      starts again as a new instance
+                   {"restart": true}     ends all tasks and starts again at
+                                         once under its name; from then on it
+                                         tells when it started
      GET /ledger   every run of every instance in the order of the starts, and
                    by how much CPU and memory in use after a start exceeded the
                    capacity at most; of a run that started while the worker was
@@ -133,7 +136,9 @@
     uint64_t cpu, mem;
     uint64_t clock_permille;
     uint64_t clock_start_us;
-    uint32_t instance_number;
+    uint32_t instance_number; /* of this life */
+    uint32_t name_number;     /* in its name; a life may take over the last */
+    uint64_t born_ms;         /* wall-clock time of its start; 0: not told */
     uint64_t fence;        /* highest fence received; lower ones are refused */
     uint64_t lease_end_ms; /* on the worker's clock; 0: no lease yet */
     uint64_t end_count;
@@ -170,7 +175,7 @@
 static void
 write_instance(char *out, size_t capacity)
 {
-    snprintf(out, capacity, "i-%s-%u", worker.name, worker.instance_number);
+    snprintf(out, capacity, "i-%s-%u", worker.name, worker.name_number);
 }
 
 /* ---------------------------------------------------------------- runs */
@@ -542,6 +547,9 @@
     }
     json_object_set_new(reply, "running", running);
     json_object_set_new(reply, "ended", ended);
+    if (worker.born_ms != 0)
+        json_object_set_new(reply, "born",
+                            json_integer((json_int_t)worker.born_ms));
 }
 
 static json_t *
@@ -746,6 +754,20 @@
     worker.is_crashed = true;
 }
 
+static void
+begin_life(void)
+{
+    worker.is_draining = false;
+    worker.draining_since_us = 0;
+    worker.instance_number++;
+    worker.fence = 0;
+    worker.lease_end_ms = 0;
+    worker.end_count = 0;
+    worker.acked_end = 0;
+    worker.heartbeat_sequence = 0;
+    worker.next_heartbeat_us = 0;
+}
+
 static void
 revive(void)
 {
@@ -761,15 +783,41 @@
     }
     worker.pending_replies = NULL;
     worker.is_crashed = false;
-    worker.is_draining = false;
-    worker.draining_since_us = 0;
-    worker.instance_number++;
-    worker.fence = 0;
-    worker.lease_end_ms = 0;
-    worker.end_count = 0;
-    worker.acked_end = 0;
-    worker.heartbeat_sequence = 0;
-    worker.next_heartbeat_us = 0;
+    begin_life();
+    worker.name_number = worker.instance_number;
+}
+
+/* Starts again under the name that it has.  Its connections break, and orders
+   that it has put off are gone. */
+static void
+restart(void)
+{
+    uint64_t now_ms = BwClock_WallNow() / 1000;
+    PendingReply *pending, *next_pending;
+    DelayedOrder *delayed, *next;
+
+    if (worker.is_crashed)
+        return;
+    crash();
+    worker.is_crashed = false;
+    DL_FOREACH_SAFE(worker.pending_replies, pending, next_pending)
+    {
+        pending->exchange->data = NULL;
+        BwExchange_Break(pending->exchange);
+        json_decref(pending->reply);
+        free(pending);
+    }
+    worker.pending_replies = NULL;
+    DL_FOREACH_SAFE(worker.delayed_orders, delayed, next)
+    {
+        free(delayed->body);
+        free(delayed);
+    }
+    worker.delayed_orders = NULL;
+    worker.born_ms = now_ms > worker.born_ms ? now_ms : worker.born_ms + 1;
+    worker.clock_start_us = BwClock_Now();
+    begin_life();
+    worker.next_heartbeat_us = BwClock_Now() + worker.heartbeat_interval_us;
 }
 
 static void
@@ -830,6 +878,8 @@
         crash();
     if (json_is_true(json_object_get(root, "revive")))
         revive();
+    if (json_is_true(json_object_get(root, "restart")))
+        restart();
     BwExchange_Reply(exchange, root != NULL ? 200 : 400, "application/json",
                      BwSpan_FromString("{}"), 0);
     json_decref(root);
@@ -914,6 +964,9 @@
         (json_int_t)++worker.heartbeat_sequence);
     if (worker.is_draining)
         json_object_set_new(root, "remainingMs", json_integer(2000));
+    if (worker.born_ms != 0)
+        json_object_set_new(root, "born",
+                            json_integer((json_int_t)worker.born_ms));
     text = json_dumps(root, JSON_COMPACT);
     BwHttpClient_Send(&worker.supervisor, "POST", BwSpan_FromString(path),
                       "content-type: application/json\r\n",
@@ -970,6 +1023,7 @@
     worker.down_us = DOWN_US;
     worker.clock_start_us = BwClock_Now();
     worker.instance_number = 1;
+    worker.name_number = 1;
     BwEventLoop_Init(&worker.event_loop, &loop_events, NULL);
     if (!BwHttpServer_Init(&worker.http, worker.event_loop.loop, "127.0.0.1",
                            (uint16_t)strtoul(argv[0], NULL, 10), 1u << 22,
--- a/tests/soak_bound.c
+++ b/tests/soak_bound.c
@@ -151,6 +151,7 @@
         {"{\"late_starts\": true}",
          "{\"late_starts\": false, \"carry_out\": true}"},
         {"{\"cpu\": 600}", "{\"cpu\": 4000}"},
+        {"{\"restart\": true}", "{\"restart\": true}"},
     };
     uint32_t kind = draw(d, G_N_ELEMENTS(texts));
 
