Remember a job that another dispatcher has cancelled on request

The announcement of the job's dispatcher comes over another connection than its answer, or not at all while that one is made anew; a late repetition of the request at the dispatcher that took the DELETE would then start the job.

--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -381,6 +381,10 @@
     PendingRequest *pending = data;
     BwExchange *exchange = pending->exchange;
 
+    /* The announcement comes over another connection, or not at all. */
+    if (result == BW_CANCEL_DONE)
+        on_cancelled_elsewhere(role, BwSpan_FromString(pending->queue),
+                               BwSpan_FromString(pending->name));
     exchange->data = NULL;
     free(pending);
     if (result == BW_CANCEL_DONE)
@@ -401,6 +405,8 @@
     if (pending != NULL) {
         pending->exchange = exchange;
         pending->is_cancel = true;
+        strcpy(pending->queue, route->name);
+        BwSpan_ToString(name, pending->name, sizeof(pending->name));
         exchange->data = pending;
         if (BwJobCancels_Ask(&role->cancels, BwClock_Now(),
                              BwSpan_FromString(route->name), name, pending))
--- a/tests/test_supervisor.c
+++ b/tests/test_supervisor.c
@@ -1633,6 +1633,44 @@
     World_Finish(&w);
 }
 
+/* The dispatcher of a cancelled job may be out of the others' reach: the
+   supervisor ends its tasks and starts no more of it. */
+static void
+test_job_cancelled(void)
+{
+    World w;
+    uint32_t own = World_Open(&w), other = World_OpenPeer(&w), running, queued,
+             kept, later;
+    BwMessage message = {.kind = BW_MSG_JOB_CANCEL};
+
+    running = World_Place(&w, own, &(PlaceRequest){.job = "a", .cpu = 3000});
+    queued = World_Place(&w, own,
+                         &(PlaceRequest){.job = "a", .first = 1, .cpu = 3000});
+    kept = World_Place(&w, own, &(PlaceRequest){.job = "b", .first = 2});
+    World_Run(&w, 100000);
+    g_assert_cmpuint(w.worker.running->len, ==, 2);
+    message.u.job_cancel.queue = BwSpan_FromString("another");
+    message.u.job_cancel.name = BwSpan_FromString("a");
+    BwSupervisor_OnMessage(&w.supervisor, w.now_us, other, &message);
+    World_Run(&w, 100000);
+    World_AssertKind(&w, running, 0);
+    message.u.job_cancel.queue = BwSpan_FromString("route");
+    BwSupervisor_OnMessage(&w.supervisor, w.now_us, other, &message);
+    World_AssertDeclined(&w, queued, BW_DECLINE_CANCELLED);
+    World_Run(&w, 200000);
+    World_AssertKind(&w, running, BW_OUTCOME_LOST);
+    World_AssertKind(&w, kept, 0);
+    later =
+        World_Place(&w, own, &(PlaceRequest){.job = "a", .run_us = 100000});
+    World_AssertDeclined(&w, later, BW_DECLINE_CANCELLED);
+    World_Run(&w, BW_JOB_MEMORY_US);
+    later =
+        World_Place(&w, own, &(PlaceRequest){.job = "a", .run_us = 100000});
+    World_Run(&w, 200000);
+    World_AssertKind(&w, later, BW_OUTCOME_DONE);
+    World_Finish(&w);
+}
+
 static void
 test_random(void)
 {
@@ -1710,6 +1748,7 @@
     g_test_add_func("/supervisor/unsent_start",
                     test_unsent_start_is_no_suspect);
     g_test_add_func("/supervisor/exclusive", test_exclusive);
+    g_test_add_func("/supervisor/job-cancelled", test_job_cancelled);
     g_test_add_func("/supervisor/random", test_random);
     g_test_add_func("/supervisor/random-lives", test_random_lives);
     return g_test_run();
