Soak: cancels at another dispatcher, late requests, odd heartbeats

One thread hands in jobs at one dispatcher, cancels them at another while all the other disturbances go on, and sends the request again 3.3 s after the cancelling; no task may start later than 3 s after it was acknowledged.

--- a/packages/emulator/wording.c
+++ b/packages/emulator/wording.c
@@ -22,6 +22,16 @@
     return text;
 }
 
+char *
+BwWording_StrangerHeartbeat(void)
+{
+    return format_text(
+        "{\"service\":\"other\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\","
+        "\"state\":\"ready\",\"sequence\":%u,\"clockMs\":%u,"
+        "\"capacity\":{\"cpu\":1,\"memMb\":1},\"labels\":[]}",
+        1000000u, 1000000u);
+}
+
 char *
 BwWording_InvalidHeartbeat(uint32_t numbers)
 {
--- a/packages/emulator/wording.h
+++ b/packages/emulator/wording.h
@@ -27,6 +27,10 @@
 /* The path of a heartbeat of a worker that is not there. */
 #define BW_WORDING_STRANGER_PATH "/api/Instances.Heartbeat/stranger"
 
+/* Returns a valid heartbeat for that path. */
+char *
+BwWording_StrangerHeartbeat(void);
+
 /* Returns a heartbeat that lacks a field and has `numbers` numbers besides. */
 char *
 BwWording_InvalidHeartbeat(uint32_t numbers);
--- a/tests/soak_bound.c
+++ b/tests/soak_bound.c
@@ -22,6 +22,7 @@
 #include "fleet.h"
 #include "labcounters.h"
 #include "soak.h"
+#include "soak_companions.h"
 #include "wording.h"
 
 #define DURATION_MS 9000
@@ -321,6 +322,7 @@
     gint is_over;
     GMutex lock;
     GArray *calls; /* of Call */
+    SoakCompanions companions;
     pid_t first_pids[BW_FLEET_DISPATCHERS_MAX + BW_FLEET_WORKERS_MAX];
     uint32_t
         first_descriptors[BW_FLEET_DISPATCHERS_MAX + BW_FLEET_WORKERS_MAX];
@@ -795,7 +797,7 @@
 run_companions(gpointer data)
 {
     Play *play = data;
-    GThread *threads[CALLERS + 1];
+    GThread *threads[CALLERS + 3];
 
     while (play->runner.start_us == 0 && !g_atomic_int_get(&play->is_over))
         g_usleep(1000);
@@ -805,7 +807,14 @@
     for (uint32_t i = 0; i < CALLERS; i++)
         threads[i] = g_thread_new("caller", run_caller, play);
     threads[CALLERS] = g_thread_new("monitor", run_monitor, play);
-    for (uint32_t i = 0; i <= CALLERS; i++)
+    SoakCompanions_Init(&play->companions, &play->runner, play->seed,
+                        play->runner.start_us + DURATION_MS * 1000,
+                        &play->is_over);
+    threads[CALLERS + 1] =
+        g_thread_new("cancels", SoakCompanions_Cancel, &play->companions);
+    threads[CALLERS + 2] = g_thread_new(
+        "heartbeats", SoakCompanions_SendHeartbeats, &play->companions);
+    for (uint32_t i = 0; i < G_N_ELEMENTS(threads); i++)
         g_thread_join(threads[i]);
     return NULL;
 }
@@ -940,6 +949,7 @@
                            play->runner.usable_workers, outcome.at_least);
         check_rules(play);
         check_calls(play);
+        SoakCompanions_Check(&play->companions, report);
         check_config(play);
         check_levels(play);
         stop_all(play);
@@ -952,6 +962,8 @@
     else
         Fleet_RemoveFiles(dir);
     g_free(experiment->faults);
+    if (play->companions.jobs != NULL)
+        SoakCompanions_Finish(&play->companions);
     g_array_free(play->calls, TRUE);
     g_mutex_clear(&play->lock);
     g_free(play);
