Poll a worker that breaks each connection every 20 ms again

Change: the poll comes at once only after one that had waited for 20 ms, which is the interval of polls that fail.

--- a/packages/core/workerlink.c
+++ b/packages/core/workerlink.c
@@ -490,13 +490,14 @@
     return due_us > s->last_answer_due_us ? due_us : s->last_answer_due_us;
 }
 
-/* The poll's connection may have broken with the worker's process, which may
-   have started again: the next poll tells at once. */
+/* The connection of a poll that waited may have broken with the worker's
+   process, which may have started again: the next poll tells at once.  A
+   worker that breaks each connection is polled no more often than that. */
 static void
 on_unanswered_poll(BwSupervisor *s, uint64_t now_us)
 {
     if (s->phase == BW_WORKER_READY && s->polls_in_flight == 0 &&
-        s->down_since_us == 0)
+        s->down_since_us == 0 && now_us - s->poll_sent_us >= POLL_INTERVAL_US)
         BwWorkerLink_Poll(s, now_us, 0);
     else
         BwWorkerLink_Tick(s, now_us);
--- a/tests/supervisor_world.c
+++ b/tests/supervisor_world.c
@@ -313,9 +313,11 @@
     if (w->worker.is_down) {
         answer_call(w, call, BW_WORKER_UNREACHABLE);
     }
-    else if (w->worker.is_silent) {
+    else if (w->worker.is_silent || w->worker.breaks_connections) {
         call->state = CALL_ANSWERED;
         call->is_answer_lost = true;
+        if (w->worker.breaks_connections)
+            call->timeout_us = w->now_us;
     }
     else if (strcmp(call->instance, instance) != 0) {
         answer_call(w, call, BW_WORKER_WRONG_INSTANCE);
--- a/tests/supervisor_world.h
+++ b/tests/supervisor_world.h
@@ -91,8 +91,9 @@
     uint64_t sequence;
     GArray *running;
     GArray *ended;
-    GHashTable *ended_runs; /* task name to its highest run that ended */
-    bool is_silent;         /* calls are neither executed nor answered */
+    GHashTable *ended_runs;  /* task name to its highest run that ended */
+    bool is_silent;          /* calls are neither executed nor answered */
+    bool breaks_connections; /* of all calls, when they arrive */
     bool is_stuck; /* tasks started now make no progress and never end */
     bool is_unhealthy;
     bool is_leaving;
--- a/tests/test_lives.c
+++ b/tests/test_lives.c
@@ -13,6 +13,7 @@
 
 #define BORN_MS 1700000000000ull
 #define LONG_RUN_US 20000000
+#define POLLS_INTERVAL_US 20000 /* least time between polls that fail */
 
 /* A worker that tells its start, known and ready. */
 static uint32_t
@@ -90,6 +91,24 @@
     World_Finish(&w);
 }
 
+/* A worker that breaks every connection was polled again at once each time. */
+static void
+test_broken_connections(void)
+{
+    World w;
+    uint32_t peer = open_world(&w);
+    uint64_t before;
+
+    World_Place(&w, peer, &(PlaceRequest){.job = "a"});
+    World_Run(&w, 100000);
+    w.worker.breaks_connections = true;
+    before = w.supervisor.counters.polls;
+    World_Run(&w, 1000000);
+    g_assert_cmpuint(w.supervisor.counters.polls - before, <=,
+                     1000000 / POLLS_INTERVAL_US + 3);
+    World_Finish(&w);
+}
+
 /* Between two tasks only the heartbeat tells. */
 static void
 test_idle_worker(void)
@@ -186,6 +205,7 @@
     g_test_add_func("/lives/tasks-are-lost-at-once",
                     test_tasks_are_lost_at_once);
     g_test_add_func("/lives/started-on-new-life", test_started_on_new_life);
+    g_test_add_func("/lives/broken-connections", test_broken_connections);
     g_test_add_func("/lives/idle-worker", test_idle_worker);
     g_test_add_func("/lives/fence-rises", test_fence_rises);
     g_test_add_func("/lives/fence-of-earlier-supervisor",
