Lab: keep the gaps of the schedule when the loop is held up

Cause: all faults and arrivals that had become due meanwhile were taken at once, jobs first, so the jobs were placed before the evacuation was asked for.

Change: an iteration of more than 250 ms shifts what is to come by as much.

--- a/packages/emulator/labrunner.c
+++ b/packages/emulator/labrunner.c
@@ -24,6 +24,8 @@
 #define IDLE_TIMEOUT_US 4000000
 #define POLL_US 20000
 #define REQUEST_POLL_MS 5
+/* An iteration of the loop that takes longer shifts the schedule. */
+#define HELD_UP_US 250000
 #define PROGRESS_INTERVAL_US 200000
 #define CALL_TIMEOUT_US 5000000
 #define PLANNED_STOP_MS 4000
@@ -561,6 +563,19 @@
     fflush(progress);
 }
 
+/* Moves what is to come by the time that the loop was held up, so that the
+   gaps between faults and arrivals stay: else they would all be due at once,
+   and an outcome that rests on their order in time would be missed. */
+static void
+shift_schedule(BwLabRunner *runner, uint64_t held_us)
+{
+    runner->start_us += held_us;
+    for (uint32_t i = 0; i < runner->experiment->class_count; i++) {
+        runner->next_arrival_us[i] += held_us;
+        runner->next_burst_us[i] += held_us;
+    }
+}
+
 static void
 run_traffic(BwLabRunner *runner, FILE *progress)
 {
@@ -586,6 +601,10 @@
         now_us = BwClock_Now();
         if (now_us - iteration_us > (uint64_t)runner->held_up_ms * 1000)
             runner->held_up_ms = (uint32_t)((now_us - iteration_us) / 1000);
+        if (now_us - iteration_us > HELD_UP_US) {
+            shift_schedule(runner, now_us - iteration_us);
+            settled_us += now_us - iteration_us;
+        }
         if (now_us - last_progress_us > PROGRESS_INTERVAL_US) {
             show_progress(runner, progress, now_us);
             last_progress_us = now_us;
