--- a/tests/test_driver.c
+++ b/tests/test_driver.c
@@ -545,7 +545,7 @@
 {
     GString *nested = g_string_new(NULL);
     const char *record = "{\"items\":[{\"offset\":18446744073709551616}]}";
-    const char *texts[] = {NULL, page,
+    const char *texts[] = {NULL, record,
                            "{\"running\":[],\"ended\":[],\"clockMs\":1e999}",
                            "{\"clockMs\":18446744073709551616}",
                            "{\"version\":1e999,\"routes\":[]}"};
