--- a/review/common-2/harness.c
+++ b/review/common-2/harness.c
@@ -18,6 +18,8 @@
 #define START_TIMEOUT_US 20000000
 #define POLL_US 20000
 #define NUMBER_BYTES 16
+#define PORT_MIN 20000
+#define PORT_MAX 32000
 #define RUNS_MAX 128
 
 static const char config[] =
@@ -73,22 +75,31 @@
 
 /* --------------------------------------------------------------- start */
 
+/* Ports below those that the system gives to clients, so that a process that
+   is started again finds its port free. */
 uint32_t
 Port_Find(void)
 {
-    struct sockaddr_in address = {.sin_family = AF_INET,
-                                  .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t length = sizeof(address);
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    uint32_t port = 0;
-
-    if (fd >= 0 &&
-        bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0 &&
-        getsockname(fd, (struct sockaddr *)&address, &length) == 0)
-        port = ntohs(address.sin_port);
-    if (fd >= 0)
-        close(fd);
-    return port;
+    static uint32_t next;
+
+    if (next == 0)
+        next = PORT_MIN + (uint32_t)getpid() * 61 % (PORT_MAX - PORT_MIN);
+    for (uint32_t i = PORT_MIN; i < PORT_MAX; i++) {
+        struct sockaddr_in address = {
+            .sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        bool is_free;
+
+        next = next + 1 < PORT_MAX ? next + 1 : PORT_MIN;
+        address.sin_port = htons((uint16_t)next);
+        is_free = fd >= 0 &&
+                  bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0;
+        if (fd >= 0)
+            close(fd);
+        if (is_free)
+            return next;
+    }
+    return 0;
 }
 
 static void
