--- a/review/common-2/harness.h
+++ b/review/common-2/harness.h
@@ -86,6 +86,11 @@
 uint32_t
 Port_Find(void);
 
+/* Returns a job that ends with its connection, of steps that each wait for the
+   one before, with so many tasks each.  The text is never freed. */
+const char *
+Job_Text(uint32_t steps, uint32_t tasks, uint32_t run_ms);
+
 /* One request of a client, on a connection of its own. */
 typedef struct Call {
     Deployment *deployment;
@@ -93,7 +98,7 @@
     char method[8];
     char path[64];
     char body[6000];
-    uint64_t wait_ms; /* how long the client waits; sent as X-Deadline-Ms */
+    uint64_t wait_ms; /* how long the client waits, as it says */
     uint32_t status;  /* 0: no answer */
     char answer[4096];
     uint64_t sent_us;
