review: case 11, a dispatcher that was restarted starts a cancelled job

Cause: a dispatcher that starts remembers no ended job, and nobody tells it. Change: a script that restarts one dispatcher as planned; the common sources serve several queues.

--- a/review/common-3/scenario.c
+++ b/review/common-3/scenario.c
@@ -70,16 +70,16 @@
 
 static void
 send_request(Scenario *scenario, ScenarioCall *call, uint32_t dispatcher,
-             const char *method, const char *name, const char *headers,
-             const char *body, uint64_t give_up_us)
+             const char *method, const char *queue, const char *name,
+             const char *headers, const char *body, uint64_t give_up_us)
 {
     char path[128];
 
     memset(call, 0, sizeof(*call));
     call->scenario = scenario;
-    snprintf(call->what, sizeof(call->what), "%s %s at dispatcher-%u", method,
-             name, dispatcher);
-    snprintf(path, sizeof(path), "/%s/%s", SCENARIO_ROUTE, name);
+    snprintf(call->what, sizeof(call->what), "%s %s/%s at dispatcher-%u",
+             method, queue, name, dispatcher);
+    snprintf(path, sizeof(path), "/%s/%s", queue, name);
     Scenario_Note(scenario, "send %s", call->what);
     if (!BwClientRequests_Start(&scenario->requests,
                                 scenario->fleet.http_ports[dispatcher],
@@ -92,41 +92,41 @@
 /* Frees the body. */
 static void
 submit(Scenario *scenario, ScenarioCall *call, uint32_t dispatcher,
-       const char *name, char *body, uint64_t deadline_ms)
+       const char *queue, const char *name, char *body, uint64_t deadline_ms)
 {
     char headers[64];
 
     snprintf(headers, sizeof(headers), BW_WORDING_DEADLINE_HEADER ": %llu\r\n",
              (unsigned long long)deadline_ms);
-    send_request(scenario, call, dispatcher, "POST", name, headers, body,
-                 BwClock_Now() + deadline_ms * 1000);
+    send_request(scenario, call, dispatcher, "POST", queue, name, headers,
+                 body, BwClock_Now() + deadline_ms * 1000);
     free(body);
 }
 
 void
 Scenario_Submit(Scenario *scenario, ScenarioCall *call, uint32_t dispatcher,
-                const char *name, uint32_t tasks, uint32_t run_ms,
-                uint64_t deadline_ms)
+                const char *queue, const char *name, uint32_t tasks,
+                uint32_t run_ms, uint64_t deadline_ms)
 {
-    submit(scenario, call, dispatcher, name,
+    submit(scenario, call, dispatcher, queue, name,
            BwWording_JobText(tasks, run_ms, TASK_CPU, TASK_MEM, 0, false),
            deadline_ms);
 }
 
 void
 Scenario_SubmitSteps(Scenario *scenario, ScenarioCall *call,
-                     uint32_t dispatcher, const char *name, uint32_t run_ms,
-                     uint64_t deadline_ms)
+                     uint32_t dispatcher, const char *queue, const char *name,
+                     uint32_t run_ms, uint64_t deadline_ms)
 {
-    submit(scenario, call, dispatcher, name,
+    submit(scenario, call, dispatcher, queue, name,
            BwWording_TwoStepJobText(run_ms, TASK_CPU), deadline_ms);
 }
 
 void
 Scenario_Cancel(Scenario *scenario, ScenarioCall *call, uint32_t dispatcher,
-                const char *name)
+                const char *queue, const char *name)
 {
-    send_request(scenario, call, dispatcher, "DELETE", name, "", "",
+    send_request(scenario, call, dispatcher, "DELETE", queue, name, "", "",
                  BwClock_Now() + 4000000);
 }
 
@@ -160,14 +160,47 @@
     BwProcess_Signal(process, signal_number);
 }
 
+bool
+Scenario_StartDispatcher(Scenario *scenario, uint32_t dispatcher)
+{
+    BwFleet *fleet = &scenario->fleet;
+
+    if (!BwFleet_StartDispatcher(fleet, dispatcher) ||
+        !BwFleet_WaitStarted(fleet, &fleet->dispatchers[dispatcher])) {
+        Scenario_Note(scenario, "%s", fleet->fault);
+        return false;
+    }
+    Scenario_Note(scenario, "dispatcher-%u has started again", dispatcher);
+    return true;
+}
+
+/* Returns the routes of the queues, to be freed with free(). */
+static char *
+make_routes(void)
+{
+    char *first = BwWording_RouteText(SCENARIO_QUEUE, "127.0.0.1",
+                                      SCENARIO_SERVICE, TARGET_MS);
+    char *second = BwWording_RouteText(SCENARIO_OTHER_QUEUE, "127.0.0.1",
+                                       SCENARIO_SERVICE, TARGET_MS);
+    char *urgent = BwWording_PriorityRouteText(
+        SCENARIO_URGENT_QUEUE, "127.0.0.1", SCENARIO_SERVICE, 0, TARGET_MS);
+    char *routes = NULL;
+
+    if (asprintf(&routes, "%s,%s,%s", first, second, urgent) < 0)
+        routes = NULL;
+    free(first);
+    free(second);
+    free(urgent);
+    return routes;
+}
+
 bool
 Scenario_Configure(Scenario *scenario)
 {
     const BwFleet *fleet = &scenario->fleet;
     uint64_t give_up_us = BwClock_Now() + READY_TIMEOUT_US;
-    char *route = BwWording_RouteText(SCENARIO_ROUTE, "127.0.0.1",
-                                      SCENARIO_SERVICE, TARGET_MS);
-    char *config = BwWording_ConfigText(1, route);
+    char *routes = make_routes();
+    char *config = BwWording_ConfigText(1, routes);
     char *control = NULL;
     bool is_written;
 
@@ -175,7 +208,7 @@
         control = NULL;
     is_written =
         control != NULL && BwFleet_Control(fleet->door_ports[0], control);
-    free(route);
+    free(routes);
     free(config);
     free(control);
     while (is_written && BwClock_Now() < give_up_us) {
@@ -272,6 +305,23 @@
     return true;
 }
 
+uint32_t
+Scenario_CountLate(Scenario *scenario, const ScenarioRuns *runs,
+                   const ScenarioCall *cancel, uint64_t from_us)
+{
+    uint64_t limit_us = cancel->ended_us + SCENARIO_CANCEL_MS * 1000;
+    uint32_t late = 0;
+
+    for (uint32_t i = 0; i < runs->count; i++)
+        late += runs->runs[i].started_us > limit_us &&
+                runs->runs[i].started_us >= from_us;
+    Scenario_Note(scenario,
+                  "%u starts, by machines in touch, later than %u ms after "
+                  "the acknowledgement",
+                  late, SCENARIO_CANCEL_MS);
+    return late;
+}
+
 void
 Scenario_NoteRuns(Scenario *scenario, const ScenarioRuns *runs)
 {
--- a/review/common-3/scenario.h
+++ b/review/common-3/scenario.h
@@ -20,7 +20,11 @@
 #define SCENARIO_CANNOT_RUN 2
 
 #define SCENARIO_SERVICE "tarif-engine"
-#define SCENARIO_ROUTE "checks"
+/* The queues; each is a route with its own path prefix. */
+#define SCENARIO_QUEUE "checks"
+#define SCENARIO_OTHER_QUEUE "claims"
+/* A queue whose jobs are the most urgent ones. */
+#define SCENARIO_URGENT_QUEUE "gate"
 
 /* The platform's bounds of the deployments, in milliseconds. */
 #define SCENARIO_CONTACT_MS 3000
@@ -79,8 +83,8 @@
 Scenario_Note(Scenario *scenario, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
 
-/* Publishes a configuration with one route, SCENARIO_ROUTE, and waits until it
-   is in force and all workers are usable.  Returns whether they were. */
+/* Publishes a configuration with these queues, and waits until it is in force
+   and all workers are usable.  Returns whether they were. */
 bool
 Scenario_Configure(Scenario *scenario);
 
@@ -98,29 +102,40 @@
 Scenario_WaitCall(Scenario *scenario, const ScenarioCall *call,
                   uint64_t until_us);
 
-/* Submits a job of `tasks` tasks at a dispatcher, with that name and the time
-   that its caller waits. */
+/* Submits a job of `tasks` tasks to a queue at a dispatcher, with that name
+   and the time that its caller waits. */
 void
 Scenario_Submit(Scenario *scenario, ScenarioCall *call, uint32_t dispatcher,
-                const char *name, uint32_t tasks, uint32_t run_ms,
-                uint64_t deadline_ms);
+                const char *queue, const char *name, uint32_t tasks,
+                uint32_t run_ms, uint64_t deadline_ms);
 
 /* The same of a job of two steps of one task each, the second after the
    first. */
 void
 Scenario_SubmitSteps(Scenario *scenario, ScenarioCall *call,
-                     uint32_t dispatcher, const char *name, uint32_t run_ms,
-                     uint64_t deadline_ms);
+                     uint32_t dispatcher, const char *queue, const char *name,
+                     uint32_t run_ms, uint64_t deadline_ms);
 
 /* Cancels a job at a dispatcher. */
 void
 Scenario_Cancel(Scenario *scenario, ScenarioCall *call, uint32_t dispatcher,
-                const char *name);
+                const char *queue, const char *name);
 
 /* Sends a signal to a process and records it. */
 void
 Scenario_Signal(Scenario *scenario, BwProcess *process, int signal_number);
 
+/* Starts a dispatcher again and waits until it has started.  Returns whether
+   it has. */
+bool
+Scenario_StartDispatcher(Scenario *scenario, uint32_t dispatcher);
+
+/* Returns the number of starts later than the platform allows after a cancel
+   was acknowledged, and not before `from_us`. */
+uint32_t
+Scenario_CountLate(Scenario *scenario, const ScenarioRuns *runs,
+                   const ScenarioCall *cancel, uint64_t from_us);
+
 /* Reads the runs of the tasks of a job from all ledgers, in the order of their
    starts.  Returns false when a ledger cannot be read.  The caller frees
    runs->runs. */
