--- a/packages/emulator/labfleet.c
+++ b/packages/emulator/labfleet.c
@@ -120,6 +120,9 @@
                const char *name, uint32_t i, uint32_t door,
                const char *addresses, bool is_old)
 {
+    const char *limits = strcmp(role, "dispatcher") == 0
+                             ? fleet->plan.dispatcher_limits
+                             : fleet->plan.supervisor_limits;
     char fresh[520];
     FILE *file;
 
@@ -131,10 +134,11 @@
     fprintf(file,
             "role: %s\nname: %s\nregion: tunis-nord\ndomain: %s\n"
             "log: {address: '127.0.0.1:%u'}\n%s"
-            "limits: {%sstop_ms: %llu, session_ms: %llu, "
+            "limits: {%s%sstop_ms: %llu, session_ms: %llu, "
             "worker_lease_ms: %llu}\npeers:\n",
             role, name, domains[i % DOMAIN_COUNT], fleet->door_ports[door],
             addresses, is_old ? "" : "startup_hold_permille: 500, ",
+            is_old || limits == NULL ? "" : limits,
             (unsigned long long)fleet->plan.stop_ms,
             (unsigned long long)fleet->plan.session_ms,
             (unsigned long long)fleet->plan.worker_lease_ms);
--- a/packages/emulator/labfleet.h
+++ b/packages/emulator/labfleet.h
@@ -34,6 +34,10 @@
     uint32_t clock_permille; /* clock rate of every second worker */
     bool has_ingress;
     const char *store; /* control text sent to the store at start, or "" */
+    /* Further limits in the settings of a role, each with a comma after it;
+       NULL: none. */
+    const char *dispatcher_limits;
+    const char *supervisor_limits;
 } BwFleetPlan;
 
 typedef struct BwFleet {
