--- a/packages/emulator/worker.c
+++ b/packages/emulator/worker.c
@@ -598,7 +598,8 @@
         return;
     }
     extend_lease(order);
-    if (acked_end > worker.acked_end)
+    /* A higher number is meant for the worker's life before. */
+    if (acked_end > worker.acked_end && acked_end <= worker.end_count)
         worker.acked_end = acked_end;
     if (wait_ms == 0 || has_new_end()) {
         add_runs(reply);
