--- a/packages/adapters/settings.c
+++ b/packages/adapters/settings.c
@@ -54,6 +54,10 @@
            "give the bytes that one home keeps"),
     NUMBER(BwLimits, "body_bytes", BW_YAML_U32, body_bytes, 1024, 1u << 25,
            "give the largest HTTP body"),
+    NUMBER(BwLimits, "memory_mb", BW_YAML_U32, memory_mb, 16, 1u << 20,
+           "give the memory of this process in MB"),
+    NUMBER(BwLimits, "descriptors", BW_YAML_U32, descriptors, 64, 1u << 20,
+           "give the number of descriptors of this process"),
     NUMBER(BwLimits, "waiting_requests", BW_YAML_U32, waiting_requests, 1,
            1000000, "give the number of requests that one entry keeps"),
     NUMBER(BwLimits, "job_lifetime_ms", BW_YAML_U64, job_lifetime_ms, 1000,
@@ -177,6 +181,8 @@
     settings->limits.jobs = 4096;
     settings->limits.job_bytes = 8u * 1024 * 1024;
     settings->limits.body_bytes = 4u * 1024 * 1024;
+    settings->limits.memory_mb = 128;
+    settings->limits.descriptors = 4096;
     settings->limits.waiting_requests = 4096;
     settings->limits.job_lifetime_ms = 60000;
     settings->limits.answer_kept_ms = 10000;
--- a/packages/adapters/settings.h
+++ b/packages/adapters/settings.h
@@ -29,8 +29,10 @@
 
 typedef struct BwLimits {
     uint32_t jobs;
-    uint64_t job_bytes;  /* bodies and answers kept by a home */
-    uint32_t body_bytes; /* body of one HTTP request */
+    uint64_t job_bytes;   /* bodies and answers kept by a home */
+    uint32_t body_bytes;  /* body of one HTTP request */
+    uint32_t memory_mb;   /* of the machine, for this process */
+    uint32_t descriptors; /* the same */
     uint32_t waiting_requests;
     uint64_t job_lifetime_ms;
     uint64_t answer_kept_ms;
