--- a/packages/adapters/httpserver.c
+++ b/packages/adapters/httpserver.c
@@ -4,6 +4,10 @@
    reply, so it would not notice that the caller disconnects.  A second epoll
    descriptor beside h2o's own watches these connections, only for their end.
    HTTP/2 connections are not watched, because h2o notices their end itself.
+   With an account the same descriptor tells of input behind the request.
+
+   H2o refuses a body that is too large; a filter puts the server's own error
+   into that reply.
 */
 
 #include <poll.h>
@@ -17,12 +21,24 @@
 #define IDLE_TIMEOUT_MS 30000
 #define HTTP2_VERSION 0x200
 #define STATUS_CALLER_GONE 499 /* no caller receives it */
+#define STATUS_TOO_LARGE 413
+#define PLAIN_TEXT "text/plain"
 
 typedef struct Handler {
     h2o_handler_t super;
     BwHttpServer *server;
 } Handler;
 
+typedef struct Filter {
+    h2o_filter_t super;
+    BwHttpServer *server;
+} Filter;
+
+typedef struct TooLargeStream {
+    h2o_ostream_t super;
+    h2o_iovec_t body;
+} TooLargeStream;
+
 typedef struct StatusReason {
     int status;
     const char *reason;
@@ -82,6 +98,8 @@
     exchange->watched_fd = -1;
     if (exchange->req->version >= HTTP2_VERSION)
         return;
+    if (exchange->state->connection != NULL)
+        event.events |= EPOLLIN | EPOLLET;
     sock = conn->callbacks->get_socket(conn);
     fd = sock != NULL ? h2o_socket_get_fd(sock) : -1;
     if (fd >= 0 &&
@@ -111,6 +129,17 @@
            (connection.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+/* The request is replied to with `bytes`. */
+static void
+end_exchange(BwExchange *exchange, size_t bytes)
+{
+    BwRequestState *state = exchange->state;
+
+    state->exchange = NULL;
+    exchange->server->open_exchanges--;
+    BwHttpConnection_Reply(state->connection, bytes, &state->kept_bytes);
+}
+
 /* Ends the exchange.  The reply, which no caller receives, makes h2o close the
    connection. */
 static void
@@ -121,8 +150,7 @@
     h2o_req_t *req = exchange->req;
 
     unwatch(exchange);
-    *exchange->pool_ref = NULL;
-    exchange->server->open_exchanges--;
+    end_exchange(exchange, 0);
     exchange->req = NULL;
     if (is_known)
         exchange->server->events->on_abort(exchange->server->ctx, exchange);
@@ -135,6 +163,12 @@
     h2o_send(req, &nothing, 1, H2O_SEND_STATE_FINAL);
 }
 
+static void
+drop_request(void *request)
+{
+    drop_exchange(request, true);
+}
+
 /* Takes one event at a time, because the end of an exchange may end others,
    for which events read earlier would be stale. */
 static void
@@ -145,24 +179,32 @@
 
     if (err != NULL)
         return;
-    while (epoll_wait(server->watch_fd, &event, 1, 0) == 1)
-        drop_exchange(event.data.ptr, true);
+    while (epoll_wait(server->watch_fd, &event, 1, 0) == 1) {
+        BwExchange *exchange = event.data.ptr;
+
+        if ((event.events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+            drop_exchange(exchange, true);
+        else
+            BwHttpConnection_OnUnread(exchange->state->connection);
+    }
 }
 
 /* Called when h2o frees the request's pool: after the reply was sent, or
    because the connection ended before it. */
 static void
-on_request_cleared(void *pool_ref)
+on_request_cleared(void *data)
 {
-    BwExchange *exchange = *(BwExchange **)pool_ref;
+    BwRequestState *state = data;
+    BwExchange *exchange = state->exchange;
 
-    if (exchange == NULL)
-        return;
-    unwatch(exchange);
-    exchange->server->open_exchanges--;
-    exchange->req = NULL;
-    exchange->server->events->on_abort(exchange->server->ctx, exchange);
-    free(exchange);
+    if (exchange != NULL) {
+        unwatch(exchange);
+        exchange->server->open_exchanges--;
+        exchange->req = NULL;
+        exchange->server->events->on_abort(exchange->server->ctx, exchange);
+        free(exchange);
+    }
+    BwHttpConnection_End(state->connection, state->kept_bytes);
 }
 
 static int
@@ -171,6 +213,8 @@
     BwHttpServer *server = ((Handler *)self)->server;
     BwExchange *exchange = calloc(1, sizeof(BwExchange));
     h2o_iovec_t path = req->path;
+    BwRequestState *state;
+    bool is_admitted;
 
     if (exchange == NULL)
         return -1;
@@ -185,30 +229,65 @@
     exchange->path = to_span(path);
     exchange->host = to_span(req->authority);
     exchange->body = to_span(req->entity);
-    exchange->pool_ref = h2o_mem_alloc_shared(&req->pool, sizeof(BwExchange *),
-                                              on_request_cleared);
-    *exchange->pool_ref = exchange;
+    state =
+        h2o_mem_alloc_shared(&req->pool, sizeof(*state), on_request_cleared);
+    state->exchange = exchange;
+    state->connection = BwHttpConnection_Of(&server->connections, req);
+    exchange->state = state;
+    is_admitted = BwHttpConnection_Begin(state->connection, req, exchange,
+                                         &state->kept_bytes);
     server->open_exchanges++;
     watch(exchange);
     if (is_caller_gone(exchange))
         drop_exchange(exchange, false);
-    else if (req->entity.len > server->body_bytes_max)
-        server->events->on_too_large(server->ctx, exchange);
+    else if (!is_admitted)
+        server->events->on_no_room(server->ctx, exchange);
     else
         server->events->on_request(server->ctx, exchange);
     return 0;
 }
 
 static void
-on_accept(h2o_socket_t *listener, const char *err)
+send_too_large(h2o_ostream_t *stream, h2o_req_t *req, h2o_iovec_t *bufs,
+               size_t count, h2o_send_state_t state)
 {
-    BwHttpServer *server = listener->data;
-    h2o_socket_t *sock;
+    (void)bufs;
+    (void)count;
+    h2o_ostream_send_next(stream, req, &((TooLargeStream *)stream)->body, 1,
+                          state);
+}
 
-    if (err != NULL)
-        return;
-    while ((sock = h2o_evloop_socket_accept(listener)) != NULL)
-        h2o_accept(&server->accept, sock);
+/* Replaces the body of h2o's reply to a body that is too large. */
+static void
+on_setup_reply(h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **slot)
+{
+    const char *body = ((Filter *)self)->server->too_large_body;
+    ssize_t type =
+        h2o_find_header(&req->res.headers, H2O_TOKEN_CONTENT_TYPE, SIZE_MAX);
+
+    /* The server's owner never replies with 413 in plain text. */
+    if (req->res.status == STATUS_TOO_LARGE && body != NULL && type >= 0 &&
+        strncmp(req->res.headers.entries[type].value.base, PLAIN_TEXT,
+                strlen(PLAIN_TEXT)) == 0) {
+        TooLargeStream *stream =
+            (TooLargeStream *)h2o_add_ostream(req, sizeof(*stream), slot);
+
+        stream->super.do_send = send_too_large;
+        stream->body = h2o_iovec_init(body, strlen(body));
+        slot = &stream->super.next;
+        req->res.content_length = stream->body.len;
+        h2o_set_header(&req->pool, &req->res.headers, H2O_TOKEN_CONTENT_TYPE,
+                       H2O_STRLIT("application/json"), 1);
+    }
+    h2o_setup_next_ostream(req, slot);
+}
+
+static void
+on_accepted(void *ctx, h2o_socket_t *sock)
+{
+    BwHttpServer *server = ctx;
+
+    BwHttpConnections_Accept(&server->connections, sock, &server->accept);
 }
 
 bool
@@ -219,6 +298,7 @@
     h2o_hostconf_t *hostconf;
     h2o_pathconf_t *pathconf;
     Handler *handler;
+    Filter *filter;
 
     memset(server, 0, sizeof(*server));
     server->events = events;
@@ -227,14 +307,16 @@
     h2o_config_init(&server->config);
     server->config.http1.req_timeout = IDLE_TIMEOUT_MS;
     server->config.server_name = h2o_iovec_init(H2O_STRLIT("brasswing"));
-    server->body_bytes_max = body_bytes_max;
-    server->config.max_request_entity_size = 2 * body_bytes_max;
+    server->config.max_request_entity_size = body_bytes_max;
     hostconf = h2o_config_register_host(
         &server->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
     pathconf = h2o_config_register_path(hostconf, "/", 0);
     handler = (Handler *)h2o_create_handler(pathconf, sizeof(Handler));
     handler->super.on_req = on_req;
     handler->server = server;
+    filter = (Filter *)h2o_create_filter(pathconf, sizeof(Filter));
+    filter->super.on_setup_ostream = on_setup_reply;
+    filter->server = server;
     h2o_context_init(&server->context, loop, &server->config);
     server->accept.ctx = &server->context;
     server->accept.hosts = server->config.hosts;
@@ -245,46 +327,57 @@
                                              H2O_SOCKET_FLAG_DONT_READ);
     server->watch->data = server;
     h2o_socket_read_start(server->watch, on_watch);
-    server->listener =
-        BwNet_Listen(loop, host, &server->port, on_accept, server);
-    return server->listener != NULL;
+    return BwAcceptor_Init(&server->acceptor, loop, host, &server->port,
+                           on_accepted, server);
+}
+
+void
+BwHttpServer_SetAccount(BwHttpServer *server, BwAccount *account,
+                        BwShareKind kind)
+{
+    BwAcceptor_SetAccount(&server->acceptor, account, kind);
+    BwHttpConnections_Init(&server->connections, &server->context,
+                           server->config.max_request_entity_size, account,
+                           kind, drop_request);
+}
+
+void
+BwHttpServer_Tick(BwHttpServer *server)
+{
+    BwAcceptor_Tick(&server->acceptor);
+    BwHttpConnections_Settle(&server->connections);
 }
 
 void
 BwHttpServer_Hold(BwHttpServer *server)
 {
-    if (server->listener != NULL)
-        h2o_socket_read_stop(server->listener);
+    BwAcceptor_Hold(&server->acceptor);
 }
 
 void
 BwHttpServer_Accept(BwHttpServer *server)
 {
-    if (server->listener != NULL && !h2o_socket_is_reading(server->listener))
-        h2o_socket_read_start(server->listener, on_accept);
+    BwAcceptor_Resume(&server->acceptor);
 }
 
 void
 BwHttpServer_Close(BwHttpServer *server)
 {
-    if (server->listener != NULL)
-        h2o_socket_close(server->listener);
-    server->listener = NULL;
+    BwAcceptor_Close(&server->acceptor);
 }
 
 bool
 BwHttpServer_Reopen(BwHttpServer *server, const char *host)
 {
-    if (server->listener == NULL)
-        server->listener = BwNet_Listen(server->context.loop, host,
-                                        &server->port, on_accept, server);
-    return server->listener != NULL;
+    return server->acceptor.listener != NULL ||
+           BwAcceptor_Init(&server->acceptor, server->context.loop, host,
+                           &server->port, on_accepted, server);
 }
 
 void
 BwHttpServer_Shutdown(BwHttpServer *server)
 {
-    if (server->listener == NULL)
+    if (server->acceptor.listener == NULL)
         return;
     BwHttpServer_Close(server);
     h2o_context_request_shutdown(&server->context);
@@ -323,8 +416,7 @@
     bool closes_connection = exchange->server->is_closing;
 
     unwatch(exchange);
-    *exchange->pool_ref = NULL;
-    exchange->server->open_exchanges--;
+    end_exchange(exchange, content.len);
     free(exchange);
     if (closes_connection)
         req->http1_is_persistent = 0;
--- a/packages/adapters/httpserver.h
+++ b/packages/adapters/httpserver.h
@@ -15,10 +15,19 @@
 
 #include <h2o.h>
 
+#include "acceptor.h"
+#include "httpconnection.h"
 #include "messages.h"
 
 typedef struct BwHttpServer BwHttpServer;
 
+/* What is known of a request as long as h2o has its memory, in that memory. */
+typedef struct BwRequestState {
+    struct BwExchange *exchange;  /* NULL once it has ended */
+    BwHttpConnection *connection; /* NULL: not charged for */
+    uint64_t kept_bytes;          /* charged for the request */
+} BwRequestState;
+
 typedef struct BwExchange {
     BwHttpServer *server;
     h2o_req_t *req;
@@ -28,9 +37,7 @@
     BwSpan host;  /* as the caller names it, with the port if given */
     BwSpan body;
     void *data; /* for the owner's use */
-    /* A pointer in the request's memory pool to this exchange; it is set to
-       NULL once the exchange has ended. */
-    struct BwExchange **pool_ref;
+    BwRequestState *state;
     int watched_fd; /* descriptor of the connection; -1: not watched */
 } BwExchange;
 
@@ -38,35 +45,47 @@
     void (*on_request)(void *ctx, BwExchange *exchange);
     /* The caller disconnected; the exchange is freed after the callback. */
     void (*on_abort)(void *ctx, BwExchange *exchange);
-    /* The body is over the limit; the owner replies with an error. */
-    void (*on_too_large)(void *ctx, BwExchange *exchange);
+    /* The process holds too much for other clients to serve the request; the
+       owner replies with an error.  Needed with an account only. */
+    void (*on_no_room)(void *ctx, BwExchange *exchange);
 } BwHttpEvents;
 
 struct BwHttpServer {
     h2o_globalconf_t config;
     h2o_context_t context;
     h2o_accept_ctx_t accept;
-    h2o_socket_t *listener;
+    BwAcceptor acceptor;
+    BwHttpConnections connections;
     int watch_fd; /* epoll set of connections whose request awaits a reply */
     h2o_socket_t *watch; /* watch_fd as a socket of the event loop */
     uint16_t port;
     const BwHttpEvents *events;
     void *ctx;
-    uint32_t open_exchanges; /* requests without a reply yet */
-    bool is_closing;         /* a connection ends with its next reply */
-    size_t body_bytes_max;
+    uint32_t open_exchanges;    /* requests without a reply yet */
+    bool is_closing;            /* a connection ends with its next reply */
+    const char *too_large_body; /* of a reply with status 413, JSON */
 };
 
 /* Listens on host and port; port 0 takes a free one, found in server->port.
-   A request with a body over `body_bytes_max` goes to on_too_large; h2o
-   refuses one over twice that with status 413 before it has read it all.
-   Returns false, with errno set, on failure.  `events` must live as long as
-   the server. */
+   A request with a body over `body_bytes_max` is refused with status 413, as
+   soon as its head announces that or so much of it was read.  Returns false,
+   with errno set, on failure.  `events` must live as long as the server. */
 bool
 BwHttpServer_Init(BwHttpServer *server, h2o_loop_t *loop, const char *host,
                   uint16_t port, size_t body_bytes_max,
                   const BwHttpEvents *events, void *ctx);
 
+/* Charges the connections that are accepted from now on to a share of the
+   account. */
+void
+BwHttpServer_SetAccount(BwHttpServer *server, BwAccount *account,
+                        BwShareKind kind);
+
+/* Accepts again if there is room; called in each tick when there is an
+   account. */
+void
+BwHttpServer_Tick(BwHttpServer *server);
+
 /* Leaves new connections in the system's queue until BwHttpServer_Accept: to
    their callers they are open, and their requests wait. */
 void
--- a/packages/adapters/net.c
+++ b/packages/adapters/net.c
@@ -10,6 +10,8 @@
 #include "net.h"
 
 #define LISTEN_BACKLOG 1024
+/* Accepted sockets inherit it.  Linux reserves twice as much. */
+#define RECEIVE_BUFFER_BYTES 65536
 
 socklen_t
 BwNet_Parse(const char *host, uint16_t port, struct sockaddr_storage *address)
@@ -70,6 +72,7 @@
     struct sockaddr_storage address = {0};
     socklen_t length = BwNet_Parse(host, *port, &address);
     h2o_socket_t *sock;
+    int receive_bytes = RECEIVE_BUFFER_BYTES;
     int on = 1;
     int fd;
 
@@ -89,6 +92,8 @@
         errno = error;
         return NULL;
     }
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes,
+               sizeof(receive_bytes));
     *port = local_port(fd);
     sock = h2o_evloop_socket_create(loop, fd, H2O_SOCKET_FLAG_DONT_READ);
     sock->data = data;
--- a/packages/adapters/net.h
+++ b/packages/adapters/net.h
@@ -26,8 +26,9 @@
 
 /* Opens a listening socket.  `cb` is called whenever connections can be
    accepted with h2o_evloop_socket_accept; `data` becomes the socket's data.
-   Port 0 takes a free one; the port in use is returned in *port.  Returns
-   NULL, with errno set, on failure. */
+   Port 0 takes a free one; the port in use is returned in *port.  What the
+   system receives for a connection before it is read is limited to 64 KB.
+   Returns NULL, with errno set, on failure. */
 h2o_socket_t *
 BwNet_Listen(h2o_loop_t *loop, const char *host, uint16_t *port,
              h2o_socket_cb cb, void *data);
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -8,6 +8,7 @@
 #ifndef BW_DAEMON_H
 #define BW_DAEMON_H
 
+#include "account.h"
 #include "brasswing.h"
 #include "clock.h"
 #include "config.h"
@@ -52,6 +53,7 @@
     BwLogger logger;
     BwEventLoop event_loop; /* event loop of the main thread */
     BwLoopWatch loop_watch;
+    BwAccount account;
     BwDirectory directory;
     BwPeers peers;
     BwHttpServer http;
@@ -112,9 +114,15 @@
 BwDaemon_ReplyCounters(BwExchange *exchange, const BwCounter *counters,
                        uint32_t count);
 
-/* Refuses a request whose body exceeds limits.body_bytes. */
+/* Refuses a request because the process holds too much for others. */
 void
-BwDaemon_RefuseTooLarge(void *ctx, BwExchange *exchange);
+BwDaemon_RefuseNoRoom(void *ctx, BwExchange *exchange);
+
+/* Charges a server to a share of the account, and gives it the error for
+   bodies over limits.body_bytes. */
+void
+BwDaemon_GuardServer(BwHttpServer *server, BwAccount *account,
+                     BwShareKind kind);
 
 /* Logs a decision and stores it for GET /v1/decisions. */
 void
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -23,6 +23,8 @@
 #include "routerecord.h"
 #include "startuphold.h"
 
+/* Limits what a readiness check may cost; it has no body. */
+#define READY_BODY_BYTES_MAX 1024
 /* A planned stop closes the callers' listener after this time, or
    CLOSE_MARGIN_US before its end.  By then the load balancer has noticed that
    this process is not ready. */
@@ -611,7 +613,7 @@
 }
 
 static const BwHttpEvents http_events = {on_request, on_abort,
-                                         BwDaemon_RefuseTooLarge};
+                                         BwDaemon_RefuseNoRoom};
 
 static bool
 is_ready(const Role *role)
@@ -640,7 +642,7 @@
 }
 
 static const BwHttpEvents ready_events = {on_ready_request, on_ready_abort,
-                                          BwDaemon_RefuseTooLarge};
+                                          BwDaemon_RefuseNoRoom};
 
 /* -------------------------------------------------------- supervisors */
 
@@ -777,14 +779,16 @@
                              on_routes_changed, role) &&
           BwRouteRecord_Init(&role->route_record, node->event_loop.loop,
                              settings, node->driver, &role->dispatcher) &&
-          BwHttpServer_Init(
-              &role->ready, node->event_loop.loop, settings->ready.host,
-              (uint16_t)settings->ready.port, settings->limits.body_bytes,
-              &ready_events, role) &&
+          BwHttpServer_Init(&role->ready, node->event_loop.loop,
+                            settings->ready.host,
+                            (uint16_t)settings->ready.port,
+                            READY_BODY_BYTES_MAX, &ready_events, role) &&
           BwHttpServer_Init(&role->http, node->event_loop.loop,
                             settings->http.host, (uint16_t)settings->http.port,
                             settings->limits.body_bytes, &http_events, role)))
         return false;
+    BwDaemon_GuardServer(&role->http, &node->account, BW_SHARE_CALLERS);
+    BwDaemon_GuardServer(&role->ready, &node->account, BW_SHARE_OPERATORS);
     BwHttpServer_Hold(&role->http);
     node->http_port = role->http.port;
     node->ready_port = role->ready.port;
@@ -825,6 +829,8 @@
 {
     Role *role = node->role;
 
+    BwHttpServer_Tick(&role->http);
+    BwHttpServer_Tick(&role->ready);
     log_refusals(role, now_us);
     /* The count is a walk over all workers. */
     if (role->evacuations.is_unconfirmed)
--- a/packages/daemon/entry.c
+++ b/packages/daemon/entry.c
@@ -406,7 +406,7 @@
 }
 
 static const BwHttpEvents http_events = {on_request, on_abort,
-                                         BwDaemon_RefuseTooLarge};
+                                         BwDaemon_RefuseNoRoom};
 
 /* ------------------------------------------------------ from agents */
 
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -20,7 +20,7 @@
 #include "tokens.h"
 
 #define EXIT_USAGE 2
-#define COUNTERS_MAX 64
+#define COUNTERS_MAX 96
 #define INCARNATION_MASK ((UINT64_C(1) << 62) - 1)
 
 static BwSignals signals;
@@ -89,11 +89,26 @@
 }
 
 void
-BwDaemon_RefuseTooLarge(void *ctx, BwExchange *exchange)
+BwDaemon_RefuseNoRoom(void *ctx, BwExchange *exchange)
 {
     (void)ctx;
-    BwDaemon_ReplyError(exchange, BW_ERR_TOO_LARGE,
-                        "the body exceeds limits.body_bytes of the settings");
+    BwDaemon_ReplyError(exchange, BW_ERR_NO_MEMORY,
+                        "the requests under way hold the memory that "
+                        "limits.memory_mb of the settings leaves for them");
+}
+
+void
+BwDaemon_GuardServer(BwHttpServer *server, BwAccount *account,
+                     BwShareKind kind)
+{
+    static char *too_large;
+
+    if (too_large == NULL)
+        too_large = BwJobJson_Error(
+            BW_ERR_TOO_LARGE, "the body exceeds limits.body_bytes of the "
+                              "settings");
+    server->too_large_body = too_large;
+    BwHttpServer_SetAccount(server, account, kind);
 }
 
 void
@@ -136,6 +151,7 @@
     ADD("brasswing_ring_agents", "Agents of the ring", BW_GAUGE,
         daemon->ring.agent_count);
 #undef ADD
+    n = BwAccount_Counters(&daemon->account, counters, n, COUNTERS_MAX);
     n = BwLoopWatch_Counters(&daemon->loop_watch, counters, n, COUNTERS_MAX);
     BwDaemon_ReplyCounters(exchange, counters, n);
 }
@@ -349,6 +365,8 @@
     BwLoopWatch_Tick(&daemon->loop_watch, &daemon->logger, BwClock_Now(),
                      BwClock_WallNow());
     tick_tls(daemon);
+    BwHttpServer_Tick(&daemon->http);
+    BwAccount_Tick(&daemon->account, BwClock_Now(), &daemon->logger);
     daemon->ops->on_tick(daemon, BwClock_Now());
     BwConfigFetch_Tick(&daemon->config_fetch, daemon, BwClock_Now());
     if (signals.stop_requested && !daemon->is_stopping)
@@ -390,6 +408,12 @@
     daemon->decisions = BwDecisions_New();
     if (daemon->decisions == NULL)
         return false;
+    BwAccount_Init(&daemon->account,
+                   (uint64_t)daemon->settings.limits.memory_mb * 1000 * 1000,
+                   daemon->settings.limits.descriptors,
+                   daemon->settings.role == BW_SETTINGS_AGENT
+                       ? 1u << BW_SHARE_CALLERS | 1u << BW_SHARE_PEERS
+                       : 1u << BW_SHARE_CALLERS);
     BwEventLoop_Init(&daemon->event_loop, &loop_events, daemon);
     if (!BwDirectory_Init(&daemon->directory, &daemon->event_loop,
                           &daemon->settings, &daemon->logger))
@@ -405,6 +429,7 @@
                BW_LOG_TEXT("remedy", "check the addresses in the settings"));
         return false;
     }
+    BwDaemon_GuardServer(&daemon->http, &daemon->account, BW_SHARE_CALLERS);
     daemon->peers.hello.http_port = daemon->http.port;
     BwConfigFetch_Init(&daemon->config_fetch, BwClock_Now());
     set_tls_contexts(daemon);
--- a/packages/daemon/node.c
+++ b/packages/daemon/node.c
@@ -14,7 +14,7 @@
 #include "node.h"
 
 #define INCARNATION_MASK ((UINT64_C(1) << 62) - 1)
-#define COUNTERS_MAX 64
+#define COUNTERS_MAX 96
 #define SETTINGS_POLL_US 1000000
 
 typedef struct NodeProcess {
@@ -57,6 +57,7 @@
     ADD("brasswing_resident_bytes", "Resident memory", BW_GAUGE,
         BwCounters_ResidentBytes());
 #undef ADD
+    n = BwAccount_Counters(&node->account, counters, n, COUNTERS_MAX);
     n = BwLoopWatch_Counters(&node->loop_watch, counters, n, COUNTERS_MAX);
     BwDaemon_ReplyCounters(exchange, counters, n);
 }
@@ -126,7 +127,7 @@
 open_metrics(NodeProcess *process)
 {
     static const BwHttpEvents events = {on_metrics_request, on_metrics_abort,
-                                        on_metrics_request};
+                                        BwDaemon_RefuseNoRoom};
     BwNode *node = &process->node;
     const BwEndpoint *endpoint = &node->settings.metrics;
 
@@ -135,7 +136,10 @@
     process->has_metrics = BwHttpServer_Init(
         &process->metrics, node->event_loop.loop, endpoint->host,
         (uint16_t)endpoint->port, METRICS_BODY_BYTES_MAX, &events, process);
-    if (!process->has_metrics)
+    if (process->has_metrics)
+        BwDaemon_GuardServer(&process->metrics, &node->account,
+                             BW_SHARE_OPERATORS);
+    else
         BW_LOG(&node->logger, BW_LOG_WARNING, "metrics_unavailable",
                BW_LOG_NUMBER("port", endpoint->port),
                BW_LOG_TEXT("cause", strerror(errno)),
@@ -207,7 +211,10 @@
                      BwClock_WallNow());
     tick_settings(process, now_us);
     BwMesh_Tick(&node->mesh, now_us);
+    if (process->has_metrics)
+        BwHttpServer_Tick(&process->metrics);
     node->ops->tick(node, now_us);
+    BwAccount_Tick(&node->account, now_us, &node->logger);
     if (process->signals->stop_requested && !node->is_stopping) {
         node->is_stopping = true;
         node->stop_began_us = now_us;
@@ -246,6 +253,13 @@
     node->ops = settings->role == BW_SETTINGS_DISPATCHER
                     ? &BwDispatcherRole_Ops
                     : &BwSupervisorRole_Ops;
+    BwAccount_Init(&node->account,
+                   (uint64_t)settings->limits.memory_mb * 1000 * 1000,
+                   settings->limits.descriptors,
+                   1u << BW_SHARE_OPERATORS |
+                       (settings->role == BW_SETTINGS_DISPATCHER
+                            ? 1u << BW_SHARE_CALLERS | 1u << BW_SHARE_PEERS
+                            : 1u << BW_SHARE_WORKERS));
     BwEventLoop_Init(&node->event_loop, &loop_events, process);
     if (!node->ops->init(node)) {
         BW_LOG(&node->logger, BW_LOG_ERROR, "start_failed",
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -11,6 +11,7 @@
 
 #include <jansson.h>
 
+#include "account.h"
 #include "clock.h"
 #include "counters.h"
 #include "driver.h"
@@ -51,6 +52,7 @@
     BwLogger logger;
     BwEventLoop event_loop;
     BwLoopWatch loop_watch;
+    BwAccount account;
     const BwDriver *driver;
     const BwNodeOps *ops;
     BwMesh mesh;
--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -265,7 +265,7 @@
 }
 
 static const BwHttpEvents control_events = {on_request, on_abort,
-                                            BwDaemon_RefuseTooLarge};
+                                            BwDaemon_RefuseNoRoom};
 
 /* -------------------------------------------------------- dispatchers */
 
@@ -350,6 +350,7 @@
                             settings->limits.body_bytes, &control_events,
                             role)))
         return false;
+    BwDaemon_GuardServer(&role->control, &node->account, BW_SHARE_WORKERS);
     node->http_port = role->control.port;
     return true;
 }
@@ -359,6 +360,7 @@
 {
     Role *role = node->role;
 
+    BwHttpServer_Tick(&role->control);
     BwHttpClient_Tick(&role->worker, now_us);
     BwWorkerRecord_Tick(&role->record, now_us);
     if (now_us - role->started_us >= SEEDS_ALONE_US)
