--- a/packages/adapters/jobjson.c
+++ b/packages/adapters/jobjson.c
@@ -12,6 +12,7 @@
 #include <openssl/evp.h>
 
 #include "jobjson.h"
+#include "jsonbound.h"
 
 #define DEFAULT_PATH "/"
 
@@ -168,6 +169,11 @@
     BwErrorKind error;
 
     memset(request, 0, sizeof(*request));
+    if (!BwJsonBound_Check(body)) {
+        snprintf(request->fault, sizeof(request->fault), "%s",
+                 BW_JSON_BOUND_FAULT);
+        return BW_ERR_BAD_REQUEST;
+    }
     request->root =
         json_loadb(body.base, body.size_bytes, JSON_REJECT_DUPLICATES, &where);
     if (request->root == NULL) {
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -118,6 +118,11 @@
 void
 BwDaemon_RefuseNoRoom(void *ctx, BwExchange *exchange);
 
+/* Returns false after it has refused a request whose body has too many values
+   to be parsed. */
+bool
+BwDaemon_CheckValues(BwExchange *exchange);
+
 /* Charges a server to a share of the account, and gives it the error for
    bodies over limits.body_bytes. */
 void
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -587,6 +587,8 @@
 {
     Role *role = ctx;
 
+    if (!BwDaemon_CheckValues(exchange))
+        return;
     if (role->config.routes.revision > 0)
         serve_request(role, exchange, 0);
     else if (!hold_request(role, exchange))
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -15,6 +15,7 @@
 #include <unistd.h>
 
 #include "daemon.h"
+#include "jsonbound.h"
 #include "node.h"
 #include "nodelist.h"
 #include "tokens.h"
@@ -97,6 +98,15 @@
                         "limits.memory_mb of the settings leaves for them");
 }
 
+bool
+BwDaemon_CheckValues(BwExchange *exchange)
+{
+    if (BwJsonBound_Check(exchange->body))
+        return true;
+    BwDaemon_ReplyError(exchange, BW_ERR_BAD_REQUEST, BW_JSON_BOUND_FAULT);
+    return false;
+}
+
 void
 BwDaemon_GuardServer(BwHttpServer *server, BwAccount *account,
                      BwShareKind kind)
--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -231,6 +231,8 @@
                             "and /v1/status are served here");
         return;
     }
+    if (!BwDaemon_CheckValues(exchange))
+        return;
     if (!driver->read_heartbeat(exchange->path, exchange->body, &heartbeat,
                                 &fault)) {
         refuse_heartbeat(role, exchange, fault);
--- a/tests/test_account.c
+++ b/tests/test_account.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "account.h"
+#include "jsonbound.h"
 
 #define MB 1000000u
 #define MEMORY_BYTES (64 * MB)
@@ -196,6 +197,27 @@
     g_assert_true(BwAccount_HasRoom(&account, BW_SHARE_CALLERS));
 }
 
+static void
+test_json_bound(void)
+{
+    GString *text = g_string_new("{\"a\":[");
+
+    for (uint32_t i = 0; i < 16000; i++)
+        g_string_append(text, "\"[,{\\\"\",");
+    g_string_append(text, "1]}");
+    g_assert_true(BwJsonBound_Check((BwSpan){text->str, text->len}));
+    for (uint32_t i = 0; i < 400; i++)
+        g_string_append(text, ",{}");
+    g_assert_false(BwJsonBound_Check((BwSpan){text->str, text->len}));
+    g_string_assign(text, "");
+    for (uint32_t i = 0; i < 64; i++)
+        g_string_append(text, "[");
+    g_assert_true(BwJsonBound_Check((BwSpan){text->str, text->len}));
+    g_string_append(text, "[");
+    g_assert_false(BwJsonBound_Check((BwSpan){text->str, text->len}));
+    g_string_free(text, TRUE);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -207,5 +229,6 @@
     g_test_add_func("/account/kept_and_loose", test_kept_and_loose);
     g_test_add_func("/account/release", test_release);
     g_test_add_func("/account/descriptors", test_descriptors);
+    g_test_add_func("/account/json_bound", test_json_bound);
     return g_test_run();
 }
