--- a/packages/adapters/link.c
+++ b/packages/adapters/link.c
@@ -11,10 +11,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "clock.h"
 #include "link.h"
 #include "wire.h"
 
 #define ZONE_CHUNK_BYTES 8192
+#define LINK_BYTES 4096 /* what a link without data holds */
 
 static void
 init_link(BwLink *link, h2o_socket_t *sock, const BwLinkEvents *events,
@@ -46,6 +48,7 @@
     if (link->sock != NULL)
         h2o_socket_close(link->sock);
     link->sock = NULL;
+    BwHolder_Leave(&link->holder);
     msgpack_sbuffer_destroy(&link->pending);
     msgpack_sbuffer_destroy(&link->writing);
 }
@@ -137,6 +140,36 @@
     return true;
 }
 
+static void
+evict(BwHolder *holder)
+{
+    close_and_notify(H2O_STRUCT_FROM_MEMBER(BwLink, holder, holder),
+                     BW_LINK_LOST);
+}
+
+static uint64_t
+held_bytes(const BwLink *link)
+{
+    const h2o_buffer_t *input = link->sock->input;
+
+    return LINK_BYTES + (input->size > 0 ? input->capacity : 0) +
+           link->pending.alloc + link->writing.alloc;
+}
+
+/* Returns whether the link may go on. */
+static bool
+charge(BwLink *link)
+{
+    if (link->holder.account == NULL)
+        return true;
+    if (!link->is_trusted &&
+        link->sock->input->size > BW_LINK_UNTRUSTED_BYTES_MAX)
+        return false;
+    BwHolder_SetLoose(&link->holder, held_bytes(link));
+    BwAccount_Settle(link->holder.account, BW_SHARE_PEERS, BwClock_Now());
+    return true;
+}
+
 static void
 on_read(h2o_socket_t *sock, const char *err)
 {
@@ -155,7 +188,7 @@
     msgpack_zone_destroy(&zone);
     if (link->is_closed)
         return;
-    if (!is_valid)
+    if (!is_valid || !charge(link))
         close_and_notify(link, BW_LINK_LOST);
 }
 
@@ -239,6 +272,23 @@
         on_link_ready(link);
 }
 
+void
+BwLink_SetAccount(BwLink *link, BwAccount *account)
+{
+    if (account == NULL || link->is_closed)
+        return;
+    link->holder.evict = evict;
+    BwAccount_Join(account, &link->holder, BW_SHARE_PEERS, BwClock_Now());
+    BwHolder_SetLoose(&link->holder, LINK_BYTES);
+}
+
+void
+BwLink_Trust(BwLink *link)
+{
+    link->is_trusted = true;
+    link->holder.is_busy = true;
+}
+
 bool
 BwLink_Send(BwLink *link, const BwMessage *message)
 {
@@ -252,6 +302,8 @@
         return false;
     link->counters->messages_sent++;
     flush(link);
+    if (link->holder.account != NULL && !link->is_closed)
+        BwHolder_SetLoose(&link->holder, held_bytes(link));
     return true;
 }
 
--- a/packages/adapters/link.h
+++ b/packages/adapters/link.h
@@ -15,11 +15,14 @@
 
 #include <h2o.h>
 
+#include "account.h"
 #include "counters.h"
 #include "messages.h"
 
 /* Send buffer beyond which BwLink_Send refuses further messages. */
-#define BW_LINK_PENDING_BYTES_MAX (64u * 1024 * 1024)
+#define BW_LINK_PENDING_BYTES_MAX (16u * 1024 * 1024)
+/* Input that an accepted link may send before it is trusted. */
+#define BW_LINK_UNTRUSTED_BYTES_MAX 8192
 
 typedef struct BwLink BwLink;
 
@@ -73,7 +76,9 @@
     /* In which messages are written and read; the owner sets it when the
        HELLO of the other side has settled it. */
     uint32_t wire_version;
-    bool is_open; /* connected, and the TLS handshake is done */
+    BwHolder holder; /* of an accepted link with an account */
+    bool is_trusted; /* the other side has sent a HELLO that was accepted */
+    bool is_open;    /* connected, and the TLS handshake is done */
     bool is_closed;
 };
 
@@ -91,6 +96,16 @@
 BwLink_Accept(BwLink *link, h2o_socket_t *sock, const BwLinkEvents *events,
               void *data, BwLinkCounters *counters, const BwLinkTls *tls);
 
+/* Charges an accepted link to the peers' share of the account, which may close
+   it as if the connection had ended.  Until BwLink_Trust it may send no more
+   than a HELLO, and is closed first when descriptors are used up. */
+void
+BwLink_SetAccount(BwLink *link, BwAccount *account);
+
+/* The other side has introduced itself. */
+void
+BwLink_Trust(BwLink *link);
+
 /* Queues a message, which is copied; one that the link's wire version lacks is
    dropped.  Returns false when the link is closed,
    memory is short, a receiver would refuse the message as too large, or more
--- a/packages/daemon/dispatchrole.c
+++ b/packages/daemon/dispatchrole.c
@@ -791,6 +791,7 @@
         return false;
     BwDaemon_GuardServer(&role->http, &node->account, BW_SHARE_CALLERS);
     BwDaemon_GuardServer(&role->ready, &node->account, BW_SHARE_OPERATORS);
+    BwMesh_SetAccount(&node->mesh, &node->account);
     BwHttpServer_Hold(&role->http);
     node->http_port = role->http.port;
     node->ready_port = role->ready.port;
--- a/packages/daemon/main.c
+++ b/packages/daemon/main.c
@@ -440,6 +440,7 @@
         return false;
     }
     BwDaemon_GuardServer(&daemon->http, &daemon->account, BW_SHARE_CALLERS);
+    BwPeers_SetAccount(&daemon->peers, &daemon->account);
     daemon->peers.hello.http_port = daemon->http.port;
     BwConfigFetch_Init(&daemon->config_fetch, BwClock_Now());
     set_tls_contexts(daemon);
--- a/packages/daemon/mesh.c
+++ b/packages/daemon/mesh.c
@@ -90,7 +90,8 @@
 expects_reply(const BwMesh *mesh, const BwMessage *message)
 {
     return message->kind == BW_MSG_PLACE ||
-           (message->kind == BW_MSG_SESSION && mesh->listener == NULL);
+           (message->kind == BW_MSG_SESSION &&
+            !BwAcceptor_IsOpen(&mesh->acceptor));
 }
 
 static bool
@@ -199,6 +200,7 @@
     BwSpan_ToString(hello->name, link->name, sizeof(link->name));
     BwSpan_ToString(hello->build, link->build, sizeof(link->build));
     link->is_up = true;
+    BwLink_Trust(&link->link);
     if (link->target != NULL) {
         link->target->offered_version = link->link.wire_version;
         BwSpan_ToString(hello->name, link->target->name,
@@ -266,22 +268,18 @@
 }
 
 static void
-on_accept(h2o_socket_t *listener, const char *err)
+on_accepted(void *ctx, h2o_socket_t *sock)
 {
-    BwMesh *mesh = listener->data;
-    h2o_socket_t *sock;
+    BwMesh *mesh = ctx;
+    BwMeshLink *link = make_link(mesh);
 
-    if (err != NULL)
+    if (link == NULL) {
+        h2o_socket_close(sock);
         return;
-    while ((sock = h2o_evloop_socket_accept(listener)) != NULL) {
-        BwMeshLink *link = make_link(mesh);
-
-        if (link == NULL)
-            h2o_socket_close(sock);
-        else
-            BwLink_Accept(&link->link, sock, &link_events, link,
-                          &mesh->counters, &mesh->tls);
     }
+    BwLink_Accept(&link->link, sock, &link_events, link, &mesh->counters,
+                  &mesh->tls);
+    BwLink_SetAccount(&link->link, mesh->account);
 }
 
 static void
@@ -329,7 +327,7 @@
     dispatcher->is_seed = is_seed;
     dispatcher->received_us = now_us;
     dispatcher->offered_version = BW_WIRE_VERSION;
-    dispatcher->is_self = mesh->listener != NULL &&
+    dispatcher->is_self = BwAcceptor_IsOpen(&mesh->acceptor) &&
                           port == mesh->settings->peer.port &&
                           strcmp(address.host, mesh->settings->peer.host) == 0;
     dispatcher->version = dispatcher->is_self ? ++mesh->version : 0;
@@ -419,7 +417,8 @@
         return link->received_us + CONNECT_TIMEOUT_US;
     if (!link->is_up)
         return link->received_us + HELLO_TIMEOUT_US;
-    if (link->mesh->listener != NULL && link->role == BW_ROLE_DISPATCHER)
+    if (BwAcceptor_IsOpen(&link->mesh->acceptor) &&
+        link->role == BW_ROLE_DISPATCHER)
         return link->received_us + link->mesh->dispatcher_silence_us;
     return link->expires_us;
 }
@@ -442,7 +441,7 @@
         if (!link->is_closed &&
             (link->has_overflowed || now_us > link_expiry_us(link)))
             close_link(link);
-        else if (link->is_up && mesh->listener != NULL)
+        else if (link->is_up && BwAcceptor_IsOpen(&mesh->acceptor))
             update_link(link, now_us);
     }
 }
@@ -457,7 +456,7 @@
     BwMeshLink *next = NULL;
     uint32_t count;
 
-    if (mesh->listener == NULL ||
+    if (!BwAcceptor_IsOpen(&mesh->acceptor) ||
         now_us - mesh->repaired_us < REPAIR_INTERVAL_US)
         return;
     mesh->repaired_us = now_us;
@@ -501,6 +500,7 @@
 BwMesh_Tick(BwMesh *mesh, uint64_t now_us)
 {
     mesh->ticked_us = now_us;
+    BwAcceptor_Tick(&mesh->acceptor);
     tick_links(mesh, now_us);
     repair_dispatchers(mesh, now_us);
     reap_links(mesh);
@@ -540,9 +540,8 @@
     mesh->hello.http_host = BwSpan_FromString(settings->peer.host);
     mesh->hello.http_port = settings->peer.port;
     if (settings->role == BW_SETTINGS_DISPATCHER) {
-        mesh->listener =
-            BwNet_Listen(loop, settings->peer.host, &port, on_accept, mesh);
-        if (mesh->listener == NULL)
+        if (!BwAcceptor_Init(&mesh->acceptor, loop, settings->peer.host, &port,
+                             on_accepted, mesh))
             return false;
         mesh->hello.http_port = port;
         BwMesh_AddDispatcher(mesh, BwClock_Now(), mesh->hello.name,
@@ -554,6 +553,13 @@
     return true;
 }
 
+void
+BwMesh_SetAccount(BwMesh *mesh, BwAccount *account)
+{
+    mesh->account = account;
+    BwAcceptor_SetAccount(&mesh->acceptor, account, BW_SHARE_PEERS);
+}
+
 void
 BwMesh_Finish(BwMesh *mesh)
 {
@@ -570,7 +576,5 @@
         HASH_DEL(mesh->dispatchers, dispatcher);
         free(dispatcher);
     }
-    if (mesh->listener != NULL)
-        h2o_socket_close(mesh->listener);
-    mesh->listener = NULL;
+    BwAcceptor_Close(&mesh->acceptor);
 }
--- a/packages/daemon/mesh.h
+++ b/packages/daemon/mesh.h
@@ -30,6 +30,7 @@
 
 #include <uthash.h>
 
+#include "acceptor.h"
 #include "link.h"
 #include "log.h"
 #include "peerrefusal.h"
@@ -98,7 +99,8 @@
     BwLinkCounters counters;
     BwPeerRefusals refusals;
     BwLinkTls tls;
-    h2o_socket_t *listener;        /* NULL in a supervisor */
+    BwAcceptor acceptor;           /* closed in a supervisor */
+    BwAccount *account;            /* NULL: nothing is charged */
     BwMeshLink *links;             /* hash by id */
     BwMeshDispatcher *dispatchers; /* known dispatchers, hash by address */
     uint32_t next_id;
@@ -111,6 +113,10 @@
     uint64_t heartbeat_us;          /* between messages of dispatchers */
 };
 
+/* Charges the connections that are accepted from now on to the account. */
+void
+BwMesh_SetAccount(BwMesh *mesh, BwAccount *account);
+
 /* Opens the listener if this process is a dispatcher, and adds the seeds.
    `settings`, `logger` and `events` must outlive the mesh.  Returns false with
    errno set when the address cannot be listened on. */
--- a/packages/daemon/peers.c
+++ b/packages/daemon/peers.c
@@ -18,6 +18,8 @@
 
 #define REDIAL_MIN_US 50000
 #define REDIAL_MAX_US 1000000
+/* An accepted connection that has sent no HELLO by then is closed. */
+#define HELLO_TIMEOUT_US 5000000
 
 static void
 send_hello(BwPeers *peers, BwLink *link)
@@ -303,6 +305,7 @@
     }
     inbound->peer_id = peer->id;
     inbound->link.wire_version = version;
+    BwLink_Trust(&inbound->link);
     copy_hello(peer, hello);
     send_hello(peers, &inbound->link);
     if (hello->role == BW_ROLE_AGENT && peer->incarnation != 0 &&
@@ -346,32 +349,35 @@
                                             on_inbound_end};
 
 static void
-on_accept(h2o_socket_t *listener, const char *err)
+on_accepted(void *ctx, h2o_socket_t *sock)
 {
-    BwPeers *peers = listener->data;
-    h2o_socket_t *sock;
+    BwPeers *peers = ctx;
+    BwInbound *inbound = calloc(1, sizeof(BwInbound));
 
-    if (err != NULL)
+    if (inbound == NULL) {
+        h2o_socket_close(sock);
         return;
-    while ((sock = h2o_evloop_socket_accept(listener)) != NULL) {
-        BwInbound *inbound = calloc(1, sizeof(BwInbound));
-
-        if (inbound == NULL) {
-            h2o_socket_close(sock);
-            return;
-        }
-        inbound->peers = peers;
-        BwLink_Accept(&inbound->link, sock, &inbound_events, inbound,
-                      &peers->counters, &peers->tls);
-        DL_APPEND(peers->inbound, inbound);
     }
+    inbound->peers = peers;
+    inbound->accepted_us = BwClock_Now();
+    DL_APPEND(peers->inbound, inbound);
+    BwLink_Accept(&inbound->link, sock, &inbound_events, inbound,
+                  &peers->counters, &peers->tls);
+    BwLink_SetAccount(&inbound->link, peers->account);
 }
 
 bool
 BwPeers_Listen(BwPeers *peers, const char *host, uint16_t *port)
 {
-    peers->listener = BwNet_Listen(peers->loop, host, port, on_accept, peers);
-    return peers->listener != NULL;
+    return BwAcceptor_Init(&peers->acceptor, peers->loop, host, port,
+                           on_accepted, peers);
+}
+
+void
+BwPeers_SetAccount(BwPeers *peers, BwAccount *account)
+{
+    peers->account = account;
+    BwAcceptor_SetAccount(&peers->acceptor, account, BW_SHARE_PEERS);
 }
 
 static BwLink *
@@ -491,8 +497,14 @@
             now_us >= peer->redial_at_us)
             dial(peer);
     }
+    BwAcceptor_Tick(&peers->acceptor);
     DL_FOREACH_SAFE(peers->inbound, inbound, next)
     {
+        if (inbound->peer_id == 0 &&
+            now_us > inbound->accepted_us + HELLO_TIMEOUT_US) {
+            BwLink_Close(&inbound->link);
+            inbound->is_closed = true;
+        }
         if (!inbound->is_closed)
             continue;
         DL_DELETE(peers->inbound, inbound);
@@ -506,8 +518,7 @@
     BwInbound *inbound, *next_inbound;
     BwPeer *peer, *next_peer;
 
-    if (peers->listener != NULL)
-        h2o_socket_close(peers->listener);
+    BwAcceptor_Close(&peers->acceptor);
     DL_FOREACH_SAFE(peers->inbound, inbound, next_inbound)
     {
         BwLink_Close(&inbound->link);
--- a/packages/daemon/peers.h
+++ b/packages/daemon/peers.h
@@ -23,6 +23,7 @@
 
 #include <uthash.h>
 
+#include "acceptor.h"
 #include "brasswing.h"
 #include "link.h"
 #include "log.h"
@@ -73,6 +74,7 @@
     BwLink link;
     BwPeers *peers;
     uint32_t peer_id; /* 0 until the peer has sent HELLO */
+    uint64_t accepted_us;
     bool is_closed;
     struct BwInbound *prev, *next;
 } BwInbound;
@@ -95,7 +97,8 @@
     BwPeer *table; /* hash by id */
     BwInbound *inbound;
     uint32_t next_id;
-    h2o_socket_t *listener;
+    BwAcceptor acceptor;
+    BwAccount *account; /* NULL: nothing is charged */
     BwLinkCounters counters;
     BwPeerRefusals refusals;
     /* The owner replaces the contexts when the certificates change. */
@@ -115,6 +118,10 @@
 bool
 BwPeers_Listen(BwPeers *peers, const char *host, uint16_t *port);
 
+/* Charges the connections that are accepted from now on to the account. */
+void
+BwPeers_SetAccount(BwPeers *peers, BwAccount *account);
+
 /* Begins to dial the agents that are new in the ring, and stops dialling those
    that are no longer in it. */
 void
