--- a/packages/adapters/account.c
+++ b/packages/adapters/account.c
@@ -26,8 +26,9 @@
 /* Weight of the connections that the process opens itself. */
 #define OWN_WEIGHT 3
 #define UNUSED_US 1000000
-#define LEAVING_MAX 32 /* evicted and open; no more are accepted until then   \
-                        */
+#define LEAVING_MAX                                                           \
+    32 /* evicted and open; no more are accepted until then                   \
+        */
 #define LOG_INTERVAL_US 1000000
 /* Fixed, because the C library raises it with each large block that is freed
    and keeps freed blocks of that size resident. */
