--- a/packages/adapters/acceptor.c
+++ b/packages/adapters/acceptor.c
@@ -15,6 +15,7 @@
 {
     acceptor->is_paused = true;
     h2o_socket_read_stop(acceptor->listener);
+    BwAccount_OnPaused(acceptor->account, acceptor->kind);
 }
 
 static bool
--- a/packages/adapters/account.c
+++ b/packages/adapters/account.c
@@ -50,10 +50,11 @@
     [BW_SHARE_PEERS] = {"peers", 2, 5},
 };
 
-static const char *const eviction_reasons[BW_EVICT_COUNT] = {
-    [BW_EVICT_BYTES] = "bytes",
-    [BW_EVICT_DESCRIPTORS] = "descriptors",
-    [BW_EVICT_NOT_ADMITTED] = "not_admitted",
+static const char *const rejection_names[BW_REJECTION_COUNT] = {
+    [BW_CLOSED_FOR_BYTES] = "closed_for_bytes",
+    [BW_CLOSED_FOR_DESCRIPTORS] = "closed_for_descriptors",
+    [BW_REQUEST_NOT_ADMITTED] = "request_not_admitted",
+    [BW_ACCEPT_PAUSED] = "accept_paused",
 };
 
 static bool
@@ -62,13 +63,20 @@
     return (account->kinds & (1u << kind)) != 0;
 }
 
+/* Divides the descriptors, of which the system may by now allow fewer. */
 static void
-divide_descriptors(BwAccount *account, uint32_t descriptors)
+divide_descriptors(BwAccount *account)
 {
-    uint32_t files = (uint32_t)((uint64_t)descriptors * FILES_PERMILLE / 1000);
     uint32_t total = OWN_WEIGHT;
-
-    account->descriptors_max = descriptors - (files < FILES ? files : FILES);
+    struct rlimit limit;
+    uint32_t files;
+
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
+        limit.rlim_cur < account->descriptors)
+        account->descriptors = (uint32_t)limit.rlim_cur;
+    files = (uint32_t)((uint64_t)account->descriptors * FILES_PERMILLE / 1000);
+    account->descriptors_max =
+        account->descriptors - (files < FILES ? files : FILES);
     for (int i = 0; i < BW_SHARE_COUNT; i++)
         total += has_share(account, i) ? weights[i].descriptors : 0;
     for (int i = 0; i < BW_SHARE_COUNT; i++)
@@ -76,17 +84,6 @@
             account->descriptors_max / total * weights[i].descriptors;
 }
 
-/* Returns the lower of `descriptors` and the limit of the system. */
-static uint32_t
-limit_descriptors(uint32_t descriptors)
-{
-    struct rlimit limit;
-
-    if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < descriptors)
-        return (uint32_t)limit.rlim_cur;
-    return descriptors;
-}
-
 void
 BwAccount_Init(BwAccount *account, uint64_t memory_bytes, uint32_t descriptors,
                uint32_t kinds)
@@ -102,16 +99,17 @@
     for (int i = 0; i < BW_SHARE_COUNT && total > 0; i++)
         account->shares[i].bytes_max =
             account->bytes_max / total * weights[i].bytes;
-    divide_descriptors(account, limit_descriptors(descriptors));
+    account->descriptors = descriptors;
+    divide_descriptors(account);
 }
 
-/* ------------------------------------------------------------- evictions */
+/* ------------------------------------------------------------- rejections */
 
 static void
-evict(BwShare *share, BwHolder *holder, BwEviction reason)
+evict(BwShare *share, BwHolder *holder, BwRejection reason)
 {
-    holder->account->was_evicting = true;
-    share->evictions[reason]++;
+    holder->account->has_rejected = true;
+    share->rejections[reason]++;
     share->loose_bytes -= holder->loose_bytes;
     share->leaving++;
     holder->loose_bytes = 0;
@@ -134,7 +132,9 @@
     uint32_t count = 0;
 
     DL_FOREACH(share->holders, holder)
-    count += holder->loose_bytes > 0 ? 1 : 0;
+    {
+        count += holder->loose_bytes > 0 ? 1 : 0;
+    }
     part_bytes = count > 0 ? room_bytes / count : 0;
     DL_FOREACH(share->holders, holder)
     {
@@ -164,7 +164,7 @@
 
         if (largest == NULL)
             return;
-        evict(share, largest, BW_EVICT_BYTES);
+        evict(share, largest, BW_CLOSED_FOR_BYTES);
     }
 }
 
@@ -204,7 +204,7 @@
         if (idlest == NULL)
             return;
         share->replaced++;
-        evict(share, idlest, BW_EVICT_DESCRIPTORS);
+        evict(share, idlest, BW_CLOSED_FOR_DESCRIPTORS);
     }
 }
 
@@ -234,10 +234,17 @@
            share->leaving < LEAVING_MAX && find_idlest(share, 0) != NULL;
 }
 
+void
+BwAccount_OnPaused(BwAccount *account, BwShareKind kind)
+{
+    account->shares[kind].rejections[BW_ACCEPT_PAUSED]++;
+    account->has_rejected = true;
+}
+
 void
 BwAccount_OnExhausted(BwAccount *account, uint64_t now_us)
 {
-    divide_descriptors(account, limit_descriptors(account->descriptors_max));
+    divide_descriptors(account);
     for (int i = 0; i < BW_SHARE_COUNT; i++)
         settle_descriptors(&account->shares[i], now_us);
 }
@@ -285,8 +292,8 @@
     is_small = bytes <= kept_max_bytes / (share->kept_count + 1) &&
                sum_bytes <= share->bytes_max / 1000 * KEPT_SMALL_PERMILLE;
     if (share->kept_count > 0 && sum_bytes > kept_max_bytes && !is_small) {
-        share->evictions[BW_EVICT_NOT_ADMITTED]++;
-        holder->account->was_evicting = true;
+        share->rejections[BW_REQUEST_NOT_ADMITTED]++;
+        holder->account->has_rejected = true;
         return false;
     }
     BwHolder_Keep(holder, bytes);
@@ -325,26 +332,26 @@
 /* ----------------------------------------------------------------- tick */
 
 static void
-log_evictions(BwAccount *account, const BwLogger *logger)
+log_rejections(BwAccount *account, const BwLogger *logger)
 {
     for (int i = 0; i < BW_SHARE_COUNT; i++) {
         BwShare *share = &account->shares[i];
 
-        for (int reason = 0; reason < BW_EVICT_COUNT; reason++) {
-            uint64_t count = share->evictions[reason] - share->logged[reason];
+        for (int reason = 0; reason < BW_REJECTION_COUNT; reason++) {
+            uint64_t count = share->rejections[reason] - share->logged[reason];
 
             if (count > 0)
                 BW_LOG(
                     logger, BW_LOG_WARNING, "clients_rejected",
                     BW_LOG_TEXT("share", weights[i].name),
-                    BW_LOG_TEXT("reason", eviction_reasons[reason]),
+                    BW_LOG_TEXT("reason", rejection_names[reason]),
                     BW_LOG_NUMBER("count", count),
                     BW_LOG_NUMBER("bytes",
                                   share->kept_bytes + share->loose_bytes),
                     BW_LOG_NUMBER("bytes_max", share->bytes_max),
                     BW_LOG_NUMBER("descriptors", share->descriptors),
                     BW_LOG_NUMBER("descriptors_max", share->descriptors_max));
-            share->logged[reason] = share->evictions[reason];
+            share->logged[reason] = share->rejections[reason];
         }
     }
 }
@@ -356,12 +363,12 @@
         account->shares[i].replaced = 0;
         BwAccount_Settle(account, (BwShareKind)i, now_us);
     }
-    if (!account->was_evicting ||
+    if (!account->has_rejected ||
         now_us - account->logged_us < LOG_INTERVAL_US)
         return;
     account->logged_us = now_us;
-    account->was_evicting = false;
-    log_evictions(account, logger);
+    account->has_rejected = false;
+    log_rejections(account, logger);
     malloc_trim(0);
 }
 
@@ -371,15 +378,15 @@
 {
     uint64_t bytes = 0;
     uint64_t descriptors = 0;
-    uint64_t evictions[BW_EVICT_COUNT] = {0};
+    uint64_t rejections[BW_REJECTION_COUNT] = {0};
 
     for (int i = 0; i < BW_SHARE_COUNT; i++) {
         const BwShare *share = &account->shares[i];
 
         bytes += share->kept_bytes + share->loose_bytes;
         descriptors += share->descriptors;
-        for (int reason = 0; reason < BW_EVICT_COUNT; reason++)
-            evictions[reason] += share->evictions[reason];
+        for (int reason = 0; reason < BW_REJECTION_COUNT; reason++)
+            rejections[reason] += share->rejections[reason];
     }
 #define ADD(name, help, kind, value)                                          \
     count = BwCounters_Add(counters, count, capacity, name, help, kind, value)
@@ -392,13 +399,16 @@
         BW_GAUGE, account->descriptors_max);
     ADD("brasswing_clients_closed_bytes_total",
         "Connections closed since their clients held too many bytes",
-        BW_COUNTER, evictions[BW_EVICT_BYTES]);
+        BW_COUNTER, rejections[BW_CLOSED_FOR_BYTES]);
     ADD("brasswing_clients_closed_descriptors_total",
         "Connections closed to make room for others", BW_COUNTER,
-        evictions[BW_EVICT_DESCRIPTORS]);
+        rejections[BW_CLOSED_FOR_DESCRIPTORS]);
     ADD("brasswing_requests_not_admitted_total",
         "Requests refused since those under way hold too many bytes",
-        BW_COUNTER, evictions[BW_EVICT_NOT_ADMITTED]);
+        BW_COUNTER, rejections[BW_REQUEST_NOT_ADMITTED]);
+    ADD("brasswing_accept_paused_total",
+        "Times that new connections had to wait for room", BW_COUNTER,
+        rejections[BW_ACCEPT_PAUSED]);
 #undef ADD
     return count;
 }
--- a/packages/adapters/account.h
+++ b/packages/adapters/account.h
@@ -42,13 +42,14 @@
     BW_SHARE_COUNT
 } BwShareKind;
 
-/* Why a connection was closed, or a request not admitted. */
-typedef enum BwEviction {
-    BW_EVICT_BYTES,
-    BW_EVICT_DESCRIPTORS,
-    BW_EVICT_NOT_ADMITTED,
-    BW_EVICT_COUNT
-} BwEviction;
+/* What was done to a client for want of room. */
+typedef enum BwRejection {
+    BW_CLOSED_FOR_BYTES,
+    BW_CLOSED_FOR_DESCRIPTORS,
+    BW_REQUEST_NOT_ADMITTED,
+    BW_ACCEPT_PAUSED, /* until the next tick with room */
+    BW_REJECTION_COUNT
+} BwRejection;
 
 typedef struct BwAccount BwAccount;
 typedef struct BwHolder BwHolder;
@@ -79,17 +80,18 @@
     uint32_t replaced; /* closed for others since the last tick */
     uint32_t kept_count;
     BwHolder *holders;
-    uint64_t evictions[BW_EVICT_COUNT];
-    uint64_t logged[BW_EVICT_COUNT];
+    uint64_t rejections[BW_REJECTION_COUNT];
+    uint64_t logged[BW_REJECTION_COUNT];
 } BwShare;
 
 struct BwAccount {
     BwShare shares[BW_SHARE_COUNT];
     uint64_t bytes_max;
-    uint32_t descriptors_max; /* for sockets */
+    uint32_t descriptors;     /* of the process */
+    uint32_t descriptors_max; /* of these, for sockets */
     uint32_t kinds;           /* bit set of the kinds that have a share */
     uint64_t logged_us;
-    bool was_evicting; /* memory was freed since the last trim */
+    bool has_rejected; /* since the last line in the log */
 };
 
 /* Gives `memory_bytes` and `descriptors` of the machine to the kinds of the
@@ -111,6 +113,10 @@
 bool
 BwAccount_HasRoom(const BwAccount *account, BwShareKind kind);
 
+/* Connections of the kind wait to be accepted. */
+void
+BwAccount_OnPaused(BwAccount *account, BwShareKind kind);
+
 /* The system refused a descriptor: the limit is read again, and connections
    are closed until the shares are kept. */
 void
--- a/packages/adapters/httpconnection.c
+++ b/packages/adapters/httpconnection.c
@@ -249,7 +249,9 @@
     bool has_http2 = false;
 
     DL_FOREACH(connections->changed, connection)
-    has_http2 |= connection->is_http2;
+    {
+        has_http2 |= connection->is_http2;
+    }
     connections->round++;
     if (has_http2)
         connections->context->globalconf->http2.callbacks.foreach_request(
--- a/packages/daemon/superviserole.c
+++ b/packages/daemon/superviserole.c
@@ -402,7 +402,9 @@
 
     BwHttpClient_Finish(&role->worker);
     DL_FOREACH_SAFE(role->calls, call, next)
+    {
         free(call);
+    }
     BwWorkerRecord_Finish(&role->record);
     BwKeptRecord_Finish(&role->dispatchers);
     BwSupervisor_Finish(&role->supervisor);
