--- a/packages/adapters/settings.c
+++ b/packages/adapters/settings.c
@@ -12,6 +12,10 @@
 #include "settings.h"
 
 #define STOP_DEFAULT_MS 5000
+#define MEMORY_DEFAULT_MB 128
+#define BYTES_PER_MB 1000000
+/* Bodies of the largest size for which a process has memory. */
+#define BODIES_IN_MEMORY 8
 /* Time in which a published configuration is in force, of dispatchers and of
    the other roles. */
 #define CONFIG_APPLY_DISPATCHER_MS 2000
@@ -181,7 +185,6 @@
     settings->limits.jobs = 4096;
     settings->limits.job_bytes = 8u * 1024 * 1024;
     settings->limits.body_bytes = 4u * 1024 * 1024;
-    settings->limits.memory_mb = 128;
     settings->limits.descriptors = 4096;
     settings->limits.waiting_requests = 4096;
     settings->limits.job_lifetime_ms = 60000;
@@ -348,6 +351,24 @@
                               : STOP_DEFAULT_MS;
 }
 
+/* The account has room for one body at least, while it is read and parsed. */
+static void
+derive_memory(BwLimits *limits)
+{
+    uint64_t body_max;
+
+    if (limits->memory_mb == 0) {
+        uint64_t least_mb =
+            (uint64_t)limits->body_bytes * BODIES_IN_MEMORY / BYTES_PER_MB + 1;
+
+        limits->memory_mb = least_mb > MEMORY_DEFAULT_MB ? (uint32_t)least_mb
+                                                         : MEMORY_DEFAULT_MB;
+    }
+    body_max = (uint64_t)limits->memory_mb * BYTES_PER_MB / BODIES_IN_MEMORY;
+    if (limits->body_bytes > body_max)
+        limits->body_bytes = (uint32_t)body_max;
+}
+
 /* Checks the lengths that the file gives against the bounds. */
 static void
 check_leases(const char *path, const BwLimits *limits, BwYamlFaults *faults)
@@ -431,6 +452,7 @@
     else
         BwYaml_Read(path, text, &settings_schema, settings, faults);
     derive_lengths(path, &settings->limits, faults);
+    derive_memory(&settings->limits);
     if (settings->limits.config_apply_ms == 0)
         settings->limits.config_apply_ms =
             settings->role == BW_SETTINGS_DISPATCHER
--- a/packages/adapters/settings.h
+++ b/packages/adapters/settings.h
@@ -29,9 +29,11 @@
 
 typedef struct BwLimits {
     uint32_t jobs;
-    uint64_t job_bytes;   /* bodies and answers kept by a home */
-    uint32_t body_bytes;  /* body of one HTTP request */
-    uint32_t memory_mb;   /* of the machine, for this process */
+    uint64_t job_bytes;  /* bodies and answers kept by a home */
+    uint32_t body_bytes; /* body of one HTTP request */
+    /* Of the machine, for this process; from body_bytes where the file has
+       none. */
+    uint32_t memory_mb;
     uint32_t descriptors; /* the same */
     uint32_t waiting_requests;
     uint64_t job_lifetime_ms;
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -416,6 +416,28 @@
     g_assert_cmpuint(faults.count, ==, 3);
 }
 
+/* Memory and the largest body follow from each other. */
+static void
+test_memory(void)
+{
+    BwSettings settings;
+
+    g_assert_true(load_settings(&settings, dispatcher_settings, "log:",
+                                "limits: {body_bytes: 33554432}\nlog:"));
+    g_assert_cmpuint(settings.limits.memory_mb, ==, 269);
+    g_assert_cmpuint(settings.limits.body_bytes, ==, 33554432);
+    BwSettings_Finish(&settings);
+    g_assert_true(load_settings(&settings, dispatcher_settings,
+                                "log:", "limits: {memory_mb: 16}\nlog:"));
+    g_assert_cmpuint(settings.limits.body_bytes, ==, 2000000);
+    BwSettings_Finish(&settings);
+    g_assert_true(
+        load_settings(&settings, dispatcher_settings, "log:", "log:"));
+    g_assert_cmpuint(settings.limits.memory_mb, ==, 128);
+    g_assert_cmpuint(settings.limits.body_bytes, ==, 4194304);
+    BwSettings_Finish(&settings);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -431,5 +453,6 @@
     g_test_add_func("/settings/node-unknown-keys", test_node_unknown_keys);
     g_test_add_func("/settings/node-faults", test_node_faults);
     g_test_add_func("/settings/all-faults", test_node_all_faults);
+    g_test_add_func("/config/memory", test_memory);
     return g_test_run();
 }
