--- a/tests/mutations.sh
+++ b/tests/mutations.sh
@@ -6,7 +6,7 @@
 # Each patch of tests/mutations removes one lease, or one check that bounds the
 # life of a task, from a copy of the product.  The experiments that the patch
 # names are run with the changed brasswingd, and at least one outcome must be
-# violated.  A patch that no longer applies is a failure too.  Prints a line
+# violated; or the named tests of test_crowds are, and one must fail.  A patch that no longer applies is a failure too.  Prints a line
 # for each mutation and a count at the end; the product itself is not changed.
 # A patch with a line "production: COMMIT" is played beside that build.
 set -eu
@@ -47,6 +47,11 @@
         }
         END { if (separator) print "" }' "$scratch/out"
     done
+    for crowd in $(sed -n 's/^crowds: //p' "$patch"); do
+        BW_DAEMON=$scratch/build/packages/daemon/brasswingd \
+            "$build/tests/test_crowds" -p "/crowds/$crowd" \
+            >"$scratch/out" 2>&1 || echo "/crowds/$crowd"
+    done
 }
 
 for name in "$@"; do
--- a/tests/test_crowds.c
+++ b/tests/test_crowds.c
@@ -58,6 +58,15 @@
 
 static BwFleet fleet;
 
+/* tests/mutations.sh names a changed brasswingd. */
+static const char *
+daemon_path(void)
+{
+    const char *path = g_getenv("BW_DAEMON");
+
+    return path != NULL ? path : BW_DAEMON_PATH;
+}
+
 /* ------------------------------------------------------------ requests */
 
 static bool
@@ -152,7 +161,7 @@
         .cpu = BOUND_CPU,
         .mem = BOUND_MEM,
         .service = BOUND_SERVICE,
-        .daemon = BW_DAEMON_PATH,
+        .daemon = daemon_path(),
         .production = "",
         .lab = BW_CLI_PATH,
         .seed = 1,
