--- a/packages/adapters/httpserver.c
+++ b/packages/adapters/httpserver.c
@@ -15,6 +15,7 @@
 #include <string.h>
 #include <sys/epoll.h>
 
+#include "clock.h"
 #include "httpserver.h"
 #include "net.h"
 
@@ -23,6 +24,7 @@
 #define STATUS_CALLER_GONE 499 /* no caller receives it */
 #define STATUS_TOO_LARGE 413
 #define PLAIN_TEXT "text/plain"
+#define LINGER_BODIES 4 /* that are taken behind a refusal */
 
 typedef struct Handler {
     h2o_handler_t super;
@@ -257,11 +259,24 @@
                           state);
 }
 
+/* H2o closes the connection behind the reply; the client may still send. */
+static void
+keep_reply_readable(BwHttpServer *server, h2o_req_t *req)
+{
+    h2o_socket_t *sock = req->conn->callbacks->get_socket(req->conn);
+
+    if (server->connections.account != NULL && req->version < HTTP2_VERSION &&
+        sock != NULL)
+        BwLingers_Add(&server->lingers, h2o_socket_get_fd(sock),
+                      LINGER_BODIES * server->config.max_request_entity_size);
+}
+
 /* Replaces the body of h2o's reply to a body that is too large. */
 static void
 on_setup_reply(h2o_filter_t *self, h2o_req_t *req, h2o_ostream_t **slot)
 {
-    const char *body = ((Filter *)self)->server->too_large_body;
+    BwHttpServer *server = ((Filter *)self)->server;
+    const char *body = server->too_large_body;
     ssize_t type =
         h2o_find_header(&req->res.headers, H2O_TOKEN_CONTENT_TYPE, SIZE_MAX);
 
@@ -272,6 +287,7 @@
         TooLargeStream *stream =
             (TooLargeStream *)h2o_add_ostream(req, sizeof(*stream), slot);
 
+        keep_reply_readable(server, req);
         stream->super.do_send = send_too_large;
         stream->body = h2o_iovec_init(body, strlen(body));
         slot = &stream->super.next;
@@ -314,7 +330,9 @@
     handler = (Handler *)h2o_create_handler(pathconf, sizeof(Handler));
     handler->super.on_req = on_req;
     handler->server = server;
-    filter = (Filter *)h2o_create_filter(pathconf, sizeof(Filter));
+    /* H2o refuses a body before it has found the path. */
+    filter =
+        (Filter *)h2o_create_filter(&hostconf->fallback_path, sizeof(Filter));
     filter->super.on_setup_ostream = on_setup_reply;
     filter->server = server;
     h2o_context_init(&server->context, loop, &server->config);
@@ -339,6 +357,7 @@
     BwHttpConnections_Init(&server->connections, &server->context,
                            server->config.max_request_entity_size, account,
                            kind, drop_request);
+    BwLingers_Init(&server->lingers, server->context.loop, account, kind);
 }
 
 void
@@ -346,6 +365,7 @@
 {
     BwAcceptor_Tick(&server->acceptor);
     BwHttpConnections_Settle(&server->connections);
+    BwLingers_Tick(&server->lingers, BwClock_Now());
 }
 
 void
--- a/packages/adapters/httpserver.h
+++ b/packages/adapters/httpserver.h
@@ -17,6 +17,7 @@
 
 #include "acceptor.h"
 #include "httpconnection.h"
+#include "linger.h"
 #include "messages.h"
 
 typedef struct BwHttpServer BwHttpServer;
@@ -56,6 +57,7 @@
     h2o_accept_ctx_t accept;
     BwAcceptor acceptor;
     BwHttpConnections connections;
+    BwLingers lingers;
     int watch_fd; /* epoll set of connections whose request awaits a reply */
     h2o_socket_t *watch; /* watch_fd as a socket of the event loop */
     uint16_t port;
--- a/tests/test_path.c
+++ b/tests/test_path.c
@@ -133,6 +133,7 @@
 
     submit_through(0, job, &answer);
     g_assert_cmpuint(answer.status, ==, 413);
+    g_assert_cmpstr(answer.error, ==, "too_large");
     FleetAnswer_Clear(&answer);
     submit_through(0, many, &answer);
     g_assert_cmpuint(answer.status, ==, 413);
