--- a/packages/adapters/httpconnection.c
+++ b/packages/adapters/httpconnection.c
@@ -25,8 +25,7 @@
 #include "clock.h"
 #include "httpconnection.h"
 
-/* What h2o and the system hold besides the input, by measurement rounded up.
- */
+/* Estimates of what h2o and the TLS library hold besides the input. */
 #define CONNECTION_BYTES 4096
 #define TLS_BYTES 49152
 #define HTTP2_BYTES 16384
--- a/tests/test_account.c
+++ b/tests/test_account.c
@@ -197,6 +197,26 @@
     g_assert_true(BwAccount_HasRoom(&account, BW_SHARE_CALLERS));
 }
 
+/* Clients that come back at once replace each other only in part between two
+   ticks. */
+static void
+test_replaced(void)
+{
+    BwShare *share = &account.shares[BW_SHARE_CALLERS];
+    BwLogger logger = {.fd = -1, .level = BW_LOG_ERROR};
+    uint32_t next = 0;
+
+    open_account();
+    while (share->descriptors < share->descriptors_max)
+        join(next++, BW_SHARE_CALLERS, SECOND_US, 0);
+    while (next < CLIENTS && BwAccount_HasRoom(&account, BW_SHARE_CALLERS))
+        join(next++, BW_SHARE_CALLERS, SECOND_US, 0);
+    g_assert_cmpuint(count_closed(0, next), >, 0);
+    g_assert_cmpuint(count_closed(0, next), <, share->descriptors_max / 2);
+    BwAccount_Tick(&account, SECOND_US, &logger);
+    g_assert_true(BwAccount_HasRoom(&account, BW_SHARE_CALLERS));
+}
+
 static void
 test_json_bound(void)
 {
@@ -229,6 +249,7 @@
     g_test_add_func("/account/kept_and_loose", test_kept_and_loose);
     g_test_add_func("/account/release", test_release);
     g_test_add_func("/account/descriptors", test_descriptors);
+    g_test_add_func("/account/replaced", test_replaced);
     g_test_add_func("/account/json_bound", test_json_bound);
     return g_test_run();
 }
